--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,117 @@
+use {
+    bytes::{Bytes, BytesMut},
+    http_body_util::BodyExt,
+    hyper::body::{Body, Frame, Incoming, SizeHint},
+    std::{
+        fmt, io,
+        pin::Pin,
+        task::{Context, Poll},
+        time::Duration,
+    },
+};
+
+/// Source of a streamed answer. Called on the connection's own thread.
+pub trait ChunkSource: Send {
+    /// Blocks until the next chunk; `None` ends the answer, an error aborts the
+    /// transfer so that the answer never looks complete.
+    fn next_chunk(&mut self) -> Option<io::Result<Bytes>>;
+}
+
+/// Answer to one request.
+pub type Answer<S> = hyper::Response<AnswerBody<S>>;
+
+/// Body of an answer: whole, or streamed from a `ChunkSource`.
+pub enum AnswerBody<S> {
+    Whole(Option<Bytes>),
+    Streamed { source: S, flush_pending: bool },
+}
+
+impl<S> AnswerBody<S> {
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+
+    pub fn streamed(source: S) -> Self {
+        Self::Streamed { source, flush_pending: false }
+    }
+}
+
+impl<S: ChunkSource + Unpin> Body for AnswerBody<S> {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Streamed { source, flush_pending } => {
+                // hyper writes to the socket only when the body is pending, so
+                // every chunk is followed by one pending poll
+                if std::mem::take(flush_pending) {
+                    context.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+                *flush_pending = true;
+                Poll::Ready(source.next_chunk().map(|chunk| chunk.map(Frame::data)))
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Self::Streamed { .. } => SizeHint::default(),
+        }
+    }
+}
+
+/// Why a request body could not be read.
+#[derive(Debug)]
+pub enum BodyError {
+    /// Larger than the limit.
+    TooLarge,
+    /// Not complete within the time allowed.
+    TimedOut,
+    /// The connection broke.
+    Broken(String),
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge => write!(f, "request body exceeds the limit"),
+            Self::TimedOut => write!(f, "request body did not arrive in time"),
+            Self::Broken(detail) => write!(f, "request body broke off: {detail}"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// Reads a whole request body of at most `max_bytes` within `wait`.
+pub async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    wait: Duration,
+) -> Result<Bytes, BodyError> {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    let read = async {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| BodyError::Broken(e.to_string()))?;
+            let Ok(data) = frame.into_data() else { continue };
+            if bytes.len() + data.len() > max_bytes {
+                return Err(BodyError::TooLarge);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    };
+    tokio::time::timeout(wait, read).await.unwrap_or(Err(BodyError::TimedOut))
+}
--- /dev/null
+++ b/crates/http/src/caller_link.rs
@@ -0,0 +1,30 @@
+use std::{
+    io,
+    net::{SocketAddr, TcpStream},
+};
+
+/// The connection that a request came on, to notice a caller that left.
+pub struct CallerLink {
+    stream: TcpStream,
+    peer: SocketAddr,
+}
+
+impl CallerLink {
+    pub(crate) fn new(stream: TcpStream, peer: SocketAddr) -> Self {
+        Self { stream, peer }
+    }
+
+    /// Address of the caller.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Whether the caller has closed the connection. Never blocks, because the
+    /// socket is in non-blocking mode.
+    pub fn is_closed(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(bytes) => bytes == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,23 @@
+//! Router between callers and back ends.
+//!
+//! `docs/design.md` describes the modules, their state and their interfaces.
+#![allow(dead_code, unused_imports)]
+
+mod admission;
+mod app;
+mod callers;
+mod claims;
+mod config;
+mod dispatch;
+mod endpoint;
+mod logging;
+mod membership;
+mod metrics;
+mod operators;
+mod orders;
+mod ownership;
+mod peer;
+mod placement;
+mod platform;
+mod router;
+mod settings;
--- /dev/null
+++ b/crates/router/src/metrics/mod.rs
@@ -0,0 +1,3 @@
+mod registry;
+
+pub(crate) use registry::Metrics;
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,61 @@
+use {
+    crate::generated::peer::PeerFrame,
+    bincode::{
+        config::{Configuration, Limit, LittleEndian, Varint, standard},
+        serde::{decode_from_slice, encode_to_vec},
+    },
+    std::fmt,
+};
+
+/// Largest encoded message between routers, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 64 * 1024;
+
+const CODEC: Configuration<LittleEndian, Varint, Limit<MAX_MESSAGE_BYTES>> =
+    standard().with_limit::<MAX_MESSAGE_BYTES>();
+
+/// Why bytes are not a message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DecodeError {
+    /// More than `MAX_MESSAGE_BYTES`; holds the size in bytes.
+    TooLarge(usize),
+    /// Bytes are left after the message; holds their number.
+    TrailingBytes(usize),
+    /// Not a message of this protocol version.
+    Malformed(String),
+}
+
+impl fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge(bytes) => {
+                write!(f, "message of {bytes} bytes, limit {MAX_MESSAGE_BYTES}")
+            }
+            Self::TrailingBytes(bytes) => write!(f, "{bytes} bytes after the message"),
+            Self::Malformed(detail) => write!(f, "malformed message: {detail}"),
+        }
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+/// Encodes a message without its length prefix. Fails above `MAX_MESSAGE_BYTES`.
+pub fn encode_message(frame: &PeerFrame) -> Result<Vec<u8>, DecodeError> {
+    let bytes = encode_to_vec(frame, CODEC).map_err(|e| DecodeError::Malformed(e.to_string()))?;
+    if bytes.len() > MAX_MESSAGE_BYTES {
+        return Err(DecodeError::TooLarge(bytes.len()));
+    }
+    Ok(bytes)
+}
+
+/// Decodes exactly one message.
+pub fn decode_message(bytes: &[u8]) -> Result<PeerFrame, DecodeError> {
+    if bytes.len() > MAX_MESSAGE_BYTES {
+        return Err(DecodeError::TooLarge(bytes.len()));
+    }
+    let (frame, used) =
+        decode_from_slice(bytes, CODEC).map_err(|e| DecodeError::Malformed(e.to_string()))?;
+    if used != bytes.len() {
+        return Err(DecodeError::TrailingBytes(bytes.len() - used));
+    }
+    Ok(frame)
+}
