--- /dev/null
+++ b/crates/router/src/callers/caller_handler.rs
@@ -0,0 +1,290 @@
+use {
+    super::{
+        caller_metrics::CallerMetrics,
+        chat_body::ChatBody,
+        in_flight::{InFlight, InFlightGuard, LimitReached},
+        problem_answer::{ENDPOINT, problem_answer, whole_answer},
+        request_headers::{KEY, RequestHeaders, TEAM, WORK, bad_header},
+        sse_source::SseSource,
+    },
+    crate::{
+        claims::key_issued_at_ms,
+        config::{Config, ConfigStore},
+        dispatch::{ChatAnswer, ChatCall, Dispatcher, Refusal, RequestContext, ServiceRequest, now_ms},
+    },
+    bytes::Bytes,
+    http::{HeaderValue, Method, header::CONTENT_TYPE},
+    mango_http::{Answer, AnswerBody, BodyError, CallerLink, Handler, Request},
+    mango_wire::{Reason, chat_key, digest, settings::Settings},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    uuid::Uuid,
+};
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const SERVICE_PREFIX: &str = "/services/";
+
+/// Answers callers.
+pub(crate) struct CallerHandler {
+    settings: Settings,
+    config: Arc<ConfigStore>,
+    dispatcher: Dispatcher,
+    in_flight: InFlight,
+    metrics: CallerMetrics,
+    draining: AtomicBool,
+}
+
+/// What a request path asks for.
+enum Target<'a> {
+    Chat,
+    Service { service: &'a str, path: &'a str },
+}
+
+impl CallerHandler {
+    pub(crate) fn new(
+        settings: Settings,
+        config: Arc<ConfigStore>,
+        dispatcher: Dispatcher,
+        in_flight: InFlight,
+        metrics: CallerMetrics,
+    ) -> Self {
+        Self { settings, config, dispatcher, in_flight, metrics, draining: AtomicBool::new(false) }
+    }
+
+    /// Refuses new requests from now on.
+    pub(crate) fn set_draining(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    fn answer(
+        &self,
+        request: Request,
+        request_id: &str,
+        link: &CallerLink,
+    ) -> Result<Answer<SseSource>, Refusal> {
+        let now = Instant::now();
+        let (parts, body) = request.into_parts();
+        let target = target(&parts.method, parts.uri.path())?;
+        if self.draining.load(Ordering::SeqCst) {
+            return Err(Refusal::not_run(Reason::Draining, "this host is being stopped")
+                .with_retry_after(100));
+        }
+        let config = self.config.current();
+        if config.version() == 0 {
+            return Err(Refusal::not_run(Reason::NotReady, "no configuration is in force yet")
+                .with_retry_after(1000));
+        }
+        let headers = RequestHeaders::parse(&parts.headers, now)?;
+        let body = body.map_err(refuse_body)?;
+        let service = match target {
+            Target::Chat => None,
+            Target::Service { service, .. } => Some(service),
+        };
+        let path = parts.uri.path_and_query().map_or("", |p| p.as_str());
+        let mut context = context(config, &headers, service, now)?;
+        context.request_id = request_id.to_owned();
+        context.body_digest = digest_request(&parts.method, path, &body);
+        self.check_key(&context)?;
+        let guard = self.enter(&context)?;
+        match target {
+            Target::Chat => self.chat(&context, &body, guard, link),
+            Target::Service { path, .. } => {
+                let query = parts.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
+                let call = ServiceRequest {
+                    method: parts.method,
+                    path: format!("{path}{query}"),
+                    content_type: parts
+                        .headers
+                        .get(CONTENT_TYPE)
+                        .and_then(|v| v.to_str().ok())
+                        .map(str::to_owned),
+                    body,
+                };
+                let answer = self.dispatcher.service(&context, call, link)?;
+                let mut whole =
+                    whole_answer(answer.status, &answer.content_type, answer.body, request_id);
+                name_endpoint(&mut whole, &answer.endpoint_id);
+                Ok(whole)
+            }
+        }
+    }
+
+    fn chat(
+        &self,
+        context: &RequestContext,
+        body: &Bytes,
+        guard: InFlightGuard,
+        link: &CallerLink,
+    ) -> Result<Answer<SseSource>, Refusal> {
+        let body = ChatBody::parse(body)?;
+        let call = ChatCall {
+            body: body.engine_body,
+            stream: body.stream,
+            has_history: body.has_history,
+            prompt_tokens: body.prompt_tokens,
+        };
+        let id = &context.request_id;
+        match self.dispatcher.chat(context, call, guard, link)? {
+            ChatAnswer::Whole { body, endpoint_id } => {
+                let mut answer = whole_answer(200, "application/json", body, id);
+                name_endpoint(&mut answer, &endpoint_id);
+                Ok(answer)
+            }
+            ChatAnswer::Stored { status, content_type, body: stored } => {
+                if body.stream && status == 200 {
+                    return Ok(stream_answer(id, SseSource::stored(id, &stored)));
+                }
+                Ok(whole_answer(status, &content_type, stored, id))
+            }
+            ChatAnswer::Stream { stream, endpoint_id } => {
+                let mut answer = stream_answer(id, SseSource::streaming(id, stream));
+                name_endpoint(&mut answer, &endpoint_id);
+                Ok(answer)
+            }
+        }
+    }
+
+    /// Requests that may not be repeated need a key that names its issue time.
+    fn check_key(&self, context: &RequestContext) -> Result<(), Refusal> {
+        if context.work.idempotent {
+            return Ok(());
+        }
+        let key = context.idempotency_key.as_deref().ok_or_else(|| {
+            bad_header(KEY, "work that is not idempotent needs an Idempotency-Key")
+        })?;
+        let issued_at_ms = key_issued_at_ms(key).map_err(|e| bad_header(KEY, e.to_string()))?;
+        if issued_at_ms > now_ms() + u64::from(self.settings.claims.clock_skew_ms) {
+            return Err(bad_header(KEY, "the time in the Idempotency-Key lies in the future"));
+        }
+        Ok(())
+    }
+
+    fn enter(&self, context: &RequestContext) -> Result<InFlightGuard, Refusal> {
+        let team = &context.team;
+        let max = self.settings.callers.max_in_flight;
+        self.in_flight.enter(team.key, max, team.max_in_flight).map_err(|limit| {
+            let (reason, detail) = match limit {
+                LimitReached::Total => (Reason::TooManyRequests, "too many requests in progress"),
+                LimitReached::Team => (Reason::TeamLimit, "the team has too many requests in progress"),
+            };
+            Refusal::not_run(reason, detail).with_retry_after(1000)
+        })
+    }
+}
+
+impl Handler for CallerHandler {
+    type Source = SseSource;
+
+    fn handle(&self, request: Request, link: &CallerLink) -> Answer<SseSource> {
+        let started = Instant::now();
+        let request_id = Uuid::now_v7().simple().to_string();
+        let result = self.answer(request, &request_id, link);
+        let answer = result.unwrap_or_else(|refusal| {
+            log::info!(
+                "event=request_refused request_id={request_id} status={} verdict={} reason={} detail={:?}",
+                refusal.status,
+                refusal.verdict,
+                refusal.reason,
+                refusal.detail
+            );
+            self.metrics.refused(refusal.reason, refusal.verdict);
+            problem_answer(&refusal, &request_id)
+        });
+        self.metrics.answered(answer.status().as_u16(), started.elapsed());
+        answer
+    }
+
+    fn refuse_connection(&self) -> String {
+        let refusal = Refusal::not_run(Reason::TooManyConnections, "too many connections")
+            .with_retry_after(1000);
+        self.metrics.refused(refusal.reason, refusal.verdict);
+        let body = serde_json::to_string(&refusal.to_problem("")).unwrap_or_default();
+        format!(
+            "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/problem+json\r\n\
+             retry-after: 1\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    }
+}
+
+fn target<'a>(method: &Method, path: &'a str) -> Result<Target<'a>, Refusal> {
+    if path == CHAT_PATH {
+        if method != Method::POST {
+            let detail = format!("{CHAT_PATH} takes POST only");
+            return Err(Refusal::not_run(Reason::MethodNotAllowed, detail));
+        }
+        return Ok(Target::Chat);
+    }
+    let unknown = || Refusal::not_run(Reason::UnknownPath, format!("unknown path {path}"));
+    let rest = path.strip_prefix(SERVICE_PREFIX).ok_or_else(unknown)?;
+    let (service, _) = rest.split_once('/').ok_or_else(unknown)?;
+    if service.is_empty() {
+        return Err(unknown());
+    }
+    Ok(Target::Service { service, path: &rest[service.len()..] })
+}
+
+fn context(
+    config: Arc<Config>,
+    headers: &RequestHeaders,
+    service: Option<&str>,
+    now: Instant,
+) -> Result<RequestContext, Refusal> {
+    let team = config.team(&headers.team).cloned().ok_or_else(|| {
+        Refusal::not_run(Reason::UnknownTeam, format!("unknown team {}", headers.team))
+            .with_field(TEAM)
+    })?;
+    let work = config.work(&headers.work).cloned().ok_or_else(|| {
+        Refusal::not_run(Reason::UnknownWork, format!("unknown kind of work {}", headers.work))
+            .with_field(WORK)
+    })?;
+    let pools = config.pools_for(&team, &work, service);
+    if pools.is_empty() {
+        let detail = format!("no route for work {} of team {}", work.id, team.id);
+        return Err(Refusal::not_run(Reason::NoRoute, detail));
+    }
+    let default_deadline = now + Duration::from_millis(u64::from(work.deadline_ms));
+    Ok(RequestContext {
+        request_id: String::new(),
+        chat: headers.chat.as_deref().map_or(0, |chat| chat_key(&team.id, chat)),
+        idempotency_key: headers.idempotency_key.clone(),
+        body_digest: 0,
+        deadline: headers.deadline.unwrap_or(default_deadline),
+        config,
+        team,
+        work,
+        pools,
+    })
+}
+
+fn digest_request(method: &Method, path: &str, body: &[u8]) -> u64 {
+    let mut bytes = format!("{method} {path}\n").into_bytes();
+    bytes.extend_from_slice(body);
+    digest(&bytes)
+}
+
+fn refuse_body(error: BodyError) -> Refusal {
+    let reason = match error {
+        BodyError::TooLarge => Reason::BodyTooLarge,
+        BodyError::TimedOut => Reason::SlowCaller,
+        BodyError::Broken(_) => Reason::CallerLeft,
+    };
+    Refusal::not_run(reason, error.to_string())
+}
+
+fn stream_answer(request_id: &str, source: SseSource) -> Answer<SseSource> {
+    let mut answer = whole_answer(200, "text/event-stream", Bytes::new(), request_id);
+    *answer.body_mut() = AnswerBody::streamed(source);
+    answer
+}
+
+fn name_endpoint(answer: &mut Answer<SseSource>, endpoint_id: &str) {
+    if let Ok(value) = HeaderValue::from_str(endpoint_id) {
+        answer.headers_mut().insert(ENDPOINT, value);
+    }
+}
--- /dev/null
+++ b/crates/router/src/callers/request_headers.rs
@@ -0,0 +1,71 @@
+use {
+    crate::dispatch::Refusal,
+    http::HeaderMap,
+    mango_wire::Reason,
+    std::time::{Duration, Instant},
+};
+
+pub(crate) const TEAM: &str = "mango-team";
+pub(crate) const WORK: &str = "mango-work";
+pub(crate) const CHAT: &str = "mango-chat";
+pub(crate) const KEY: &str = "idempotency-key";
+pub(crate) const DEADLINE: &str = "mango-deadline-ms";
+
+const MAX_ID_BYTES: usize = 128;
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// Headers that every request carries.
+#[derive(Debug)]
+pub(crate) struct RequestHeaders {
+    pub(crate) team: String,
+    pub(crate) work: String,
+    pub(crate) chat: Option<String>,
+    pub(crate) idempotency_key: Option<String>,
+    pub(crate) deadline: Option<Instant>,
+}
+
+impl RequestHeaders {
+    /// Reads the headers. Errors name the header that is missing or malformed.
+    pub(crate) fn parse(headers: &HeaderMap, now: Instant) -> Result<Self, Refusal> {
+        Ok(Self {
+            team: required(headers, TEAM)?,
+            work: required(headers, WORK)?,
+            chat: optional(headers, CHAT)?,
+            idempotency_key: optional(headers, KEY)?,
+            deadline: deadline(headers, now)?,
+        })
+    }
+}
+
+/// Refusal that names a missing or malformed header.
+pub(crate) fn bad_header(name: &str, detail: impl Into<String>) -> Refusal {
+    Refusal::not_run(Reason::BadHeader, detail).with_field(name)
+}
+
+fn required(headers: &HeaderMap, name: &str) -> Result<String, Refusal> {
+    optional(headers, name)?.ok_or_else(|| bad_header(name, format!("header {name} is missing")))
+}
+
+fn optional(headers: &HeaderMap, name: &str) -> Result<Option<String>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(bad_header(name, format!("header {name} occurs more than once")));
+    }
+    let text = value.to_str().unwrap_or_default();
+    if text.is_empty() || text.len() > MAX_ID_BYTES {
+        let detail = format!("header {name} must hold 1 to {MAX_ID_BYTES} visible ASCII characters");
+        return Err(bad_header(name, detail));
+    }
+    Ok(Some(text.to_owned()))
+}
+
+fn deadline(headers: &HeaderMap, now: Instant) -> Result<Option<Instant>, Refusal> {
+    let Some(text) = optional(headers, DEADLINE)? else { return Ok(None) };
+    let valid = text.parse::<u64>().ok().filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms));
+    let ms = valid.ok_or_else(|| {
+        let detail = format!("header {DEADLINE} must be a number from 1 to {MAX_DEADLINE_MS}");
+        bad_header(DEADLINE, detail)
+    })?;
+    Ok(Some(now + Duration::from_millis(ms)))
+}
--- /dev/null
+++ b/crates/router/src/callers/sse_source.rs
@@ -0,0 +1,72 @@
+use {
+    crate::dispatch::{ChatItem, ChatStream},
+    bytes::{BufMut, Bytes, BytesMut},
+    mango_http::ChunkSource,
+    std::io,
+};
+
+/// Server-sent events of one answer.
+pub(crate) struct SseSource {
+    request_id: String,
+    state: State,
+}
+
+enum State {
+    Streaming(Box<ChatStream>),
+    /// A stored answer, told again.
+    Stored(Bytes),
+    Ended,
+}
+
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
+impl SseSource {
+    pub(crate) fn streaming(request_id: &str, stream: ChatStream) -> Self {
+        Self { request_id: request_id.to_owned(), state: State::Streaming(Box::new(stream)) }
+    }
+
+    pub(crate) fn stored(request_id: &str, chunk: &[u8]) -> Self {
+        let mut events = BytesMut::from(&event(chunk)[..]);
+        events.put_slice(DONE);
+        Self { request_id: request_id.to_owned(), state: State::Stored(events.freeze()) }
+    }
+}
+
+impl ChunkSource for SseSource {
+    fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
+        match &mut self.state {
+            State::Ended => None,
+            State::Stored(events) => {
+                let events = events.clone();
+                self.state = State::Ended;
+                Some(Ok(events))
+            }
+            State::Streaming(stream) => match stream.next_item() {
+                ChatItem::Token(token) => Some(Ok(event(&token.chunk))),
+                ChatItem::Done { chunk, .. } => {
+                    self.state = State::Ended;
+                    let mut events = BytesMut::new();
+                    if let Some(chunk) = chunk {
+                        events.put_slice(&event(&chunk));
+                    }
+                    events.put_slice(DONE);
+                    Some(Ok(events.freeze()))
+                }
+                ChatItem::Failed(refusal) => {
+                    self.state = State::Ended;
+                    let problem = refusal.to_problem(&self.request_id);
+                    let json = serde_json::to_string(&problem).unwrap_or_default();
+                    Some(Ok(format!("event: error\ndata: {json}\n\n").into()))
+                }
+            },
+        }
+    }
+}
+
+fn event(data: &[u8]) -> Bytes {
+    let mut event = BytesMut::with_capacity(data.len() + 8);
+    event.put_slice(b"data: ");
+    event.put_slice(data);
+    event.put_slice(b"\n\n");
+    event.freeze()
+}
--- /dev/null
+++ b/crates/router/src/dispatch/chat_run.rs
@@ -0,0 +1,250 @@
+use {
+    super::{
+        attempt::Attempt, chat_stream::ChatItem, claim_client::ClaimTicket,
+        dispatch_metrics::DispatchMetrics, refusal::Refusal,
+    },
+    crate::endpoint::{CallFailure, EngineEvent, Token, Usage},
+    bytes::Bytes,
+    crossbeam::channel::RecvTimeoutError,
+    mango_wire::{Reason, peer::ReleaseOutcome, problem::Verdict},
+    std::time::{Duration, Instant},
+};
+
+/// Tokens between two progress reports to the owner.
+const PROGRESS_TOKENS: u32 = 64;
+/// Priority of work that turned out long; below all priorities that owners give.
+pub(crate) const DEMOTED_PRIORITY: u16 = 1000;
+
+/// Limits of one run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunLimits {
+    pub(crate) deadline: Instant,
+    pub(crate) stall: Duration,
+    pub(crate) long_tokens: u32,
+    pub(crate) max_resumes: u32,
+}
+
+/// A request that an engine has started to answer.
+pub(crate) struct ChatRun {
+    pub(crate) request_id: String,
+    attempt: Option<Attempt>,
+    pending: Option<EngineEvent>,
+    limits: RunLimits,
+    metrics: DispatchMetrics,
+    claim: Option<ClaimTicket>,
+    /// Answer so far; kept only where it is needed as a whole.
+    text: Option<String>,
+    next_index: u32,
+    first_token_at: Option<Instant>,
+    resumes: u32,
+    demoted: bool,
+    endpoint_id: String,
+}
+
+impl ChatRun {
+    pub(crate) fn new(
+        request_id: String,
+        attempt: Attempt,
+        first: EngineEvent,
+        limits: RunLimits,
+        metrics: DispatchMetrics,
+        claim: Option<ClaimTicket>,
+    ) -> Self {
+        let text = claim.is_some().then(String::new);
+        let endpoint_id = attempt.endpoint.id.clone();
+        let demoted = attempt.permit.grant.long;
+        Self {
+            request_id,
+            attempt: Some(attempt),
+            pending: Some(first),
+            limits,
+            metrics,
+            claim,
+            text,
+            next_index: 0,
+            first_token_at: None,
+            resumes: 0,
+            demoted,
+            endpoint_id,
+        }
+    }
+
+    pub(crate) fn endpoint_id(&self) -> &str {
+        &self.endpoint_id
+    }
+
+    /// Whether the run must go on although its caller left, because it may not
+    /// be repeated and its outcome must be stored.
+    pub(crate) fn must_finish(&self) -> bool {
+        self.attempt.is_some() && self.claim.is_some()
+    }
+
+    /// Blocks until the next token or the end of the answer.
+    pub(crate) fn next_item(&mut self) -> ChatItem {
+        loop {
+            let Some(attempt) = &self.attempt else {
+                let ended = Refusal::new(Verdict::Completed, Reason::EndpointBroken, "answer ended");
+                return ChatItem::Failed(ended);
+            };
+            let event = match self.pending.take() {
+                Some(event) => event,
+                None => receive(attempt, &self.limits),
+            };
+            match event {
+                EngineEvent::Token(token) => return self.on_token(token),
+                EngineEvent::Done { usage, chunk } => return self.on_done(usage, chunk),
+                EngineEvent::Failed(failure) => {
+                    if let Some(item) = self.on_failure(failure) {
+                        return item;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Runs to the end and returns the whole answer.
+    pub(crate) fn collect(&mut self) -> Result<(String, Usage), Refusal> {
+        self.text.get_or_insert_default();
+        loop {
+            match self.next_item() {
+                ChatItem::Token(_) => {}
+                ChatItem::Done { usage, .. } => {
+                    return Ok((self.text.take().unwrap_or_default(), usage));
+                }
+                ChatItem::Failed(refusal) => return Err(refusal),
+            }
+        }
+    }
+
+    /// Stops the request at the engine, if it still runs.
+    pub(crate) fn cancel(&mut self) {
+        self.update_measures();
+        if let Some(attempt) = self.attempt.take() {
+            self.metrics.cancels.inc();
+            attempt.cancel(ReleaseOutcome::Cancelled);
+        }
+    }
+
+    fn on_token(&mut self, token: Token) -> ChatItem {
+        self.metrics.tokens.inc();
+        self.next_index = token.index + 1;
+        if let Some(text) = &mut self.text {
+            text.push_str(&token.content);
+        }
+        let first = self.first_token_at.is_none();
+        if first {
+            self.first_token_at = Some(Instant::now());
+        }
+        if first || self.next_index.is_multiple_of(PROGRESS_TOKENS) {
+            self.update_measures();
+            self.report(first);
+        }
+        ChatItem::Token(token)
+    }
+
+    fn report(&mut self, first: bool) {
+        let Some(attempt) = &self.attempt else { return };
+        if first {
+            let waited = attempt.sent_at.elapsed();
+            self.metrics.first_token_seconds.observe(waited.as_secs_f64());
+        }
+        attempt.permit.report_progress();
+        if !self.demoted && self.next_index > self.limits.long_tokens {
+            self.demoted = true;
+            self.metrics.demotions.inc();
+            attempt.demote(DEMOTED_PRIORITY);
+        }
+    }
+
+    fn on_done(&mut self, usage: Usage, chunk: Option<Bytes>) -> ChatItem {
+        self.update_measures();
+        if let Some(mut attempt) = self.attempt.take() {
+            attempt.permit.set_outcome(ReleaseOutcome::Completed);
+        }
+        if let Some(claim) = self.claim.take() {
+            let text = self.text.as_deref().unwrap_or_default();
+            claim.complete(200, "application/json", whole_answer(&self.request_id, text, usage));
+        }
+        ChatItem::Done { usage, chunk }
+    }
+
+    /// Resumes the answer, or ends it; `None` if it goes on.
+    fn on_failure(&mut self, failure: CallFailure) -> Option<ChatItem> {
+        let expired = Instant::now() >= self.limits.deadline;
+        let resumable = matches!(failure.reason, Reason::EndpointBroken | Reason::EndpointStalled);
+        if resumable && !expired && self.resumes < self.limits.max_resumes {
+            self.resumes += 1;
+            self.metrics.resumes.inc();
+            log::info!(
+                "event=stream_resume request_id={} endpoint={} from={} error=\"{failure}\"",
+                self.request_id,
+                self.endpoint_id,
+                self.next_index
+            );
+            if self.attempt.as_mut()?.resume(self.next_index).is_ok() {
+                return None;
+            }
+        }
+        Some(ChatItem::Failed(self.fail(failure)))
+    }
+
+    fn fail(&mut self, failure: CallFailure) -> Refusal {
+        self.update_measures();
+        if let Some(attempt) = self.attempt.take() {
+            attempt.cancel(ReleaseOutcome::Failed);
+        }
+        let refusal = Refusal::from(failure);
+        if let Some(claim) = self.claim.take() {
+            claim.fail(&refusal, &self.request_id);
+        }
+        refusal
+    }
+
+    fn update_measures(&mut self) {
+        let Some(attempt) = &mut self.attempt else { return };
+        let Some(first_at) = self.first_token_at else { return };
+        let first_token_ms = first_at.duration_since(attempt.sent_at).as_millis() as u32;
+        let gaps = self.next_index.saturating_sub(1);
+        let gap_us = match gaps {
+            0 => 0,
+            gaps => (first_at.elapsed().as_micros() / u128::from(gaps)) as u32,
+        };
+        attempt.permit.measure(first_token_ms.max(1), self.next_index, gap_us);
+    }
+}
+
+fn receive(attempt: &Attempt, limits: &RunLimits) -> EngineEvent {
+    let stalled_at = Instant::now() + limits.stall;
+    let failure = match attempt.events.recv_deadline(stalled_at.min(limits.deadline)) {
+        Ok(event) => return event,
+        Err(RecvTimeoutError::Timeout) if Instant::now() >= limits.deadline => {
+            CallFailure::new(Verdict::MayHaveRun, Reason::Deadline, "deadline passed")
+        }
+        Err(RecvTimeoutError::Timeout) => {
+            CallFailure::new(Verdict::MayHaveRun, Reason::EndpointStalled, "no token in time")
+        }
+        Err(RecvTimeoutError::Disconnected) => {
+            CallFailure::new(Verdict::MayHaveRun, Reason::EndpointBroken, "call ended early")
+        }
+    };
+    EngineEvent::Failed(failure)
+}
+
+/// The whole answer in the form that callers get.
+pub(crate) fn whole_answer(request_id: &str, text: &str, usage: Usage) -> Bytes {
+    let answer = serde_json::json!({
+        "id": request_id,
+        "object": "chat.completion",
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": "stop",
+        }],
+        "usage": {
+            "prompt_tokens": usage.prompt_tokens,
+            "completion_tokens": usage.completion_tokens,
+            "cached_tokens": usage.cached_tokens,
+        },
+    });
+    answer.to_string().into()
+}
--- /dev/null
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -0,0 +1,629 @@
+use {
+    super::{
+        attempt::Attempt,
+        chat_run::{ChatRun, RunLimits, whole_answer},
+        chat_stream::ChatStream,
+        claim_client::{ClaimClient, ClaimDecision, ClaimTicket},
+        decision_log::{Decision, DecisionLog, now_ms},
+        dispatch_metrics::DispatchMetrics,
+        endpoint_table::EndpointTable,
+        engine_job::EngineJob,
+        permit::Permit,
+        permit_client::{NoPermit, PermitAsk, PermitClient},
+        refusal::Refusal,
+        request_context::RequestContext,
+        share_budget::ShareBudget,
+    },
+    crate::{
+        callers::InFlightGuard,
+        config::{EndpointInfo, PoolInfo},
+        endpoint::{CallFailure, EngineCall, EngineEvent, Service, ServiceCall, WorkerPool},
+        placement::{CandidatePlan, LoadTable, PlanRequest},
+    },
+    bytes::Bytes,
+    crossbeam::{
+        channel::RecvTimeoutError,
+        select,
+    },
+    mango_http::CallerLink,
+    mango_wire::{
+        EndpointKey, Reason,
+        peer::{AcquireMode, PassReason, ReleaseOutcome},
+        problem::Verdict,
+        settings::{AdmissionSettings, DispatchSettings},
+    },
+    std::{
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Sendings of one request, the first included.
+const MAX_ATTEMPTS: u32 = 3;
+/// Pause before endpoints without a reachable owner are tried again.
+const OWNER_RETRY: Duration = Duration::from_millis(50);
+/// Interval at which a waiting request checks whether its caller has left.
+const CALLER_CHECK: Duration = Duration::from_millis(50);
+/// Budget key for hedges, which are limited over all teams.
+const ALL_TEAMS: u32 = 0;
+
+/// A chat completion to run.
+pub(crate) struct ChatCall {
+    pub(crate) body: Bytes,
+    pub(crate) stream: bool,
+    pub(crate) has_history: bool,
+    pub(crate) prompt_tokens: u32,
+}
+
+/// Answer to a chat completion.
+pub(crate) enum ChatAnswer {
+    Whole { body: Bytes, endpoint_id: String },
+    Stream { stream: ChatStream, endpoint_id: String },
+    /// The request ran before; its answer.
+    Stored { status: u16, content_type: String, body: Bytes },
+}
+
+/// A call of a plain service to run.
+pub(crate) struct ServiceRequest {
+    pub(crate) method: http::Method,
+    pub(crate) path: String,
+    pub(crate) content_type: Option<String>,
+    pub(crate) body: Bytes,
+}
+
+/// Whole answer to a service call.
+pub(crate) struct ServiceReply {
+    pub(crate) status: u16,
+    pub(crate) content_type: String,
+    pub(crate) body: Bytes,
+    pub(crate) endpoint_id: String,
+}
+
+/// Places requests on endpoints and sees them through.
+pub(crate) struct Dispatcher {
+    settings: DispatchSettings,
+    admission_settings: AdmissionSettings,
+    permits: Arc<PermitClient>,
+    claims: Arc<ClaimClient>,
+    endpoints: Arc<EndpointTable>,
+    loads: Arc<LoadTable>,
+    decisions: Arc<DecisionLog>,
+    workers: Arc<WorkerPool<EngineJob>>,
+    retries: ShareBudget,
+    hedges: ShareBudget,
+    metrics: DispatchMetrics,
+}
+
+/// Parts that a dispatcher works with.
+pub(crate) struct DispatcherParts {
+    pub(crate) permits: Arc<PermitClient>,
+    pub(crate) claims: Arc<ClaimClient>,
+    pub(crate) endpoints: Arc<EndpointTable>,
+    pub(crate) loads: Arc<LoadTable>,
+    pub(crate) decisions: Arc<DecisionLog>,
+    pub(crate) metrics: DispatchMetrics,
+}
+
+/// One placement: what was tried, and what is left out.
+#[derive(Default)]
+struct Trace {
+    tries: Vec<String>,
+    excluded: Vec<EndpointKey>,
+}
+
+impl Dispatcher {
+    pub(crate) fn new(
+        settings: DispatchSettings,
+        admission_settings: AdmissionSettings,
+        parts: DispatcherParts,
+    ) -> Self {
+        let retries = ShareBudget::new(settings.retry_share, 3.0);
+        let hedges = ShareBudget::new(settings.hedge_share, 1.0);
+        let DispatcherParts { permits, claims, endpoints, loads, decisions, metrics } = parts;
+        Self {
+            settings,
+            admission_settings,
+            permits,
+            claims,
+            endpoints,
+            loads,
+            decisions,
+            workers: Arc::new(WorkerPool::new()),
+            retries,
+            hedges,
+            metrics,
+        }
+    }
+
+    /// Runs a chat completion. A streamed answer is returned with its first token.
+    pub(crate) fn chat(
+        &self,
+        context: &RequestContext,
+        call: ChatCall,
+        guard: InFlightGuard,
+        link: &CallerLink,
+    ) -> Result<ChatAnswer, Refusal> {
+        let ticket = match self.claim(context)? {
+            None => None,
+            Some(ClaimDecision::Granted(ticket)) => Some(ticket),
+            Some(ClaimDecision::Stored { status, content_type, body }) => {
+                return Ok(ChatAnswer::Stored { status, content_type, body });
+            }
+        };
+        let mut trace = Trace::default();
+        let result = self.run_chat(context, call, ticket, guard, link, &mut trace);
+        self.log_decision(context, &trace, &result);
+        result
+    }
+
+    fn run_chat(
+        &self,
+        context: &RequestContext,
+        call: ChatCall,
+        mut ticket: Option<ClaimTicket>,
+        guard: InFlightGuard,
+        link: &CallerLink,
+        trace: &mut Trace,
+    ) -> Result<ChatAnswer, Refusal> {
+        for attempt in 0..MAX_ATTEMPTS {
+            let last = attempt + 1 == MAX_ATTEMPTS;
+            let mut run = match self.start_chat(context, &call, &mut ticket, attempt, link, trace) {
+                Ok(run) => run,
+                Err(refusal) if !last && self.may_retry(context, &refusal) => continue,
+                Err(refusal) => {
+                    if let Some(ticket) = ticket {
+                        ticket.fail(&refusal, &context.request_id);
+                    }
+                    return Err(refusal);
+                }
+            };
+            let endpoint_id = run.endpoint_id().to_owned();
+            if call.stream {
+                return Ok(ChatAnswer::Stream { stream: ChatStream::new(run, guard), endpoint_id });
+            }
+            match run.collect() {
+                Ok((text, usage)) => {
+                    let body = whole_answer(&context.request_id, &text, usage);
+                    return Ok(ChatAnswer::Whole { body, endpoint_id });
+                }
+                // nothing of the answer has reached the caller yet
+                Err(refusal) if !last && self.may_retry(context, &refusal) => {}
+                Err(refusal) => return Err(refusal),
+            }
+        }
+        Err(Refusal::not_run(Reason::NoCapacity, "no attempt was made"))
+    }
+
+    fn start_chat(
+        &self,
+        context: &RequestContext,
+        call: &ChatCall,
+        ticket: &mut Option<ClaimTicket>,
+        attempt: u32,
+        link: &CallerLink,
+        trace: &mut Trace,
+    ) -> Result<ChatRun, Refusal> {
+        let first = self.send_chat(context, call, attempt, link, trace, false)?;
+        let limits = RunLimits {
+            deadline: context.deadline,
+            stall: Duration::from_millis(u64::from(self.settings.stall_ms)),
+            long_tokens: self.admission_settings.long_tokens,
+            max_resumes: self.settings.max_resumes,
+        };
+        let (winner, event) = self.await_first(context, call, first, link, trace)?;
+        Ok(ChatRun::new(
+            context.request_id.clone(),
+            winner,
+            event,
+            limits,
+            self.metrics.clone(),
+            ticket.take(),
+        ))
+    }
+
+    /// Gets a permit and sends the request.
+    fn send_chat(
+        &self,
+        context: &RequestContext,
+        call: &ChatCall,
+        attempt: u32,
+        link: &CallerLink,
+        trace: &mut Trace,
+        hedge: bool,
+    ) -> Result<Attempt, Refusal> {
+        let (endpoint, permit) =
+            self.place(context, call.has_history, call.prompt_tokens, link, trace, hedge)?;
+        let chat = match context.chat {
+            0 => String::new(),
+            chat => format!("{chat:016x}"),
+        };
+        let mark = if hedge { "h" } else { "" };
+        let engine_call = EngineCall {
+            attempt_id: format!("{}-{attempt}{mark}", context.request_id),
+            chat,
+            priority: permit.grant.priority,
+            body: call.body.clone(),
+            deadline: context.deadline,
+            repeatable: context.work.idempotent,
+        };
+        let engine = self.endpoints.engine(&endpoint);
+        self.metrics.requests.inc();
+        Attempt::start(endpoint, engine, permit, engine_call, self.workers.clone()).map_err(|e| {
+            Refusal::not_run(Reason::TooManyRequests, format!("no thread for the call: {e}"))
+        })
+    }
+
+    /// Waits for the first event of the answer; sends a second request where the
+    /// first is slow and may be repeated.
+    fn await_first(
+        &self,
+        context: &RequestContext,
+        call: &ChatCall,
+        first: Attempt,
+        link: &CallerLink,
+        trace: &mut Trace,
+    ) -> Result<(Attempt, EngineEvent), Refusal> {
+        let hedge_at = self.hedge_at(context, &first);
+        let mut first = first;
+        let mut second: Option<Attempt> = None;
+        let mut hedged = false;
+        loop {
+            let now = Instant::now();
+            if now >= context.deadline {
+                cancel_all(first, second, ReleaseOutcome::Failed);
+                return Err(Refusal::new(Verdict::MayHaveRun, Reason::Deadline, "deadline passed"));
+            }
+            if context.work.idempotent && link.is_closed() {
+                cancel_all(first, second, ReleaseOutcome::Cancelled);
+                return Err(Refusal::new(
+                    Verdict::MayHaveRun,
+                    Reason::CallerLeft,
+                    "the caller closed the connection",
+                ));
+            }
+            if !hedged && hedge_at.is_some_and(|at| now >= at) && self.hedges.take(ALL_TEAMS) {
+                hedged = true;
+                trace.excluded.push(first.endpoint.key);
+                second = self.send_chat(context, call, 0, link, trace, true).ok();
+                if second.is_some() {
+                    self.metrics.hedges.inc();
+                }
+            }
+            let mut wake = (now + CALLER_CHECK).min(context.deadline);
+            if let Some(at) = hedge_at.filter(|at| !hedged && *at > now) {
+                wake = wake.min(at);
+            }
+            let (from_second, event) = match receive_either(&first, second.as_ref(), wake) {
+                Some(received) => received,
+                None => continue,
+            };
+            match event {
+                EngineEvent::Failed(failure) => {
+                    let failed_first = !from_second;
+                    trace.tries.push(format!(
+                        "{}: {failure}",
+                        if failed_first { &first.endpoint.id } else {
+                            second.as_ref().map_or("", |s| s.endpoint.id.as_str())
+                        }
+                    ));
+                    match (failed_first, second.take()) {
+                        (true, Some(other)) => {
+                            end_failed(std::mem::replace(&mut first, other), &failure);
+                        }
+                        (false, Some(other)) => end_failed(other, &failure),
+                        (_, None) => {
+                            trace.excluded.push(first.endpoint.key);
+                            end_failed(first, &failure);
+                            return Err(failure.into());
+                        }
+                    }
+                }
+                event => {
+                    let (winner, loser) = match second {
+                        Some(second) if from_second => {
+                            self.metrics.hedges_won.inc();
+                            (second, Some(first))
+                        }
+                        second => (first, second),
+                    };
+                    if let Some(loser) = loser {
+                        self.metrics.cancels.inc();
+                        loser.cancel(ReleaseOutcome::Cancelled);
+                    }
+                    return Ok((winner, event));
+                }
+            }
+        }
+    }
+
+    fn hedge_at(&self, context: &RequestContext, first: &Attempt) -> Option<Instant> {
+        let expected_ms = first.permit.grant.expected_first_token_ms;
+        if !context.work.idempotent || expected_ms == 0 {
+            return None;
+        }
+        let wait_ms = f64::from(expected_ms) * self.settings.hedge_ratio;
+        Some(first.sent_at + Duration::from_secs_f64(wait_ms / 1000.0))
+    }
+
+    /// Runs a call of a plain service.
+    pub(crate) fn service(
+        &self,
+        context: &RequestContext,
+        request: ServiceRequest,
+        link: &CallerLink,
+    ) -> Result<ServiceReply, Refusal> {
+        let ticket = match self.claim(context)? {
+            None => None,
+            Some(ClaimDecision::Granted(ticket)) => Some(ticket),
+            Some(ClaimDecision::Stored { status, content_type, body }) => {
+                let endpoint_id = String::new();
+                return Ok(ServiceReply { status, content_type, body, endpoint_id });
+            }
+        };
+        let mut trace = Trace::default();
+        let result = self.run_service(context, &request, link, &mut trace);
+        if let Some(ticket) = ticket {
+            match &result {
+                Ok(reply) => ticket.complete(reply.status, &reply.content_type, reply.body.clone()),
+                Err(refusal) => ticket.fail(refusal, &context.request_id),
+            }
+        }
+        self.log_decision(context, &trace, &result);
+        result
+    }
+
+    fn run_service(
+        &self,
+        context: &RequestContext,
+        request: &ServiceRequest,
+        link: &CallerLink,
+        trace: &mut Trace,
+    ) -> Result<ServiceReply, Refusal> {
+        let mut attempt = 0;
+        loop {
+            let (endpoint, mut permit) = self.place(context, false, 0, link, trace, false)?;
+            let call = ServiceCall {
+                attempt_id: format!("{}-{attempt}", context.request_id),
+                method: request.method.clone(),
+                path: request.path.clone(),
+                content_type: request.content_type.clone(),
+                idempotency_key: context.idempotency_key.clone(),
+                body: request.body.clone(),
+                deadline: context.deadline,
+                repeatable: context.work.idempotent,
+            };
+            self.metrics.requests.inc();
+            let sent_at = Instant::now();
+            let result = self.endpoints.service(&endpoint).call(&call);
+            permit.measure(sent_at.elapsed().as_millis().max(1) as u32, 1, 0);
+            match result {
+                Ok(answer) => {
+                    permit.set_outcome(ReleaseOutcome::Completed);
+                    return Ok(ServiceReply {
+                        status: answer.status,
+                        content_type: answer.content_type,
+                        body: answer.body,
+                        endpoint_id: endpoint.id.clone(),
+                    });
+                }
+                Err(failure) => {
+                    permit.set_outcome(ReleaseOutcome::Failed);
+                    trace.tries.push(format!("{}: {failure}", endpoint.id));
+                    trace.excluded.push(endpoint.key);
+                    attempt += 1;
+                    let refusal = Refusal::from(failure);
+                    if attempt == MAX_ATTEMPTS || !self.may_retry(context, &refusal) {
+                        return Err(refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Claims a request that may not be repeated; `None` for all others.
+    fn claim(&self, context: &RequestContext) -> Result<Option<ClaimDecision>, Refusal> {
+        self.retries.count_request(context.team.key);
+        self.hedges.count_request(ALL_TEAMS);
+        match &context.idempotency_key {
+            Some(key) if !context.work.idempotent => self.claims.claim(context, key).map(Some),
+            _ => Ok(None),
+        }
+    }
+
+    fn may_retry(&self, context: &RequestContext, refusal: &Refusal) -> bool {
+        let endpoint_failed = matches!(
+            refusal.reason,
+            Reason::EndpointUnreachable
+                | Reason::EndpointRefused
+                | Reason::EndpointBroken
+                | Reason::EndpointStalled
+                | Reason::CrossedAnswer
+        );
+        let safe = refusal.verdict == Verdict::NotRun || context.work.idempotent;
+        let retry = endpoint_failed
+            && safe
+            && Instant::now() < context.deadline
+            && self.retries.take(context.team.key);
+        if retry {
+            self.metrics.retries.inc();
+            log::info!(
+                "event=request_retry request_id={} reason={} verdict={}",
+                context.request_id,
+                refusal.reason,
+                refusal.verdict
+            );
+        }
+        retry
+    }
+
+    /// Finds an endpoint with a permit that is still valid.
+    fn place(
+        &self,
+        context: &RequestContext,
+        has_history: bool,
+        prompt_tokens: u32,
+        link: &CallerLink,
+        trace: &mut Trace,
+        hedge: bool,
+    ) -> Result<(Arc<EndpointInfo>, Permit), Refusal> {
+        let started = Instant::now();
+        loop {
+            let mut saw_owner = false;
+            for pool in &context.pools {
+                let placed = self.place_in_pool(
+                    context,
+                    pool,
+                    (has_history, prompt_tokens),
+                    link,
+                    trace,
+                    (hedge, &mut saw_owner),
+                )?;
+                if let Some((endpoint, permit)) = placed {
+                    self.metrics.permit_wait_seconds.observe(started.elapsed().as_secs_f64());
+                    return Ok((endpoint, permit));
+                }
+            }
+            if hedge {
+                return Err(Refusal::not_run(Reason::NoCapacity, "no other endpoint is free"));
+            }
+            if Instant::now() + OWNER_RETRY >= context.deadline {
+                let reason = if saw_owner { Reason::NoCapacity } else { Reason::OwnerUnavailable };
+                let detail = format!("no endpoint took the request: {}", trace.tries.join(", "));
+                return Err(Refusal::not_run(reason, detail).with_retry_after(1000));
+            }
+            trace.tries.truncate(64);
+            thread::sleep(OWNER_RETRY);
+        }
+    }
+
+    fn place_in_pool(
+        &self,
+        context: &RequestContext,
+        pool: &Arc<PoolInfo>,
+        (has_history, prompt_tokens): (bool, u32),
+        link: &CallerLink,
+        trace: &mut Trace,
+        (hedge, saw_owner): (bool, &mut bool),
+    ) -> Result<Option<(Arc<EndpointInfo>, Permit)>, Refusal> {
+        let ask = PermitAsk {
+            pool: pool.key,
+            team: context.team.key,
+            work: context.work.key,
+            chat: context.chat,
+            prompt_tokens,
+            deadline: context.deadline,
+        };
+        let request = PlanRequest {
+            chat: context.chat,
+            has_history,
+            excluded: &trace.excluded,
+            may_queue: !hedge,
+        };
+        let plan = CandidatePlan::new(self.admission_settings.policy, pool, &self.loads, &request);
+        for (key, mode) in plan {
+            let Some(endpoint) = context.config.endpoint(key).cloned() else { continue };
+            let caller_left = || link.is_closed();
+            match self.permits.acquire(&ask, key, mode, &caller_left) {
+                Ok(permit) if permit.is_valid() => {
+                    trace.tries.push(format!("{}: {mode} granted", endpoint.id));
+                    return Ok(Some((endpoint, permit)));
+                }
+                Ok(_) => trace.tries.push(format!("{}: permit came too late", endpoint.id)),
+                Err(NoPermit::CallerLeft) => {
+                    return Err(Refusal::not_run(Reason::CallerLeft, "the caller left"));
+                }
+                Err(NoPermit::NoOwner) => trace.tries.push(format!("{}: no owner", endpoint.id)),
+                Err(NoPermit::Refused { reason, retry_after_ms }) => {
+                    *saw_owner = true;
+                    trace.tries.push(format!("{}: {mode} {reason}", endpoint.id));
+                    if mode == AcquireMode::Queue {
+                        refuse_finally(reason, retry_after_ms)?;
+                    }
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    fn log_decision<T>(
+        &self,
+        context: &RequestContext,
+        trace: &Trace,
+        result: &Result<T, Refusal>,
+    ) {
+        let outcome = match result {
+            Ok(_) => "answered".to_owned(),
+            Err(refusal) => format!("{} ({})", refusal.reason, refusal.verdict),
+        };
+        let endpoint = trace.tries.iter().rev().find_map(|t| t.strip_suffix(" granted"));
+        let endpoint = endpoint.and_then(|t| t.split_once(": ")).map(|(id, _)| id.to_owned());
+        log::info!(
+            "event=request_placed request_id={} team={} work={} endpoint={} outcome=\"{outcome}\" tries={}",
+            context.request_id,
+            context.team.id,
+            context.work.id,
+            endpoint.as_deref().unwrap_or("-"),
+            trace.tries.len()
+        );
+        self.decisions.push(Decision {
+            at_ms: now_ms(),
+            request_id: context.request_id.clone(),
+            team: context.team.id.clone(),
+            work: context.work.id.clone(),
+            endpoint,
+            outcome,
+            tries: trace.tries.clone(),
+        });
+    }
+}
+
+/// Refusals of a queue that no other endpoint would answer better.
+fn refuse_finally(reason: PassReason, retry_after_ms: u32) -> Result<(), Refusal> {
+    let (reason, detail) = match reason {
+        PassReason::QueueFull => (Reason::QueueFull, "the queue is full"),
+        PassReason::Deadline => (Reason::Deadline, "the wait would pass the deadline"),
+        _ => return Ok(()),
+    };
+    Err(Refusal::not_run(reason, detail).with_retry_after(retry_after_ms.max(1)))
+}
+
+fn receive_either(
+    first: &Attempt,
+    second: Option<&Attempt>,
+    wake: Instant,
+) -> Option<(bool, EngineEvent)> {
+    let lost = || {
+        let detail = "call ended early";
+        EngineEvent::Failed(CallFailure::new(Verdict::MayHaveRun, Reason::EndpointBroken, detail))
+    };
+    let Some(second) = second else {
+        return match first.events.recv_deadline(wake) {
+            Ok(event) => Some((false, event)),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => Some((false, lost())),
+        };
+    };
+    let timer = wake.saturating_duration_since(Instant::now());
+    select! {
+        recv(first.events) -> event => Some((false, event.unwrap_or_else(|_| lost()))),
+        recv(second.events) -> event => Some((true, event.unwrap_or_else(|_| lost()))),
+        default(timer) => None,
+    }
+}
+
+/// Ends an attempt that failed. Nothing is left to cancel if it never ran.
+fn end_failed(mut attempt: Attempt, failure: &CallFailure) {
+    if failure.verdict == Verdict::NotRun {
+        attempt.permit.set_outcome(ReleaseOutcome::Failed);
+    } else {
+        attempt.cancel(ReleaseOutcome::Failed);
+    }
+}
+
+fn cancel_all(first: Attempt, second: Option<Attempt>, outcome: ReleaseOutcome) {
+    first.cancel(outcome);
+    if let Some(second) = second {
+        second.cancel(outcome);
+    }
+}
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,1 +1,30 @@
+mod attempt;
+mod chat_run;
+mod chat_stream;
+mod claim_client;
+mod decision_log;
+mod dispatch_metrics;
+mod dispatcher;
+mod endpoint_table;
+mod engine_job;
+mod permit;
+mod permit_client;
+mod refusal;
+mod request_context;
+mod share_budget;
+#[cfg(test)]
+mod tests;
 
+pub(crate) use {
+    chat_stream::{ChatItem, ChatStream},
+    claim_client::ClaimClient,
+    decision_log::{Decision, DecisionLog, now_ms},
+    dispatch_metrics::DispatchMetrics,
+    dispatcher::{
+        ChatAnswer, ChatCall, Dispatcher, DispatcherParts, ServiceReply, ServiceRequest,
+    },
+    endpoint_table::EndpointTable,
+    permit_client::PermitClient,
+    refusal::Refusal,
+    request_context::RequestContext,
+};
--- a/crates/wire/src/reason.rs
+++ b/crates/wire/src/reason.rs
@@ -19,6 +19,7 @@
     TooManyRequests,
     TeamLimit,
     SlowCaller,
+    CallerLeft,
     QueueFull,
     Deadline,
     NoCapacity,
