--- /dev/null
+++ b/crates/standins/src/endpoint/answers.rs
@@ -0,0 +1,46 @@
+use {
+    http::{HeaderMap, HeaderValue, StatusCode},
+    mango_http::{Answer, AnswerBody},
+    serde::Serialize,
+};
+
+/// Number in a query string such as `from=3&wait_ms=10`.
+pub(crate) fn query_number(query: &str, name: &str) -> Option<u64> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+}
+
+/// Header value as text.
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// The caller's request id, or a new one.
+pub(crate) fn request_id(headers: &HeaderMap) -> String {
+    match header_text(headers, "X-Request-Id") {
+        Some(id) => id.to_owned(),
+        None => uuid::Uuid::new_v4().to_string(),
+    }
+}
+
+pub(crate) fn status_answer<S>(status: StatusCode) -> Answer<S> {
+    let mut answer = Answer::new(AnswerBody::whole(""));
+    *answer.status_mut() = status;
+    answer
+}
+
+pub(crate) fn json_answer<S, T: Serialize>(status: StatusCode, value: &T) -> Answer<S> {
+    let text = serde_json::to_string(value).expect("replies have string keys");
+    let mut answer = Answer::new(AnswerBody::whole(text));
+    *answer.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    answer
+}
+
+/// Refusal that promises that the request did not run.
+pub(crate) fn refuse_unread<S>(status: StatusCode) -> Answer<S> {
+    let mut answer = status_answer(status);
+    answer.headers_mut().insert("X-Refused", HeaderValue::from_static("unread"));
+    answer
+}
--- /dev/null
+++ b/crates/standins/src/endpoint/broken_answer.rs
@@ -0,0 +1,24 @@
+use {
+    bytes::Bytes,
+    mango_http::{Answer, AnswerBody, ChunkSource},
+    std::io,
+};
+
+/// Answer that closes the connection before a byte is sent.
+pub(crate) struct BrokenAnswer;
+
+impl BrokenAnswer {
+    pub(crate) fn answer<S: From<Self>>() -> Answer<S> {
+        Answer::new(AnswerBody::streamed(Self.into()))
+    }
+
+    pub(crate) fn error() -> io::Error {
+        io::Error::new(io::ErrorKind::ConnectionAborted, "connection dropped on purpose")
+    }
+}
+
+impl ChunkSource for BrokenAnswer {
+    fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
+        Some(Err(Self::error()))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/chat_request.rs
@@ -0,0 +1,46 @@
+use serde::Deserialize;
+
+const DEFAULT_TOKENS: u32 = 32;
+const CHARACTERS_PER_TOKEN: usize = 4;
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    role: String,
+    #[serde(default)]
+    content: String,
+}
+
+#[derive(Deserialize)]
+struct Metadata {
+    length: Option<u32>,
+}
+
+/// Body of a chat completion request.
+#[derive(Deserialize)]
+pub(crate) struct ChatRequest {
+    messages: Vec<Message>,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    metadata: Option<Metadata>,
+}
+
+impl ChatRequest {
+    /// Tokens of the answer, at least one.
+    pub(crate) fn length(&self) -> u32 {
+        let length = self.metadata.as_ref().and_then(|m| m.length);
+        length.or(self.max_tokens).unwrap_or(DEFAULT_TOKENS).max(1)
+    }
+
+    pub(crate) fn prompt_tokens(&self) -> u32 {
+        let characters: usize = self.messages.iter().map(|m| m.content.chars().count()).sum();
+        (characters / CHARACTERS_PER_TOKEN) as u32
+    }
+
+    /// Last message of the user; the last one if none has that role.
+    pub(crate) fn last_user_message(&self) -> &str {
+        let user = self.messages.iter().rfind(|m| m.role == "user");
+        user.or(self.messages.last()).map_or("", |m| &m.content)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/engine_handler.rs
@@ -0,0 +1,316 @@
+use {
+    crate::{
+        endpoint::{
+            BrokenAnswer, header_text, json_answer, query_number, refuse_unread, request_id,
+            status_answer,
+        },
+        engine::{
+            Admission, AnswerSource, ChatRequest, EngineCore, JobEnd, JobLink, OrderReceipt,
+            TokenStream,
+        },
+    },
+    base64::{Engine, prelude::BASE64_STANDARD},
+    http::{HeaderMap, HeaderValue, Method, StatusCode},
+    mango_http::{AnswerBody, BodyError, CallerLink, Handler, Request},
+    mango_wire::platform::{CacheEvents, CacheListing, KvBlob, KvExport, LoadReport, Order},
+    serde::{Deserialize, de::DeserializeOwned},
+    std::{sync::Arc, thread, time::Duration},
+};
+
+type Answer = mango_http::Answer<AnswerSource>;
+
+// How often a whole answer checks whether its caller is still there.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+#[derive(Deserialize)]
+struct PriorityChange {
+    priority: i64,
+}
+
+/// HTTP face of one start of an engine.
+pub(crate) struct EngineHandler {
+    core: Arc<EngineCore>,
+    identity: HeaderValue,
+    generation: u64,
+}
+
+impl Handler for EngineHandler {
+    type Source = AnswerSource;
+
+    fn handle(&self, request: Request, link: &CallerLink) -> Answer {
+        let (parts, body) = request.into_parts();
+        let mut answer = match body {
+            Ok(body) => self.route(&parts, &body, link),
+            Err(BodyError::TooLarge) => status_answer(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(BodyError::TimedOut | BodyError::Broken(_)) => {
+                status_answer(StatusCode::BAD_REQUEST)
+            }
+        };
+        answer.headers_mut().insert("X-Engine-Identity", self.identity.clone());
+        answer
+    }
+}
+
+impl EngineHandler {
+    pub(crate) fn new(core: Arc<EngineCore>) -> Self {
+        let (identity, generation) = {
+            let state = core.read();
+            (HeaderValue::from_str(&state.identity), state.generation)
+        };
+        Self { core, identity: identity.expect("identity is a UUID"), generation }
+    }
+
+    fn route(&self, parts: &http::request::Parts, body: &[u8], link: &CallerLink) -> Answer {
+        if self.core.read().generation != self.generation {
+            return BrokenAnswer::answer();
+        }
+        let query = parts.uri.query().unwrap_or_default();
+        let segments: Vec<_> = parts.uri.path().trim_matches('/').split('/').collect();
+        match (&parts.method, segments.as_slice()) {
+            (&Method::POST, ["v1", "chat", "completions"]) => {
+                parsed(body, |request| self.chat(&parts.headers, &request, link))
+            }
+            (&Method::GET, ["v1", "requests", id, "stream"]) => self.resume(id, query),
+            (&Method::POST, ["v1", "requests", id, "cancel"]) => self.cancel(id),
+            (&Method::POST, ["v1", "requests", id, "priority"]) => {
+                parsed(body, |change: PriorityChange| self.set_priority(id, change.priority))
+            }
+            (&Method::GET, ["v1", "load"]) => self.load(),
+            (&Method::GET, ["v1", "cache", "events"]) => self.cache_events(query),
+            (&Method::GET, ["v1", "cache"]) => self.cache_listing(),
+            (&Method::POST, ["v1", "orders"]) => parsed(body, |order| self.order(order)),
+            (&Method::POST, ["v1", "kv", "export"]) => parsed(body, |kv| self.export(&kv)),
+            (&Method::POST, ["v1", "kv", "import"]) => parsed(body, |blob| self.import(&blob)),
+            _ => status_answer(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn chat(&self, headers: &HeaderMap, request: &ChatRequest, caller: &CallerLink) -> Answer {
+        let id = request_id(headers);
+        let chat = header_text(headers, "X-Chat").filter(|chat| !chat.is_empty());
+        let priority = header_text(headers, "X-Priority").and_then(|p| p.parse().ok());
+        let admission = self.core.admit(
+            self.generation,
+            id.clone(),
+            chat.map(str::to_owned),
+            priority.unwrap_or(0),
+            request,
+        );
+        let mut answer = match admission {
+            Admission::Admitted(link) if request.stream => stream_answer(link, 0),
+            Admission::Admitted(link) => whole_answer(&link, caller),
+            Admission::Leaving => refuse_unread(StatusCode::SERVICE_UNAVAILABLE),
+            Admission::Full => refuse_unread(StatusCode::TOO_MANY_REQUESTS),
+            Admission::Duplicate => status_answer(StatusCode::CONFLICT),
+            Admission::Crashed => return BrokenAnswer::answer(),
+        };
+        set_request_id(&mut answer, &id);
+        answer
+    }
+
+    fn resume(&self, id: &str, query: &str) -> Answer {
+        let Some(link) = self.core.link(id) else {
+            return status_answer(StatusCode::NOT_FOUND);
+        };
+        if link.job().progress().end == Some(JobEnd::Cancelled) {
+            return status_answer(StatusCode::GONE);
+        }
+        let from = query_number(query, "from").unwrap_or(0);
+        let mut answer = stream_answer(link, u32::try_from(from).unwrap_or(u32::MAX));
+        set_request_id(&mut answer, id);
+        answer
+    }
+
+    fn cancel(&self, id: &str) -> Answer {
+        let outcome = self.core.change(|state, now| {
+            let job = state.jobs.get(id)?.clone();
+            let started = state.cancel(&job, now);
+            Some((started, job.progress()))
+        });
+        let Some((started, progress)) = outcome else {
+            return status_answer(StatusCode::NOT_FOUND);
+        };
+        let reply = serde_json::json!({
+            "cancelled": started.is_some(),
+            "started": started.unwrap_or(progress.generated > 0),
+            "tokens": progress.generated,
+        });
+        json_answer(StatusCode::OK, &reply)
+    }
+
+    fn set_priority(&self, id: &str, priority: i64) -> Answer {
+        let known = self.core.change(|state, _| {
+            let job = state.jobs.get(id)?.clone();
+            state.set_priority(&job, priority);
+            Some(())
+        });
+        match known {
+            Some(()) => json_answer(StatusCode::OK, &serde_json::json!({ "priority": priority })),
+            None => status_answer(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn load(&self) -> Answer {
+        let report = self.core.change(|state, now| {
+            let load = state.load.visible(now);
+            LoadReport {
+                first_token_ms: load.first_token_ms,
+                gap_ms: load.gap_ms,
+                identity: state.identity.clone(),
+                leaving: load.leaving,
+                running: load.running,
+                waiting: load.waiting,
+            }
+        });
+        json_answer(StatusCode::OK, &report)
+    }
+
+    fn cache_events(&self, query: &str) -> Answer {
+        let since = query_number(query, "since").unwrap_or(0);
+        let reply = {
+            let state = self.core.read();
+            let (events, next_sequence) = state.cache.events.since(since);
+            CacheEvents { events, identity: state.identity.clone(), next_sequence }
+        };
+        json_answer(StatusCode::OK, &reply)
+    }
+
+    fn cache_listing(&self) -> Answer {
+        let reply = {
+            let state = self.core.read();
+            CacheListing {
+                chats: state.cache.listing(),
+                identity: state.identity.clone(),
+                next_sequence: state.cache.events.next_sequence(),
+            }
+        };
+        json_answer(StatusCode::OK, &reply)
+    }
+
+    fn order(&self, order: Order) -> Answer {
+        let accepted = self.core.change(|state, at| {
+            let accepted = state.orders.accepts(order.fencing);
+            let identity = state.identity.clone();
+            state.receipts.push(OrderReceipt { order: order.clone(), accepted, identity, at });
+            accepted
+        });
+        if accepted && !self.work(self.core.options.order_ms) {
+            return BrokenAnswer::answer();
+        }
+        let reply = self.core.change(|state, _| {
+            if accepted {
+                state.orders.apply(&order);
+            }
+            state.orders.reply(accepted)
+        });
+        json_answer(fenced_status(accepted), &reply)
+    }
+
+    fn export(&self, export: &KvExport) -> Answer {
+        let (accepted, tokens, refusal) = self.core.change(|state, _| {
+            let accepted = state.orders.accepts(export.fencing);
+            (accepted, state.cache.peek(&export.chat), state.orders.reply(false))
+        });
+        if !accepted {
+            return json_answer(StatusCode::CONFLICT, &refusal);
+        }
+        let Some(tokens) = tokens else { return status_answer(StatusCode::NOT_FOUND) };
+        if !self.move_kv(tokens) {
+            return BrokenAnswer::answer();
+        }
+        let blob = KvBlob {
+            chat: export.chat.clone(),
+            data: kv_data(&export.chat, tokens),
+            fencing: export.fencing,
+            tokens,
+        };
+        json_answer(StatusCode::OK, &blob)
+    }
+
+    fn import(&self, blob: &KvBlob) -> Answer {
+        if blob.data != kv_data(&blob.chat, blob.tokens) {
+            return status_answer(StatusCode::BAD_REQUEST);
+        }
+        let accepted = self.core.change(|state, _| state.orders.accepts(blob.fencing));
+        if accepted && !self.move_kv(blob.tokens) {
+            return BrokenAnswer::answer();
+        }
+        let reply = self.core.change(|state, _| {
+            if accepted {
+                state.cache.put(&blob.chat, blob.tokens);
+            }
+            state.orders.reply(accepted)
+        });
+        json_answer(fenced_status(accepted), &reply)
+    }
+
+    fn move_kv(&self, tokens: u32) -> bool {
+        self.work(f64::from(tokens) * self.core.options.kv_us_per_token / 1e3)
+    }
+
+    /// Takes engine time; returns whether the engine is still up afterwards.
+    fn work(&self, span_ms: f64) -> bool {
+        let wait = self.core.read().clock.real(span_ms);
+        if !wait.is_zero() {
+            thread::sleep(wait);
+        }
+        self.core.read().generation == self.generation
+    }
+}
+
+fn parsed<T: DeserializeOwned>(body: &[u8], answer: impl FnOnce(T) -> Answer) -> Answer {
+    match serde_json::from_slice(body) {
+        Ok(value) => answer(value),
+        Err(e) => {
+            let reply = serde_json::json!({ "error": e.to_string() });
+            json_answer(StatusCode::BAD_REQUEST, &reply)
+        }
+    }
+}
+
+fn stream_answer(link: JobLink, from: u32) -> Answer {
+    let source = AnswerSource::Tokens(TokenStream::new(link, from));
+    let mut answer = Answer::new(AnswerBody::streamed(source));
+    let events = HeaderValue::from_static("text/event-stream");
+    answer.headers_mut().insert(http::header::CONTENT_TYPE, events);
+    answer
+}
+
+fn whole_answer(link: &JobLink, caller: &CallerLink) -> Answer {
+    let job = link.job();
+    let progress = loop {
+        let progress = job.wait_end(CHECK_INTERVAL);
+        match progress.end {
+            _ if link.is_broken() => return BrokenAnswer::answer(),
+            Some(JobEnd::Finished) => break progress,
+            Some(JobEnd::Cancelled) => return BrokenAnswer::answer(),
+            None if caller.is_closed() => return BrokenAnswer::answer(),
+            None => {}
+        }
+    };
+    let usage = job.usage_json(&progress);
+    let id = serde_json::Value::from(job.id.as_str());
+    let content = job.text.answer(progress.generated);
+    let text = format!(
+        r#"{{"id":{id},"object":"chat.completion","choices":[{{"index":0,"message":{{"role":"assistant","content":"{content}"}},"finish_reason":"stop"}}],"usage":{usage}}}"#
+    );
+    let mut answer = Answer::new(AnswerBody::whole(text));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    answer
+}
+
+fn set_request_id(answer: &mut Answer, id: &str) {
+    if let Ok(value) = HeaderValue::from_str(id) {
+        answer.headers_mut().insert("X-Request-Id", value);
+    }
+}
+
+fn fenced_status(accepted: bool) -> StatusCode {
+    if accepted { StatusCode::OK } else { StatusCode::CONFLICT }
+}
+
+fn kv_data(chat: &str, tokens: u32) -> String {
+    let digest = mango_wire::digest(format!("{tokens} {chat}").as_bytes());
+    BASE64_STANDARD.encode(digest.to_le_bytes())
+}
--- /dev/null
+++ b/crates/standins/src/engine/engine_state.rs
@@ -0,0 +1,355 @@
+use {
+    crate::{
+        engine::{
+            CacheEventLog, EngineClock, EngineOptions, Execution, Job, JobEnd, LoadHistory,
+            LoadSnapshot, OrderBook, OrderReceipt, PrefixCache,
+        },
+        load::TrackedEngine,
+    },
+    std::{
+        collections::{BTreeMap, HashMap, VecDeque},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+// Weight of the newest sample in the reported means.
+const MEAN_ALPHA: f64 = 0.2;
+
+struct Running {
+    job: Arc<Job>,
+    prefill_end_ms: f64,
+    last_token: Option<Instant>,
+    execution: usize,
+}
+
+/// A decode step, or the wait for a prefill while nothing decodes.
+#[derive(Clone, Copy)]
+struct Step {
+    start_ms: f64,
+    end_ms: f64,
+    decodes: bool,
+}
+
+struct Detached {
+    deadline: Instant,
+    job: Arc<Job>,
+    detachments: u64,
+}
+
+/// Scheduler, queue and cache of one engine. Times in `_ms` are engine time.
+pub(crate) struct EngineState {
+    options: EngineOptions,
+    tracked: Option<TrackedEngine>,
+    /// Counts starts and crashes.
+    pub(crate) generation: u64,
+    pub(crate) identity: String,
+    pub(crate) leaving: bool,
+    pub(crate) stopped: bool,
+    /// When the scheduler thread wakes by itself; `None` is never.
+    pub(crate) wakes_at: Option<Instant>,
+    pub(crate) clock: EngineClock,
+    pub(crate) jobs: HashMap<String, Arc<Job>>,
+    waiting: BTreeMap<(i64, u64), Arc<Job>>,
+    next_ticket: u64,
+    running: Vec<Running>,
+    step: Option<Step>,
+    detached: VecDeque<Detached>,
+    ended: VecDeque<(Instant, Arc<Job>)>,
+    pub(crate) cache: PrefixCache,
+    pub(crate) orders: OrderBook,
+    pub(crate) receipts: Vec<OrderReceipt>,
+    pub(crate) load: LoadHistory,
+    first_token_ms: f64,
+    gap_ms: f64,
+    pub(crate) executions: Vec<Execution>,
+    pub(crate) refused_leaving: Vec<Instant>,
+    pub(crate) refused_full: u64,
+}
+
+impl EngineState {
+    pub(crate) fn new(options: EngineOptions) -> Self {
+        let tracker = options.tracker.as_ref();
+        let tracked = tracker.map(|t| t.register(&options.name, options.weight));
+        let mut state = Self {
+            tracked,
+            generation: 0,
+            identity: new_identity(),
+            leaving: false,
+            stopped: false,
+            wakes_at: None,
+            clock: EngineClock::new(options.time_scale),
+            jobs: HashMap::new(),
+            waiting: BTreeMap::new(),
+            next_ticket: 0,
+            running: Vec::new(),
+            step: None,
+            detached: VecDeque::new(),
+            ended: VecDeque::new(),
+            cache: new_cache(&options, 0),
+            orders: OrderBook::new(options.checks_fencing),
+            receipts: Vec::new(),
+            load: LoadHistory::new(Duration::from_millis(options.load_lag_ms)),
+            first_token_ms: 0.0,
+            gap_ms: 0.0,
+            executions: Vec::new(),
+            refused_leaving: Vec::new(),
+            refused_full: 0,
+            options,
+        };
+        state.record_load(Instant::now());
+        state
+    }
+
+    /// Ends all requests and forgets all but the history.
+    pub(crate) fn crash(&mut self, now: Instant) {
+        for job in self.live_jobs() {
+            self.end(&job, JobEnd::Cancelled, now);
+        }
+        self.generation += 1;
+        self.jobs.clear();
+        self.detached.clear();
+        self.ended.clear();
+        self.step = None;
+        self.cache = new_cache(&self.options, self.generation);
+        self.orders = OrderBook::new(self.options.checks_fencing);
+        self.load = LoadHistory::new(Duration::from_millis(self.options.load_lag_ms));
+        (self.first_token_ms, self.gap_ms) = (0.0, 0.0);
+    }
+
+    /// Starts with a new identity after a crash.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        self.generation += 1;
+        self.identity = new_identity();
+        self.leaving = false;
+        self.record_load(now);
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.waiting.len() + self.running.len()
+    }
+
+    pub(crate) fn is_full(&self) -> bool {
+        self.running.len() >= self.options.slots && self.waiting.len() >= self.options.queue_limit
+    }
+
+    pub(crate) fn live_jobs(&self) -> Vec<Arc<Job>> {
+        let running = self.running.iter().map(|r| &r.job);
+        running.chain(self.waiting.values()).cloned().collect()
+    }
+
+    /// Next time at which the scheduler has work.
+    pub(crate) fn next_wake(&self) -> Option<Instant> {
+        let step = self.step.map(|s| self.clock.instant(s.end_ms));
+        let detached = self.detached.front().map(|d| d.deadline);
+        step.into_iter().chain(detached).min()
+    }
+
+    /// Carries out all that is due.
+    pub(crate) fn advance(&mut self, now: Instant) {
+        let now_ms = self.clock.at(now);
+        while let Some(step) = self.step.take_if(|step| step.end_ms <= now_ms) {
+            if step.decodes {
+                self.decode(step.start_ms, now);
+            }
+            self.fill_slots(step.end_ms, now);
+            self.plan_step(step.end_ms);
+        }
+        self.cancel_detached(now);
+        self.forget_ended(now);
+    }
+
+    /// Accepts a request into the queue, and into a slot if one is free.
+    pub(crate) fn admit(&mut self, job: Arc<Job>, priority: i64, now: Instant) {
+        if let Some(tracked) = &self.tracked {
+            tracked.start();
+        }
+        self.jobs.insert(job.id.clone(), job.clone());
+        self.next_ticket += 1;
+        self.waiting.insert((priority, self.next_ticket), job);
+        self.refill(now);
+    }
+
+    /// Ends a request early; its slot is free at once. Returns whether it had
+    /// started, `None` if it had ended before.
+    pub(crate) fn cancel(&mut self, job: &Arc<Job>, now: Instant) -> Option<bool> {
+        let started = self.end(job, JobEnd::Cancelled, now)?;
+        self.refill(now);
+        Some(started)
+    }
+
+    /// Moves a waiting request in the queue; a running one is not affected.
+    pub(crate) fn set_priority(&mut self, job: &Arc<Job>, priority: i64) {
+        if let Some(key) = self.waiting_key(job) {
+            self.waiting.remove(&key);
+            self.waiting.insert((priority, key.1), job.clone());
+        }
+    }
+
+    /// Notes that a request lost its last connection.
+    pub(crate) fn detach(&mut self, job: &Arc<Job>, now: Instant) {
+        let detachments = job.progress().detachments;
+        let deadline = now + Duration::from_millis(self.options.resume_grace_ms);
+        self.detached.push_back(Detached { deadline, job: job.clone(), detachments });
+    }
+
+    pub(crate) fn snapshot(&self) -> LoadSnapshot {
+        LoadSnapshot {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            leaving: self.leaving,
+            first_token_ms: self.first_token_ms,
+            gap_ms: self.gap_ms,
+        }
+    }
+
+    pub(crate) fn record_load(&mut self, now: Instant) {
+        let snapshot = self.snapshot();
+        self.load.push(snapshot, now);
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let now_ms = self.clock.at(now);
+        self.fill_slots(now_ms, now);
+        if self.step.is_none_or(|step| !step.decodes) {
+            self.plan_step(now_ms);
+        }
+        self.record_load(now);
+    }
+
+    fn fill_slots(&mut self, at_ms: f64, now: Instant) {
+        while self.running.len() < self.options.slots {
+            let Some((_, job)) = self.waiting.pop_first() else { return };
+            self.start(job, at_ms, now);
+        }
+    }
+
+    fn start(&mut self, job: Arc<Job>, at_ms: f64, now: Instant) {
+        let cached = job.chat.as_ref().map_or(0, |chat| self.cache.touch(chat));
+        let cached_tokens = cached.min(job.prompt_tokens);
+        job.progress.lock().cached_tokens = cached_tokens;
+        let uncached = f64::from(job.prompt_tokens - cached_tokens);
+        self.executions.push(Execution {
+            request_id: job.id.clone(),
+            chat: job.chat.clone(),
+            identity: self.identity.clone(),
+            admitted: job.admitted,
+            started: now,
+            ended: None,
+            prompt_tokens: job.prompt_tokens,
+            cached_tokens,
+            tokens: 0,
+            cancelled: false,
+        });
+        self.running.push(Running {
+            job,
+            prefill_end_ms: at_ms + uncached * self.options.prefill_us_per_token / 1e3,
+            last_token: None,
+            execution: self.executions.len() - 1,
+        });
+    }
+
+    fn plan_step(&mut self, start_ms: f64) {
+        let decodes = self.running.iter().any(|r| r.prefill_end_ms <= start_ms);
+        let end_ms = if decodes {
+            let others = self.running.len() as f64 - 1.0;
+            start_ms + self.options.step_ms * (1.0 + self.options.batch_slope * others)
+        } else {
+            self.running.iter().map(|r| r.prefill_end_ms).fold(f64::INFINITY, f64::min)
+        };
+        self.step = (!self.running.is_empty()).then_some(Step { start_ms, end_ms, decodes });
+    }
+
+    /// Gives a token to each request whose prefill had ended at the start of
+    /// the step.
+    fn decode(&mut self, start_ms: f64, now: Instant) {
+        let mut finished = Vec::new();
+        for running in self.running.iter_mut().filter(|r| r.prefill_end_ms <= start_ms) {
+            match running.last_token.replace(now) {
+                None => {
+                    let waited = now.duration_since(running.job.admitted);
+                    update_mean(&mut self.first_token_ms, waited);
+                }
+                Some(last) => update_mean(&mut self.gap_ms, now.duration_since(last)),
+            }
+            if running.job.add_token() >= running.job.length {
+                finished.push(running.job.clone());
+            }
+        }
+        for job in finished {
+            self.end(&job, JobEnd::Finished, now);
+        }
+        self.record_load(now);
+    }
+
+    fn end(&mut self, job: &Arc<Job>, end: JobEnd, now: Instant) -> Option<bool> {
+        let slot = self.running.iter().position(|r| Arc::ptr_eq(&r.job, job));
+        match slot {
+            Some(slot) => self.end_running(slot, end, now),
+            None => {
+                let key = self.waiting_key(job)?;
+                self.waiting.remove(&key);
+            }
+        }
+        job.end(end);
+        if let Some(tracked) = &self.tracked {
+            tracked.end();
+        }
+        self.ended.push_back((now, job.clone()));
+        Some(slot.is_some())
+    }
+
+    fn end_running(&mut self, slot: usize, end: JobEnd, now: Instant) {
+        let running = self.running.swap_remove(slot);
+        let job = &running.job;
+        let tokens = job.progress().generated;
+        let execution = &mut self.executions[running.execution];
+        execution.ended = Some(now);
+        execution.tokens = tokens;
+        execution.cancelled = end == JobEnd::Cancelled;
+        if let Some(chat) = job.chat.as_ref().filter(|_| tokens > 0) {
+            self.cache.put(chat, job.prompt_tokens + tokens);
+        }
+    }
+
+    fn cancel_detached(&mut self, now: Instant) {
+        while self.detached.front().is_some_and(|d| d.deadline <= now) {
+            let Some(Detached { job, detachments, .. }) = self.detached.pop_front() else { return };
+            let progress = job.progress();
+            if progress.links == 0 && progress.detachments == detachments {
+                self.cancel(&job, now);
+            }
+        }
+    }
+
+    fn forget_ended(&mut self, now: Instant) {
+        let keep = Duration::from_millis(self.options.keep_ended_ms);
+        while self.ended.front().is_some_and(|(at, _)| *at + keep <= now) {
+            let Some((_, job)) = self.ended.pop_front() else { return };
+            // a later request may have reused the id
+            if self.jobs.get(&job.id).is_some_and(|known| Arc::ptr_eq(known, &job)) {
+                self.jobs.remove(&job.id);
+            }
+        }
+    }
+
+    fn waiting_key(&self, job: &Arc<Job>) -> Option<(i64, u64)> {
+        self.waiting.iter().find(|(_, w)| Arc::ptr_eq(w, job)).map(|(key, _)| *key)
+    }
+}
+
+fn new_identity() -> String {
+    uuid::Uuid::new_v4().to_string()
+}
+
+fn new_cache(options: &EngineOptions, generation: u64) -> PrefixCache {
+    let delay = Duration::from_millis(options.cache_event_delay_ms);
+    let seed = options.seed.wrapping_add(generation);
+    let events = CacheEventLog::new(delay, options.cache_event_loss, seed);
+    PrefixCache::new(options.cache_tokens, events)
+}
+
+fn update_mean(mean: &mut f64, sample: Duration) {
+    let sample = sample.as_secs_f64() * 1e3;
+    *mean = if *mean == 0.0 { sample } else { *mean + MEAN_ALPHA * (sample - *mean) };
+}
--- /dev/null
+++ b/crates/standins/src/engine/execution.rs
@@ -0,0 +1,24 @@
+use std::time::Instant;
+
+/// One run of a request on an engine. A request that is cancelled while it
+/// waits for a slot has none.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    pub request_id: String,
+    pub chat: Option<String>,
+    /// Identity of the engine that ran it.
+    pub identity: String,
+    /// When the engine accepted the request.
+    pub admitted: Instant,
+    /// When it got a slot.
+    pub started: Instant,
+    /// When it left the slot; `None` while it runs.
+    pub ended: Option<Instant>,
+    pub prompt_tokens: u32,
+    /// Prompt tokens found in the prefix cache.
+    pub cached_tokens: u32,
+    /// Tokens generated.
+    pub tokens: u32,
+    /// Whether it ended early, by a cancel, a lost connection or a crash.
+    pub cancelled: bool,
+}
--- /dev/null
+++ b/crates/standins/src/engine/job.rs
@@ -0,0 +1,110 @@
+use {
+    crate::engine::{AnswerText, ChatRequest},
+    parking_lot::{Condvar, Mutex},
+    std::time::{Duration, Instant},
+};
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum JobEnd {
+    Finished,
+    Cancelled,
+}
+
+/// What connections see of a request.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Progress {
+    pub(crate) generated: u32,
+    pub(crate) cached_tokens: u32,
+    pub(crate) end: Option<JobEnd>,
+    /// Connections that wait for tokens.
+    pub(crate) links: u32,
+    /// Times that the last connection was lost.
+    pub(crate) detachments: u64,
+}
+
+/// One request on an engine.
+pub(crate) struct Job {
+    pub(crate) id: String,
+    pub(crate) chat: Option<String>,
+    pub(crate) text: AnswerText,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) length: u32,
+    pub(crate) admitted: Instant,
+    pub(crate) progress: Mutex<Progress>,
+    // separate conditions, so that a token does not wake whole answers
+    token: Condvar,
+    ended: Condvar,
+}
+
+impl Job {
+    pub(crate) fn new(id: String, chat: Option<String>, request: &ChatRequest) -> Self {
+        Self {
+            id,
+            chat,
+            text: AnswerText::new(request.last_user_message()),
+            prompt_tokens: request.prompt_tokens(),
+            length: request.length(),
+            admitted: Instant::now(),
+            progress: Mutex::default(),
+            token: Condvar::new(),
+            ended: Condvar::new(),
+        }
+    }
+
+    pub(crate) fn progress(&self) -> Progress {
+        *self.progress.lock()
+    }
+
+    /// Counts a token and returns the number so far.
+    pub(crate) fn add_token(&self) -> u32 {
+        let mut progress = self.progress.lock();
+        progress.generated += 1;
+        let generated = progress.generated;
+        drop(progress);
+        // the last token is announced together with the end
+        if generated < self.length {
+            self.token.notify_all();
+        }
+        generated
+    }
+
+    pub(crate) fn end(&self, end: JobEnd) {
+        self.progress.lock().end = Some(end);
+        self.wake();
+    }
+
+    /// Wakes all connections.
+    pub(crate) fn wake(&self) {
+        self.token.notify_all();
+        self.ended.notify_all();
+    }
+
+    /// Waits until more than `tokens` tokens are generated or the request has
+    /// ended, at most for `wait`. Any wake-up ends the wait.
+    pub(crate) fn wait_token(&self, tokens: u32, wait: Duration) -> Progress {
+        let mut progress = self.progress.lock();
+        if progress.generated <= tokens && progress.end.is_none() {
+            self.token.wait_for(&mut progress, wait);
+        }
+        *progress
+    }
+
+    /// Waits until the request has ended, at most for `wait`. Any wake-up ends
+    /// the wait.
+    pub(crate) fn wait_end(&self, wait: Duration) -> Progress {
+        let mut progress = self.progress.lock();
+        if progress.end.is_none() {
+            self.ended.wait_for(&mut progress, wait);
+        }
+        *progress
+    }
+
+    /// Usage object of the answer.
+    pub(crate) fn usage_json(&self, progress: &Progress) -> String {
+        format!(
+            r#"{{"prompt_tokens":{},"completion_tokens":{},"cached_tokens":{}}}"#,
+            self.prompt_tokens, progress.generated, progress.cached_tokens
+        )
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,40 @@
+mod answer_text;
+mod cache_event_log;
+mod chat_request;
+mod engine_clock;
+mod engine_core;
+mod engine_handler;
+mod engine_options;
+mod engine_standin;
+mod engine_state;
+mod execution;
+mod job;
+mod job_link;
+mod load_history;
+mod order_book;
+mod order_receipt;
+mod prefix_cache;
+mod token_stream;
+
+pub(crate) use {
+    answer_text::AnswerText,
+    cache_event_log::CacheEventLog,
+    chat_request::ChatRequest,
+    engine_clock::EngineClock,
+    engine_core::{Admission, EngineCore},
+    engine_handler::EngineHandler,
+    engine_state::EngineState,
+    job::{Job, JobEnd},
+    job_link::JobLink,
+    load_history::{LoadHistory, LoadSnapshot},
+    order_book::OrderBook,
+    prefix_cache::PrefixCache,
+    token_stream::{AnswerSource, TokenStream},
+};
+pub use {
+    answer_text::{expected_answer, expected_token},
+    engine_options::EngineOptions,
+    engine_standin::EngineStandin,
+    execution::Execution,
+    order_receipt::OrderReceipt,
+};
--- /dev/null
+++ b/crates/standins/src/engine/order_receipt.rs
@@ -0,0 +1,11 @@
+use {mango_wire::platform::Order, std::time::Instant};
+
+/// An order that an engine received.
+#[derive(Clone, Debug)]
+pub struct OrderReceipt {
+    pub order: Order,
+    pub accepted: bool,
+    /// Identity of the engine at that time.
+    pub identity: String,
+    pub at: Instant,
+}
--- /dev/null
+++ b/crates/standins/src/platform/platform_standin.rs
@@ -0,0 +1,173 @@
+use {
+    crate::platform::{FaultGate, LogCounters, LogStore, Outage, PlatformService, WeightRate},
+    mango_wire::platform::{HostEntry, LogRecord},
+    parking_lot::Mutex,
+    std::{net::SocketAddr, sync::Arc, thread, time::Duration},
+};
+
+// Long polls hold a worker each.
+const MAX_WORKERS: usize = 4000;
+const WEIGHT_READS_PER_S: f64 = 10.0;
+
+/// The platform: append-only log, host list and weight store on one port.
+///
+/// Dropping it refuses all requests with 503. The port stays open until the
+/// process ends, because `astra` cannot be shut down.
+pub struct PlatformStandin {
+    address: SocketAddr,
+    service: Arc<PlatformService>,
+}
+
+impl PlatformStandin {
+    /// Starts the platform with an empty log and an empty host list.
+    pub fn spawn() -> Self {
+        let server = astra::Server::bind("127.0.0.1:0").max_workers(MAX_WORKERS).http1_only();
+        let address = server.local_addr().expect("bound server has an address");
+        let service = Arc::new(PlatformService {
+            log: LogStore::new(),
+            hosts: Mutex::default(),
+            hosts_gate: FaultGate::default(),
+            weights: Mutex::new(WeightRate::new(WEIGHT_READS_PER_S)),
+            weights_gate: FaultGate::default(),
+        });
+        let served = service.clone();
+        let serve = move || {
+            if let Err(e) = server.serve_clone(served) {
+                log::error!("event=platform_standin_failed error={e:?}");
+            }
+        };
+        let builder = thread::Builder::new().name("platform-accept".to_owned());
+        builder.spawn(serve).expect("thread for the platform");
+        Self { address, service }
+    }
+
+    /// Address that all services listen on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Base URL of the log.
+    pub fn log_url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Base URL of the host list.
+    pub fn host_list_url(&self) -> String {
+        self.log_url()
+    }
+
+    /// Base URL of the weight store.
+    pub fn weight_store_url(&self) -> String {
+        self.log_url()
+    }
+
+    /// Appends a record in-process, past all faults; returns its offset.
+    pub fn append(&self, stream: &str, body: &str) -> u64 {
+        self.service.log.append(stream, body.to_owned())
+    }
+
+    /// All records of a stream, expired ones included.
+    pub fn records(&self, stream: &str) -> Vec<LogRecord> {
+        self.service.log.records(stream)
+    }
+
+    /// Names of all streams that were read or written, sorted.
+    pub fn stream_names(&self) -> Vec<String> {
+        self.service.log.stream_names()
+    }
+
+    /// Offset that the next append will get.
+    pub fn next_offset(&self) -> u64 {
+        self.service.log.next_offset()
+    }
+
+    /// Counts of log requests.
+    pub fn log_counters(&self) -> LogCounters {
+        self.service.log.counters()
+    }
+
+    /// Starts or ends a log outage; waiting long polls are subject to it too.
+    pub fn set_log_outage(&self, outage: Outage) {
+        self.service.log.gate.set_outage(outage);
+        self.service.log.wake_readers();
+    }
+
+    /// Delays every later log request before it takes effect.
+    pub fn set_log_delay(&self, delay: Duration) {
+        self.service.log.gate.set_delay(delay);
+    }
+
+    /// The next `count` appends take effect, but their connections are closed
+    /// without an answer.
+    pub fn lose_append_answers(&self, count: u32) {
+        self.service.log.lose_answers(count);
+    }
+
+    /// Loses append answers with a probability from 0 to 1.
+    ///
+    /// Panics if the probability is out of range.
+    pub fn set_append_answer_loss(&self, probability: f64, seed: u64) {
+        assert!((0.0..=1.0).contains(&probability), "probability is out of range");
+        self.service.log.set_answer_loss(probability, seed);
+    }
+
+    /// Expires the records of all streams below an offset.
+    pub fn expire_before(&self, offset: u64) {
+        self.service.log.expire_before(offset);
+    }
+
+    /// Replaces the host list.
+    pub fn set_hosts(&self, hosts: Vec<HostEntry>) {
+        self.service.hosts.lock().set(hosts);
+    }
+
+    /// Adds a host or replaces the entry of the same name.
+    pub fn put_host(&self, entry: HostEntry) {
+        let mut history = self.service.hosts.lock();
+        let mut hosts = history.current();
+        hosts.retain(|h| h.host_id != entry.host_id);
+        hosts.push(entry);
+        history.set(hosts);
+    }
+
+    /// Removes a host.
+    pub fn remove_host(&self, host_id: &str) {
+        let mut history = self.service.hosts.lock();
+        let mut hosts = history.current();
+        hosts.retain(|h| h.host_id != host_id);
+        history.set(hosts);
+    }
+
+    /// Age of the host list that is served; initially 0.
+    pub fn set_host_list_lag(&self, lag: Duration) {
+        self.service.hosts.lock().set_lag(lag);
+    }
+
+    /// Starts or ends an outage of the host list.
+    pub fn set_host_list_outage(&self, outage: Outage) {
+        self.service.hosts_gate.set_outage(outage);
+    }
+
+    /// Starts or ends an outage of the weight store.
+    pub fn set_weight_store_outage(&self, outage: Outage) {
+        self.service.weights_gate.set_outage(outage);
+    }
+
+    /// Reads per second that the weight store allows, with a burst of one
+    /// second's reads; initially 10.
+    pub fn set_weight_rate(&self, per_second: f64) {
+        self.service.weights.lock().set(per_second);
+    }
+
+    /// Weight reads that were served, and those refused with 429.
+    pub fn weight_reads(&self) -> (u64, u64) {
+        let rate = self.service.weights.lock();
+        (rate.served, rate.refused)
+    }
+}
+
+impl Drop for PlatformStandin {
+    fn drop(&mut self) {
+        self.service.close();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/proxy/mod.rs
@@ -0,0 +1,6 @@
+mod fault_proxy;
+mod proxy_faults;
+mod proxy_link;
+
+pub use fault_proxy::FaultProxy;
+pub(crate) use {proxy_faults::ProxyFaults, proxy_link::ProxyLink};
--- /dev/null
+++ b/crates/standins/src/service/service_handler.rs
@@ -0,0 +1,78 @@
+use {
+    crate::{
+        endpoint::{
+            BrokenAnswer, header_text, json_answer, refuse_unread, request_id, status_answer,
+        },
+        service::{Admission, Outcome, ServiceCore, ServiceExecution},
+    },
+    http::{HeaderValue, StatusCode},
+    mango_http::{Answer, BodyError, CallerLink, Handler, Request},
+    std::{sync::Arc, time::Instant},
+};
+
+/// HTTP face of one start of a plain service.
+pub(crate) struct ServiceHandler {
+    core: Arc<ServiceCore>,
+    generation: u64,
+}
+
+impl Handler for ServiceHandler {
+    type Source = BrokenAnswer;
+
+    fn handle(&self, request: Request, _: &CallerLink) -> Answer<BrokenAnswer> {
+        let (parts, body) = request.into_parts();
+        let id = request_id(&parts.headers);
+        let mut answer = match body {
+            Ok(body) => self.execute(&id, &parts, &body),
+            Err(BodyError::TooLarge) => status_answer(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(BodyError::TimedOut | BodyError::Broken(_)) => {
+                status_answer(StatusCode::BAD_REQUEST)
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            answer.headers_mut().insert("X-Request-Id", value);
+        }
+        answer
+    }
+}
+
+impl ServiceHandler {
+    pub(crate) fn new(core: Arc<ServiceCore>) -> Self {
+        let generation = core.with(|state| state.generation);
+        Self { core, generation }
+    }
+
+    fn execute(&self, id: &str, parts: &http::request::Parts, body: &[u8]) -> Answer<BrokenAnswer> {
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let body_digest = format!("{:016x}", mango_wire::digest(body));
+        let execution = ServiceExecution {
+            request_id: id.to_owned(),
+            idempotency_key: header_text(&parts.headers, "Idempotency-Key").map(str::to_owned),
+            method: parts.method.to_string(),
+            path: path.to_owned(),
+            body_digest: body_digest.clone(),
+            identity: String::new(),
+            started: Instant::now(),
+            ended: None,
+            dropped: false,
+        };
+        let index = match self.core.admit(self.generation, execution) {
+            Admission::Admitted(index) => index,
+            Admission::Leaving => return refuse_unread(StatusCode::SERVICE_UNAVAILABLE),
+            Admission::Full => return refuse_unread(StatusCode::TOO_MANY_REQUESTS),
+            Admission::Crashed => return BrokenAnswer::answer(),
+        };
+        match self.core.execute(self.generation, index) {
+            Outcome::Dropped => BrokenAnswer::answer(),
+            Outcome::Answered => {
+                let reply = serde_json::json!({
+                    "request_id": id,
+                    "path": path,
+                    "execution": index + 1,
+                    "body_digest": body_digest,
+                });
+                json_answer(StatusCode::OK, &reply)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/service/service_options.rs
@@ -0,0 +1,14 @@
+/// Options of a plain service.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceOptions {
+    /// Initial time of an execution.
+    pub service_ms: u64,
+    /// Requests that may run at once; more are refused with 429.
+    pub max_in_flight: usize,
+}
+
+impl Default for ServiceOptions {
+    fn default() -> Self {
+        Self { service_ms: 0, max_in_flight: 4096 }
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/common/mod.rs
@@ -0,0 +1,130 @@
+#![allow(dead_code, reason = "not every test file uses all helpers")]
+
+use {
+    serde_json::Value,
+    std::{
+        io::{BufRead, BufReader, Read, Write},
+        net::{SocketAddr, TcpStream},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Answer with status, headers in lower case, and body.
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+}
+
+impl Reply {
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_str(&self.body).expect("JSON body")
+    }
+}
+
+/// One request on a connection of its own; an error is a broken answer.
+pub(crate) fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<Reply> {
+    let mut stream = BufReader::new(request(address, method, path, headers, body)?);
+    let mut head = String::new();
+    while stream.read_line(&mut head)? > 2 {}
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+    let status = status.ok_or_else(|| std::io::Error::other("no answer"))?;
+    let head = head.to_lowercase();
+    let length = head.lines().find_map(|l| l.strip_prefix("content-length: "));
+    let mut body = String::new();
+    match length {
+        Some(length) => {
+            let mut bytes = vec![0; length.trim().parse().expect("number")];
+            stream.read_exact(&mut bytes)?;
+            body = String::from_utf8(bytes).expect("UTF-8");
+        }
+        None => while read_chunk(&mut stream, &mut body)? {},
+    }
+    Ok(Reply { status, head, body })
+}
+
+/// Sends a request and returns its connection.
+pub(crate) fn request(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+    let mut text = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n");
+    for (name, value) in headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    text += &format!("Content-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(text.as_bytes())?;
+    Ok(stream)
+}
+
+/// Reads one chunk of a chunked body; false after the last one.
+fn read_chunk(stream: &mut impl BufRead, body: &mut String) -> std::io::Result<bool> {
+    let mut size = String::new();
+    stream.read_line(&mut size)?;
+    let size = usize::from_str_radix(size.trim(), 16).map_err(std::io::Error::other)?;
+    let mut bytes = vec![0; size + 2];
+    stream.read_exact(&mut bytes)?;
+    body.push_str(std::str::from_utf8(&bytes[..size]).expect("UTF-8"));
+    Ok(size > 0)
+}
+
+pub(crate) fn get(address: SocketAddr, path: &str) -> Reply {
+    send(address, "GET", path, &[], "").expect("answer")
+}
+
+pub(crate) fn post(address: SocketAddr, path: &str, body: &str) -> Reply {
+    send(address, "POST", path, &[], body).expect("answer")
+}
+
+/// Chat request body.
+pub(crate) fn chat(message: &str, length: u32, stream: bool) -> String {
+    serde_json::json!({
+        "messages": [{ "role": "user", "content": message }],
+        "stream": stream,
+        "metadata": { "length": length },
+    })
+    .to_string()
+}
+
+/// Chat request; an error is a broken answer.
+pub(crate) fn ask(
+    address: SocketAddr,
+    headers: &[(&str, &str)],
+    message: &str,
+    length: u32,
+    stream: bool,
+) -> std::io::Result<Reply> {
+    send(address, "POST", "/v1/chat/completions", headers, &chat(message, length, stream))
+}
+
+/// Text and events of a streamed answer that ended with `[DONE]`.
+pub(crate) fn stream_text(body: &str) -> (String, Vec<Value>) {
+    let events: Vec<_> = body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    let (done, events) = events.split_last().expect("events");
+    assert_eq!(*done, "[DONE]");
+    let events: Vec<Value> = events.iter().map(|e| serde_json::from_str(e).unwrap()).collect();
+    let tokens = events.iter().map(|e| e["choices"][0]["delta"]["content"].as_str().unwrap());
+    (tokens.collect(), events)
+}
+
+/// Waits until a condition holds.
+pub(crate) fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !condition() {
+        assert!(Instant::now() < deadline, "never happened: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/platform.rs
@@ -0,0 +1,223 @@
+mod common;
+
+use {
+    common::{eventually, get, post, send},
+    mango_standins::{Outage, PlatformStandin},
+    mango_wire::platform::{AppendReply, HostEntry, HostList, HostState, ReadReply},
+    std::{
+        net::SocketAddr,
+        sync::atomic::{AtomicU64, Ordering},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+fn append(address: SocketAddr, stream: &str, body: &str) -> u64 {
+    let reply = post(address, &format!("/streams/{stream}/records"), body);
+    serde_json::from_str::<AppendReply>(&reply.body).expect("append reply").offset
+}
+
+fn read(address: SocketAddr, stream: &str, from: u64, wait_ms: u64) -> ReadReply {
+    let path = format!("/streams/{stream}/records?from={from}&wait_ms={wait_ms}");
+    serde_json::from_str(&get(address, &path).body).expect("read reply")
+}
+
+/// Guards against offsets that repeat or fall, and against records that a
+/// reader of one stream misses or gets from another.
+#[test]
+fn offsets_rise_over_all_streams() {
+    let platform = PlatformStandin::spawn();
+    let address = platform.address();
+    let offsets: Vec<_> =
+        ["a", "b", "a"].iter().map(|stream| append(address, stream, stream)).collect();
+    assert_eq!(offsets, [1, 2, 3]);
+    let reply = read(address, "a", 1, 0);
+    assert_eq!(reply.records.iter().map(|r| r.offset).collect::<Vec<_>>(), [1, 3]);
+    assert!(reply.records.iter().all(|r| r.body == "a" && r.at_ms > 1_600_000_000_000));
+    assert_eq!((reply.first_offset, reply.next_offset), (1, 4));
+    assert_eq!(read(address, "a", 2, 0).records.len(), 1);
+    assert_eq!(platform.records("b").len(), 1);
+}
+
+/// Guards against a long poll that returns before a record or sleeps past it.
+#[test]
+fn long_poll_returns_with_the_record() {
+    let platform = PlatformStandin::spawn();
+    let address = platform.address();
+    let start = Instant::now();
+    assert!(read(address, "a", 1, 50).records.is_empty());
+    assert!(start.elapsed() >= Duration::from_millis(50));
+    let poll = thread::spawn(move || read(address, "a", 1, 10_000));
+    thread::sleep(Duration::from_millis(50));
+    append(address, "b", "other stream");
+    append(address, "a", "awaited");
+    assert_eq!(poll.join().unwrap().records[0].body, "awaited");
+    assert!(start.elapsed() < Duration::from_secs(5));
+}
+
+/// Guards against answers above the limit, and against a limit that skips or
+/// repeats records.
+#[test]
+fn large_reads_come_in_parts() {
+    let platform = PlatformStandin::spawn();
+    let body = "x".repeat(300 * 1024);
+    for _ in 0..8 {
+        platform.append("a", &body);
+    }
+    let mut from = 1;
+    let mut parts = 0;
+    while from <= 8 {
+        let reply = read(platform.address(), "a", from, 0);
+        assert_eq!(reply.records[0].offset, from);
+        assert!(reply.records.len() <= 3);
+        from = reply.records.last().unwrap().offset + 1;
+        parts += 1;
+    }
+    assert_eq!(parts, 3);
+}
+
+/// Guards against refused or hanging appends that take effect during an
+/// outage, and against long polls that an outage does not reach.
+#[test]
+fn outage_refuses_or_hangs() {
+    let platform = PlatformStandin::spawn();
+    let address = platform.address();
+    let poll = thread::spawn(move || get(address, "/streams/a/records?from=1&wait_ms=9000"));
+    thread::sleep(Duration::from_millis(50));
+    platform.set_log_outage(Outage::Refuse);
+    assert_eq!(poll.join().unwrap().status, 503);
+    assert_eq!(post(address, "/streams/a/records", "x").status, 503);
+    assert_eq!(platform.log_counters().refused, 2);
+    platform.set_log_outage(Outage::Hang);
+    let hanging = thread::spawn(move || append(address, "a", "late"));
+    thread::sleep(Duration::from_millis(100));
+    assert!(!hanging.is_finished() && platform.records("a").is_empty());
+    platform.set_log_outage(Outage::None);
+    assert_eq!(hanging.join().unwrap(), 1);
+}
+
+/// Guards against a lost answer without its effect, or with an answer.
+#[test]
+fn lost_answers_have_their_effect() {
+    let platform = PlatformStandin::spawn();
+    let address = platform.address();
+    let try_append = || send(address, "POST", "/streams/a/records", &[], "x").is_ok();
+    platform.lose_append_answers(2);
+    assert_eq!([try_append(), try_append(), try_append()], [false, false, true]);
+    assert_eq!(platform.records("a").len(), 3);
+    let mut runs = (0..2).map(|_| {
+        platform.set_append_answer_loss(0.5, 7);
+        (0..20).map(|_| try_append()).collect::<Vec<_>>()
+    });
+    let first = runs.next().unwrap();
+    assert!(first.contains(&true) && first.contains(&false));
+    assert_eq!(Some(first), runs.next(), "a seed must repeat its losses");
+    assert_eq!(platform.records("a").len(), 43);
+    assert_eq!(platform.log_counters().appends, 43);
+}
+
+/// Guards against reads of expired records, and against their loss to the
+/// history checks.
+#[test]
+fn expired_records_are_hidden_from_readers() {
+    let platform = PlatformStandin::spawn();
+    for _ in 0..5 {
+        platform.append("a", "x");
+    }
+    platform.expire_before(4);
+    let reply = read(platform.address(), "a", 1, 0);
+    assert_eq!((reply.first_offset, reply.records[0].offset, reply.records.len()), (4, 4, 2));
+    assert_eq!(platform.records("a").len(), 5);
+}
+
+/// Guards against a delay that is not applied.
+#[test]
+fn log_delay_is_added() {
+    let platform = PlatformStandin::spawn();
+    platform.set_log_delay(Duration::from_millis(80));
+    let start = Instant::now();
+    append(platform.address(), "a", "x");
+    assert!(start.elapsed() >= Duration::from_millis(80));
+}
+
+/// Guards against a log too slow for the fleet, and against records that
+/// concurrent pollers miss or see out of order.
+#[test]
+fn forty_pollers_see_every_append() {
+    const RECORDS: usize = 2000;
+    let platform = PlatformStandin::spawn();
+    let address = platform.address();
+    let next = AtomicU64::new(0);
+    let start = Instant::now();
+    thread::scope(|scope| {
+        let pollers: Vec<_> = (0..40)
+            .map(|_| {
+                scope.spawn(move || {
+                    let agent = ureq::Agent::new_with_defaults();
+                    let (mut from, mut seen) = (1, Vec::new());
+                    while seen.len() < RECORDS {
+                        let url = format!("http://{address}/streams/a/records");
+                        let url = format!("{url}?from={from}&wait_ms=5000");
+                        let text = agent.get(&url).call().unwrap().body_mut().read_to_string();
+                        let reply: ReadReply = serde_json::from_str(&text.unwrap()).unwrap();
+                        seen.extend(reply.records.iter().map(|r| r.offset));
+                        from = seen.last().map_or(from, |last| last + 1);
+                    }
+                    seen
+                })
+            })
+            .collect();
+        for _ in 0..8 {
+            scope.spawn(|| {
+                let agent = ureq::Agent::new_with_defaults();
+                let url = format!("http://{address}/streams/a/records");
+                while next.fetch_add(1, Ordering::Relaxed) < RECORDS as u64 {
+                    agent.post(&url).send("record").expect("append");
+                }
+            });
+        }
+        for poller in pollers {
+            assert!(poller.join().unwrap().into_iter().eq(1..=RECORDS as u64));
+        }
+    });
+    let elapsed = start.elapsed();
+    println!("{RECORDS} appends with 40 pollers in {elapsed:?}");
+    assert!(elapsed < Duration::from_secs(2 * RECORDS as u64 / 1000), "took {elapsed:?}");
+}
+
+/// Guards against a host list that shows a change before the lag is over, or
+/// never.
+#[test]
+fn host_list_lags() {
+    let platform = PlatformStandin::spawn();
+    let hosts = || {
+        let list: HostList = serde_json::from_str(&get(platform.address(), "/hosts").body).unwrap();
+        list.hosts.into_iter().map(|h| (h.host_id, h.state)).collect::<Vec<_>>()
+    };
+    let host = |state| HostEntry {
+        host_id: "h1".to_owned(),
+        peer_address: "127.0.0.1:1".to_owned(),
+        state,
+    };
+    platform.put_host(host(HostState::Live));
+    assert_eq!(hosts(), [("h1".to_owned(), HostState::Live)]);
+    platform.set_host_list_lag(Duration::from_millis(300));
+    thread::sleep(Duration::from_millis(310));
+    platform.put_host(host(HostState::Leaving));
+    assert_eq!(hosts(), [("h1".to_owned(), HostState::Live)]);
+    eventually("leaving", || hosts() == [("h1".to_owned(), HostState::Leaving)]);
+    platform.remove_host("h1");
+    eventually("removed", || hosts().is_empty());
+}
+
+/// Guards against a weight store without a rate limit.
+#[test]
+fn weight_store_limits_its_rate() {
+    let platform = PlatformStandin::spawn();
+    platform.set_weight_rate(2.0);
+    let statuses: Vec<_> =
+        (0..4).map(|_| get(platform.address(), "/weights/model-a").status).collect();
+    assert_eq!(statuses, [200, 200, 429, 429]);
+    assert_eq!(platform.weight_reads(), (2, 2));
+    eventually("refill", || get(platform.address(), "/weights/model-a").status == 200);
+}
--- /dev/null
+++ b/crates/standins/tests/proxy.rs
@@ -0,0 +1,100 @@
+use {
+    mango_standins::FaultProxy,
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Server that sends back what it gets.
+fn echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || std::io::copy(&mut &stream, &mut &stream));
+        }
+    });
+    address
+}
+
+fn connect(proxy: &FaultProxy) -> TcpStream {
+    let stream = TcpStream::connect(proxy.address()).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    stream
+}
+
+fn round_trip(stream: &mut TcpStream) -> std::io::Result<Duration> {
+    let start = Instant::now();
+    stream.write_all(b"ping")?;
+    let mut reply = [0; 4];
+    stream.read_exact(&mut reply)?;
+    assert_eq!(&reply, b"ping");
+    Ok(start.elapsed())
+}
+
+/// Guards against data that is lost, reordered or cut short on its way, and
+/// against an end of stream that is not passed on.
+#[test]
+fn data_passes_unchanged() {
+    let proxy = FaultProxy::spawn(echo());
+    proxy.set_delay(Duration::from_millis(2));
+    let mut stream = connect(&proxy);
+    let sent: Vec<u8> = (0..4_000_000_u32).map(|i| (i % 251) as u8).collect();
+    let mut writing = stream.try_clone().unwrap();
+    let data = sent.clone();
+    let writer = thread::spawn(move || {
+        writing.write_all(&data).unwrap();
+        writing.shutdown(std::net::Shutdown::Write).unwrap();
+    });
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).unwrap();
+    writer.join().unwrap();
+    assert!(received == sent);
+}
+
+/// Guards against a freeze that loses or passes data.
+#[test]
+fn freeze_holds_data_until_resume() {
+    let proxy = FaultProxy::spawn(echo());
+    let mut stream = connect(&proxy);
+    round_trip(&mut stream).unwrap();
+    proxy.freeze();
+    let frozen = thread::spawn(move || round_trip(&mut stream).unwrap());
+    let mut new = connect(&proxy);
+    thread::sleep(Duration::from_millis(200));
+    assert!(!frozen.is_finished());
+    proxy.resume();
+    assert!(frozen.join().unwrap() >= Duration::from_millis(150));
+    round_trip(&mut new).unwrap();
+}
+
+/// Guards against connections that survive a cut, frozen ones included, and
+/// against a cut or refusal that lasts.
+#[test]
+fn cut_and_refuse() {
+    let proxy = FaultProxy::spawn(echo());
+    let mut stream = connect(&proxy);
+    round_trip(&mut stream).unwrap();
+    proxy.freeze();
+    proxy.cut();
+    assert!(round_trip(&mut stream).is_err());
+    proxy.resume();
+    round_trip(&mut connect(&proxy)).unwrap();
+    proxy.set_refusing(true);
+    assert!(round_trip(&mut connect(&proxy)).is_err());
+    proxy.set_refusing(false);
+    round_trip(&mut connect(&proxy)).unwrap();
+}
+
+/// Guards against a delay that is missing in one direction.
+#[test]
+fn delay_applies_in_each_direction() {
+    let proxy = FaultProxy::spawn(echo());
+    let mut stream = connect(&proxy);
+    round_trip(&mut stream).unwrap();
+    proxy.set_delay(Duration::from_millis(40));
+    assert!(round_trip(&mut stream).unwrap() >= Duration::from_millis(80));
+}
