--- a/crates/standins/src/engine/engine_clock.rs
+++ b/crates/standins/src/engine/engine_clock.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-// Keeps wake-up times within what an Instant can hold.
+// Stands for waits too long for a Duration.
 const MAX_WAIT: Duration = Duration::from_secs(3600);
 
 /// Engine time in milliseconds. It runs slower than real time by the time
@@ -29,7 +29,7 @@
         self.base_ms + elapsed / (self.time_scale * self.slowdown)
     }
 
-    /// Instant of an engine time, at most an hour after the last change.
+    /// Instant of an engine time.
     pub(crate) fn instant(&self, at_ms: f64) -> Instant {
         let real_ms = (at_ms - self.base_ms).max(0.0) * self.time_scale * self.slowdown;
         let wait = Duration::try_from_secs_f64(real_ms / 1e3).unwrap_or(MAX_WAIT);
--- a/crates/standins/src/engine/execution.rs
+++ b/crates/standins/src/engine/execution.rs
@@ -17,7 +17,7 @@
     pub prompt_tokens: u32,
     /// Prompt tokens found in the prefix cache.
     pub cached_tokens: u32,
-    /// Tokens generated.
+    /// Tokens generated; 0 while it runs.
     pub tokens: u32,
     /// Whether it ended early, by a cancel, a lost connection or a crash.
     pub cancelled: bool,
--- a/crates/standins/src/load/load_tracker.rs
+++ b/crates/standins/src/load/load_tracker.rs
@@ -51,7 +51,7 @@
     }
 
     /// Changes the weight of the engines of a name; 0 takes them out of the
-    /// sum of weights.
+    /// sum of weights. A crashed or dropped engine keeps its weight until then.
     pub fn set_weight(&self, name: &str, weight: f64) {
         let mut state = self.state.lock();
         for engine in state.engines.iter_mut().filter(|e| e.name == name) {
