--- /dev/null
+++ b/crates/standins/src/platform/platform_service.rs
@@ -0,0 +1,115 @@
+use {
+    crate::{
+        endpoint::{BrokenAnswer, json_answer, query_number, status_answer},
+        platform::{FaultGate, HostHistory, LogStore, WeightRate},
+    },
+    http::{HeaderValue, Method, StatusCode, header},
+    mango_http::{BodyError, CallerLink, Handler, Request},
+    mango_wire::platform::{AppendReply, HostList},
+    parking_lot::Mutex,
+    std::time::{Duration, Instant},
+};
+
+type Answer = mango_http::Answer<BrokenAnswer>;
+
+// Longest long poll, so that a wrong wait_ms cannot hold a thread for good.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// HTTP face of the platform.
+pub(crate) struct PlatformService {
+    pub(crate) log: LogStore,
+    pub(crate) hosts: Mutex<HostHistory>,
+    pub(crate) hosts_gate: FaultGate,
+    pub(crate) weights: Mutex<WeightRate>,
+    pub(crate) weights_gate: FaultGate,
+}
+
+impl Handler for PlatformService {
+    type Source = BrokenAnswer;
+
+    fn handle(&self, request: Request, _: &CallerLink) -> Answer {
+        let (parts, body) = request.into_parts();
+        let body = match body {
+            Ok(body) => body,
+            Err(BodyError::TooLarge) => return status_answer(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(BodyError::TimedOut | BodyError::Broken(_)) => {
+                return status_answer(StatusCode::BAD_REQUEST);
+            }
+        };
+        let query = parts.uri.query().unwrap_or_default();
+        let segments: Vec<_> = parts.uri.path().trim_matches('/').split('/').collect();
+        match (&parts.method, segments.as_slice()) {
+            (&Method::POST, ["streams", stream, "records"]) => self.append(stream, &body),
+            (&Method::GET, ["streams", stream, "records"]) => self.read(stream, query),
+            (&Method::GET, ["hosts"]) => self.hosts(),
+            (&Method::GET, ["weights", name]) => self.weight(name),
+            _ => status_answer(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl PlatformService {
+    /// Refuses all requests from now on, also those that wait.
+    pub(crate) fn close(&self) {
+        for gate in [&self.log.gate, &self.hosts_gate, &self.weights_gate] {
+            gate.close();
+        }
+        self.log.wake_readers();
+    }
+
+    fn append(&self, stream: &str, body: &[u8]) -> Answer {
+        let Ok(record) = str::from_utf8(body) else {
+            return status_answer(StatusCode::BAD_REQUEST);
+        };
+        if self.log.gate.enter().is_err() {
+            return self.refuse_log();
+        }
+        let offset = self.log.append(stream, record.to_owned());
+        if self.log.count_append() {
+            return BrokenAnswer::answer();
+        }
+        json_answer(StatusCode::OK, &AppendReply { offset })
+    }
+
+    fn read(&self, stream: &str, query: &str) -> Answer {
+        if self.log.gate.enter().is_err() {
+            return self.refuse_log();
+        }
+        let from = query_number(query, "from").unwrap_or(0);
+        let wait_ms = query_number(query, "wait_ms").unwrap_or(0).min(MAX_WAIT_MS);
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        match self.log.read(stream, from, deadline) {
+            Ok(reply) => json_answer(StatusCode::OK, &reply),
+            Err(_) => self.refuse_log(),
+        }
+    }
+
+    fn refuse_log(&self) -> Answer {
+        self.log.count_refused();
+        status_answer(StatusCode::SERVICE_UNAVAILABLE)
+    }
+
+    fn hosts(&self) -> Answer {
+        if self.hosts_gate.enter().is_err() {
+            return status_answer(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let hosts = self.hosts.lock().visible();
+        json_answer(StatusCode::OK, &HostList { hosts })
+    }
+
+    fn weight(&self, name: &str) -> Answer {
+        if self.weights_gate.enter().is_err() {
+            return status_answer(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let taken = self.weights.lock().take();
+        match taken {
+            Ok(()) => json_answer(StatusCode::OK, &serde_json::json!({ "name": name })),
+            Err(wait) => {
+                let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
+                let mut answer = status_answer(StatusCode::TOO_MANY_REQUESTS);
+                answer.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+                answer
+            }
+        }
+    }
+}
