--- /dev/null
+++ b/crates/config/src/files.rs
@@ -0,0 +1,85 @@
+use {
+    anyhow::{Context, Result, anyhow, bail},
+    mango_wire::config::ConfigObject,
+    serde::de::DeserializeOwned,
+    serde_json::Value,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+};
+
+/// Reads the objects of a configuration file, or of all `.json` files of a
+/// directory in the order of their names. A file holds one object, several
+/// objects one after the other, or arrays of objects.
+///
+/// Errors name the file and the path of the wrong field.
+pub fn read_objects(path: &Path) -> Result<Vec<ConfigObject>> {
+    let mut objects = Vec::new();
+    for file in files_of(path)? {
+        let text = fs::read_to_string(&file).with_context(|| format!("{}", file.display()))?;
+        objects.extend(parse_objects(&text).with_context(|| format!("{}", file.display()))?);
+    }
+    Ok(objects)
+}
+
+/// Parses the text of a configuration file.
+pub fn parse_objects(text: &str) -> Result<Vec<ConfigObject>> {
+    let mut objects = Vec::new();
+    for value in serde_json::Deserializer::from_str(text).into_iter::<Value>() {
+        match value? {
+            Value::Array(items) => {
+                for (index, item) in items.into_iter().enumerate() {
+                    objects.push(parse_object(item).with_context(|| format!("[{index}]"))?);
+                }
+            }
+            value => objects.push(parse_object(value)?),
+        }
+    }
+    Ok(objects)
+}
+
+// An externally tagged enum hides the path of an inner error, so the tag is
+// read by hand.
+fn parse_object(value: Value) -> Result<ConfigObject> {
+    let Value::Object(fields) = value else {
+        bail!("expected an object with one of the fields endpoint, pool, team, work, route");
+    };
+    if fields.len() != 1 {
+        bail!("{} fields, expected exactly one of endpoint, pool, team, work, route", fields.len());
+    }
+    let Some((kind, value)) = fields.into_iter().next() else { bail!("empty object") };
+    match kind.as_str() {
+        "endpoint" => parse_fields(&kind, value).map(ConfigObject::Endpoint),
+        "pool" => parse_fields(&kind, value).map(ConfigObject::Pool),
+        "team" => parse_fields(&kind, value).map(ConfigObject::Team),
+        "work" => parse_fields(&kind, value).map(ConfigObject::Work),
+        "route" => parse_fields(&kind, value).map(ConfigObject::Route),
+        _ => bail!("unknown field {kind:?}, expected one of endpoint, pool, team, work, route"),
+    }
+}
+
+fn parse_fields<T: DeserializeOwned>(kind: &str, value: Value) -> Result<T> {
+    let id = value.get("id").and_then(Value::as_str).unwrap_or("without id").to_owned();
+    serde_path_to_error::deserialize(value)
+        .map_err(|e| anyhow!("{kind} {id}: {}: {}", e.path(), e.inner()))
+}
+
+fn files_of(path: &Path) -> Result<Vec<PathBuf>> {
+    let metadata = fs::metadata(path).with_context(|| format!("{}", path.display()))?;
+    if !metadata.is_dir() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let mut files = Vec::new();
+    for entry in fs::read_dir(path).with_context(|| format!("{}", path.display()))? {
+        let file = entry?.path();
+        if file.extension().is_some_and(|extension| extension == "json") {
+            files.push(file);
+        }
+    }
+    files.sort();
+    if files.is_empty() {
+        bail!("{}: no .json files", path.display());
+    }
+    Ok(files)
+}
--- /dev/null
+++ b/crates/config/src/object.rs
@@ -0,0 +1,54 @@
+use {
+    mango_wire::config::{ConfigObject, ObjectKey, ObjectKind},
+    std::fmt,
+};
+
+/// Kind and id of an object; orders by kind, then id.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ObjectName {
+    /// Kind of the object.
+    pub kind: ObjectKind,
+    /// Id, unique within the kind.
+    pub id: String,
+}
+
+impl ObjectName {
+    /// Name of an object of `kind`.
+    pub fn new(kind: ObjectKind, id: impl Into<String>) -> Self {
+        Self { kind, id: id.into() }
+    }
+
+    /// The name as it is written in records.
+    pub fn to_key(&self) -> ObjectKey {
+        ObjectKey { kind: self.kind, id: self.id.clone() }
+    }
+}
+
+impl From<&ObjectKey> for ObjectName {
+    fn from(key: &ObjectKey) -> Self {
+        Self::new(key.kind, key.id.clone())
+    }
+}
+
+impl fmt::Display for ObjectName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.id)
+    }
+}
+
+/// Kind and id of an object.
+pub fn object_name_of(object: &ConfigObject) -> (ObjectKind, &str) {
+    match object {
+        ConfigObject::Endpoint(endpoint) => (ObjectKind::Endpoint, &endpoint.id),
+        ConfigObject::Pool(pool) => (ObjectKind::Pool, &pool.id),
+        ConfigObject::Team(team) => (ObjectKind::Team, &team.id),
+        ConfigObject::Work(work) => (ObjectKind::Work, &work.id),
+        ConfigObject::Route(route) => (ObjectKind::Route, &route.id),
+    }
+}
+
+/// Name of an object.
+pub fn object_name(object: &ConfigObject) -> ObjectName {
+    let (kind, id) = object_name_of(object);
+    ObjectName::new(kind, id)
+}
