--- /dev/null
+++ b/crates/router/src/app/args.rs
@@ -0,0 +1,28 @@
+use {
+    crate::settings::load_settings, anyhow::Result, clap::Parser, mango_wire::settings::Settings,
+    std::path::PathBuf,
+};
+
+/// Router between callers and back ends.
+#[derive(Clone, Debug, Parser)]
+#[command(
+    name = "mangobridge",
+    version,
+    after_help = "Examples:\n  mangobridge --settings /etc/mangobridge/settings.json\n  \
+                  mangobridge --settings settings.json --check"
+)]
+pub(crate) struct Args {
+    /// Settings file (JSON), see docs/operations/settings.md.
+    #[arg(short, long, value_name = "FILE")]
+    pub(crate) settings: PathBuf,
+    /// Check the settings file and exit.
+    #[arg(long)]
+    pub(crate) check: bool,
+}
+
+impl Args {
+    /// Loads and checks the settings file.
+    pub(crate) fn load_settings(&self) -> Result<Settings> {
+        load_settings(&self.settings)
+    }
+}
--- a/crates/router/src/app/mod.rs
+++ b/crates/router/src/app/mod.rs
@@ -1,1 +1,3 @@
+mod args;
 
+pub(crate) use args::Args;
--- /dev/null
+++ b/crates/router/src/config/peer_snapshot.rs
@@ -0,0 +1,150 @@
+use {
+    super::{
+        compiled::Config,
+        snapshot_parts::{canonical_json, whole_snapshot},
+        snapshot_source::SnapshotSource,
+    },
+    mango_wire::{
+        HostId,
+        config::Snapshot,
+        digest,
+        peer::{ConfigReply, ConfigRequest},
+    },
+    rand::seq::SliceRandom,
+    std::time::{Duration, Instant},
+};
+
+/// Largest serialised configuration that is taken from peers. At the design
+/// size it has about 5 MB.
+pub(crate) const MAX_SNAPSHOT_BYTES: u32 = 64 * 1024 * 1024;
+// Leaves room for the other fields within the limit of 64 KiB for a message.
+const PART_BYTES: usize = 48 * 1024;
+const MAX_HOSTS: usize = 8;
+const REPLY_WAIT: Duration = Duration::from_millis(500);
+
+/// Configuration as it is served to starting peers.
+pub(crate) struct SerializedConfig {
+    pub(crate) version: u64,
+    digest: u64,
+    bytes: Vec<u8>,
+}
+
+impl SerializedConfig {
+    /// Serialises a configuration. Equal configurations have equal bytes on all
+    /// hosts, so the covered offset is the version, not this host's position.
+    pub(crate) fn new(config: &Config) -> Result<Self, String> {
+        let version = config.version();
+        let bytes = match version {
+            0 => Vec::new(),
+            _ => canonical_json(&whole_snapshot(config, version))?.into_bytes(),
+        };
+        Ok(Self { version, digest: digest(&bytes), bytes })
+    }
+
+    /// The part from a position on.
+    pub(crate) fn reply(&self, request: &ConfigRequest) -> ConfigReply {
+        let from = (request.from_byte as usize).min(self.bytes.len());
+        let to = (from + PART_BYTES).min(self.bytes.len());
+        ConfigReply {
+            digest: self.digest,
+            from_byte: from as u32,
+            part: self.bytes[from..to].to_vec(),
+            total_bytes: self.bytes.len() as u32,
+            version: self.version,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Offer {
+    version: u64,
+    digest: u64,
+    total_bytes: u32,
+}
+
+impl Offer {
+    fn of(reply: &ConfigReply) -> Self {
+        Self { version: reply.version, digest: reply.digest, total_bytes: reply.total_bytes }
+    }
+}
+
+/// Fetches the newest configuration that two peers agree on, or that of the
+/// only peer that answers. Fails with the reason.
+pub(crate) fn fetch_snapshot<S: SnapshotSource>(
+    source: &S,
+    deadline: Instant,
+) -> Result<Snapshot, String> {
+    let mut hosts = source.hosts();
+    hosts.shuffle(&mut rand::rng());
+    hosts.truncate(MAX_HOSTS);
+    let mut offers = Vec::new();
+    for host in hosts {
+        let until = deadline.min(Instant::now() + REPLY_WAIT);
+        if let Ok(reply) = source.request(&host, ConfigRequest { from_byte: 0 }, until) {
+            offers.push((Offer::of(&reply), host));
+        }
+    }
+    let (offer, hosts) = choose(offers)?;
+    let bytes = download(source, offer, &hosts, deadline)?;
+    if digest(&bytes) != offer.digest {
+        return Err(format!("digest mismatch of version {}", offer.version));
+    }
+    let snapshot: Snapshot = serde_json::from_slice(&bytes).map_err(|e| e.to_string())?;
+    if snapshot.version != offer.version {
+        return Err(format!("version {} in place of {}", snapshot.version, offer.version));
+    }
+    Ok(snapshot)
+}
+
+fn choose(mut offers: Vec<(Offer, HostId)>) -> Result<(Offer, Vec<HostId>), String> {
+    if offers.is_empty() {
+        return Err("no peer answered".to_owned());
+    }
+    let only_one = offers.len() == 1;
+    offers.retain(|(offer, _)| {
+        offer.version > 0 && offer.total_bytes > 0 && offer.total_bytes <= MAX_SNAPSHOT_BYTES
+    });
+    offers.sort_by_key(|(offer, _)| std::cmp::Reverse(*offer));
+    let needed = if only_one { 1 } else { 2 };
+    for group in offers.chunk_by(|a, b| a.0 == b.0) {
+        if group.len() >= needed {
+            return Ok((group[0].0, group.iter().map(|(_, host)| host.clone()).collect()));
+        }
+    }
+    Err("no two peers agree on a configuration".to_owned())
+}
+
+fn download<S: SnapshotSource>(
+    source: &S,
+    offer: Offer,
+    hosts: &[HostId],
+    deadline: Instant,
+) -> Result<Vec<u8>, String> {
+    let mut bytes = Vec::new();
+    let mut failures = 0;
+    while bytes.len() < offer.total_bytes as usize {
+        // a host that fails is replaced by the next one that made the same offer
+        let Some(host) = hosts.get(failures) else {
+            return Err(format!("peers stopped to serve version {}", offer.version));
+        };
+        let until = deadline.min(Instant::now() + REPLY_WAIT);
+        if Instant::now() >= deadline {
+            return Err("deadline passed".to_owned());
+        }
+        let from_byte = bytes.len() as u32;
+        let reply = source.request(host, ConfigRequest { from_byte }, until);
+        let left = offer.total_bytes as usize - bytes.len();
+        match reply {
+            Ok(reply)
+                if Offer::of(&reply) == offer
+                    && reply.from_byte == from_byte
+                    && !reply.part.is_empty()
+                    && reply.part.len() <= left =>
+            {
+                bytes.extend(reply.part);
+            }
+            _ => failures += 1,
+        }
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/router/src/config/pool_info.rs
@@ -0,0 +1,77 @@
+use {
+    super::{endpoint_info::EndpointInfo, key_map::Keyed},
+    mango_config::{Selector, SelectorError},
+    mango_wire::{PoolKey, config::Pool, pool_key},
+    std::sync::Arc,
+};
+
+/// A pool with the endpoints that its selector chooses.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolInfo {
+    pub(crate) key: PoolKey,
+    pub(crate) id: String,
+    pub(crate) cap_multiple: f64,
+    /// Endpoints ordered by id.
+    pub(crate) endpoints: Arc<[Arc<EndpointInfo>]>,
+    pub(crate) selector: Selector,
+    pub(crate) version: u64,
+    selector_text: String,
+}
+
+impl PoolInfo {
+    /// Compiles a pool without endpoints.
+    pub(crate) fn new(pool: Pool, version: u64) -> Result<Self, SelectorError> {
+        Ok(Self {
+            key: pool_key(&pool.id),
+            id: pool.id,
+            cap_multiple: pool.cap_multiple,
+            endpoints: Arc::new([]),
+            selector: pool.selector.parse()?,
+            version,
+            selector_text: pool.selector,
+        })
+    }
+
+    /// Whether the selector chooses an endpoint.
+    pub(crate) fn selects(&self, endpoint: &EndpointInfo) -> bool {
+        self.selector.matches(|key| endpoint.label(key))
+    }
+
+    /// Whether an endpoint was in the pool at the last `with_endpoints`.
+    pub(crate) fn contains(&self, id: &str) -> bool {
+        self.endpoints.binary_search_by(|endpoint| endpoint.id.as_str().cmp(id)).is_ok()
+    }
+
+    /// The same pool with its endpoints chosen anew from `all`.
+    pub(crate) fn with_endpoints<'a>(
+        &self,
+        all: impl Iterator<Item = &'a Arc<EndpointInfo>>,
+    ) -> Self {
+        let mut chosen: Vec<_> = all.filter(|endpoint| self.selects(endpoint)).cloned().collect();
+        chosen.sort_by(|a, b| a.id.cmp(&b.id));
+        Self { endpoints: chosen.into(), ..self.clone() }
+    }
+
+    /// The pool as operators write it.
+    pub(crate) fn to_pool(&self) -> Pool {
+        Pool {
+            cap_multiple: self.cap_multiple,
+            id: self.id.clone(),
+            selector: self.selector_text.clone(),
+        }
+    }
+}
+
+impl Keyed for PoolInfo {
+    fn key(&self) -> u32 {
+        self.key
+    }
+
+    fn id(&self) -> &str {
+        &self.id
+    }
+
+    fn version(&self) -> u64 {
+        self.version
+    }
+}
--- /dev/null
+++ b/crates/router/src/config/route_info.rs
@@ -0,0 +1,48 @@
+use {
+    super::{team_info::TeamInfo, work_info::WorkInfo},
+    mango_config::{Selector, SelectorError},
+    mango_wire::{PoolKey, config::Route, pool_key},
+};
+
+/// A compiled route.
+#[derive(Clone, Debug)]
+pub(crate) struct RouteInfo {
+    pub(crate) id: String,
+    pub(crate) work: Selector,
+    pub(crate) team: Selector,
+    pub(crate) pool: PoolKey,
+    pub(crate) service: Option<String>,
+    pub(crate) version: u64,
+    route: Route,
+}
+
+impl RouteInfo {
+    pub(crate) fn new(route: Route, version: u64) -> Result<Self, SelectorError> {
+        Ok(Self {
+            id: route.id.clone(),
+            work: route.work.parse()?,
+            team: route.team.parse()?,
+            pool: pool_key(&route.pool),
+            service: route.service.clone(),
+            version,
+            route,
+        })
+    }
+
+    /// Id of the pool it leads to.
+    pub(crate) fn pool_id(&self) -> &str {
+        &self.route.pool
+    }
+
+    /// Whether it admits the work.
+    pub(crate) fn admits(&self, team: &TeamInfo, work: &WorkInfo, service: Option<&str>) -> bool {
+        self.service.as_deref() == service
+            && self.team.matches(|key| team.label(key))
+            && self.work.matches(|key| work.label(key))
+    }
+
+    /// The route as operators write it.
+    pub(crate) fn to_route(&self) -> Route {
+        self.route.clone()
+    }
+}
--- /dev/null
+++ b/crates/router/src/config/work_info.rs
@@ -0,0 +1,71 @@
+use {
+    super::key_map::Keyed,
+    mango_wire::{
+        WorkKey,
+        config::{Work, WorkClass},
+        work_key,
+    },
+    std::collections::HashMap,
+};
+
+/// A kind of work as configured.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkInfo {
+    pub(crate) key: WorkKey,
+    pub(crate) id: String,
+    pub(crate) labels: HashMap<String, String>,
+    pub(crate) idempotent: bool,
+    pub(crate) class: WorkClass,
+    pub(crate) expected_tokens: u32,
+    pub(crate) deadline_ms: u32,
+    pub(crate) version: u64,
+}
+
+impl WorkInfo {
+    pub(crate) fn new(work: Work, version: u64) -> Self {
+        Self {
+            key: work_key(&work.id),
+            id: work.id,
+            labels: work.labels,
+            idempotent: work.idempotent,
+            class: work.class,
+            expected_tokens: work.expected_tokens,
+            deadline_ms: work.deadline_ms,
+            version,
+        }
+    }
+
+    /// Value of a selector key: a label or the id.
+    pub(crate) fn label(&self, key: &str) -> Option<&str> {
+        match key {
+            "work.id" => Some(&self.id),
+            _ => self.labels.get(key).map(String::as_str),
+        }
+    }
+
+    /// The kind of work as operators write it.
+    pub(crate) fn to_work(&self) -> Work {
+        Work {
+            class: self.class,
+            deadline_ms: self.deadline_ms,
+            expected_tokens: self.expected_tokens,
+            id: self.id.clone(),
+            idempotent: self.idempotent,
+            labels: self.labels.clone(),
+        }
+    }
+}
+
+impl Keyed for WorkInfo {
+    fn key(&self) -> u32 {
+        self.key
+    }
+
+    fn id(&self) -> &str {
+        &self.id
+    }
+
+    fn version(&self) -> u64 {
+        self.version
+    }
+}
--- /dev/null
+++ b/crates/router/src/operators/request_handler.rs
@@ -0,0 +1,231 @@
+use {
+    super::{
+        api_reply::{json, refusal, rejected, text},
+        hooks::OperatorHooks,
+        query::Query,
+        token_check::TokenCheck,
+    },
+    crate::{
+        config::PublishError,
+        logging::quoted,
+        platform::RecordLog,
+    },
+    astra::{Request, Response},
+    http::{Method, StatusCode, header::AUTHORIZATION},
+    log::info,
+    mango_config::{
+        ChangeReply, ConfigListing, HistoryListing, MemberVersion, ObjectName, object_name,
+    },
+    mango_wire::config::{Change, ObjectKind},
+    serde_json::json as value,
+    std::{
+        io::Read,
+        sync::atomic::{AtomicUsize, Ordering},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+// A change can't be larger than a log record, whose limit is checked later.
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+const PUBLISH_WAIT: Duration = Duration::from_secs(10);
+const MAX_MEMBER_WAIT_MS: u64 = 60_000;
+const MEMBER_POLL: Duration = Duration::from_millis(100);
+const MAX_WAITING: usize = 4;
+const DEFAULT_HISTORY: u64 = 100;
+
+/// Answers the requests of operators.
+pub(super) struct RequestHandler<L> {
+    token: TokenCheck,
+    hooks: OperatorHooks<L>,
+    waiting: AtomicUsize,
+}
+
+impl<L: RecordLog> RequestHandler<L> {
+    pub(super) fn new(token: &str, hooks: OperatorHooks<L>) -> Self {
+        Self { token: TokenCheck::new(token), hooks, waiting: AtomicUsize::new(0) }
+    }
+
+    pub(super) fn handle(&self, request: Request) -> Response {
+        let path = request.uri().path().to_owned();
+        let allowed = match path.as_str() {
+            "/healthz" | "/readyz" | "/metrics" | "/state" | "/explain" | "/history" => {
+                &[Method::GET][..]
+            }
+            "/config" => &[Method::GET, Method::POST],
+            "/drain" => &[Method::POST],
+            _ => &[],
+        };
+        let is_open = matches!(path.as_str(), "/healthz" | "/readyz");
+        let authorization = request.headers().get(AUTHORIZATION).map(|header| header.as_bytes());
+        if !is_open && !self.token.accepts(authorization) {
+            let detail = "expected the header `Authorization: Bearer` with the operators' token";
+            return refusal(StatusCode::UNAUTHORIZED, "unauthorized", detail);
+        }
+        if allowed.is_empty() {
+            return refusal(StatusCode::NOT_FOUND, "unknown_path", format!("no path {path:?}"));
+        }
+        if !allowed.contains(request.method()) {
+            let detail = format!("{} is not supported on {path}", request.method());
+            return refusal(StatusCode::METHOD_NOT_ALLOWED, "method_not_allowed", detail);
+        }
+        self.route(&path, request).unwrap_or_else(|detail| {
+            refusal(StatusCode::BAD_REQUEST, "bad_request", detail)
+        })
+    }
+
+    fn route(&self, path: &str, request: Request) -> Result<Response, String> {
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        match path {
+            "/healthz" => Ok(text("text/plain", "ok\n".to_owned())),
+            "/readyz" => Ok(self.ready()),
+            "/metrics" => self.metrics(),
+            "/state" => Ok(json(StatusCode::OK, &(self.hooks.state)())),
+            "/explain" => self.explain(&query),
+            "/history" => self.history(&query),
+            "/config" if request.method() == Method::GET => self.config(&query),
+            "/config" => self.change(&query, request),
+            _ => Ok(self.drain()),
+        }
+    }
+
+    fn ready(&self) -> Response {
+        let status = self.hooks.config.status();
+        let draining = (self.hooks.is_draining)();
+        let ready = status.version > 0 && !draining;
+        let code = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let body = value!({
+            "ready": ready,
+            "draining": draining,
+            "config_version": status.version,
+            "detail": status.trouble,
+        });
+        json(code, &body)
+    }
+
+    fn metrics(&self) -> Result<Response, String> {
+        let encoded = self.hooks.metrics.encode().map_err(|e| e.to_string())?;
+        Ok(text("application/openmetrics-text; version=1.0.0; charset=utf-8", encoded))
+    }
+
+    fn explain(&self, query: &str) -> Result<Response, String> {
+        let query = Query::parse(query, &["team", "work", "service"])?;
+        let (team, work) = (query.require("team")?, query.require("work")?);
+        let service = query.get("service").filter(|service| !service.is_empty());
+        Ok(json(StatusCode::OK, &self.hooks.config.current().explain(team, work, service)))
+    }
+
+    fn history(&self, query: &str) -> Result<Response, String> {
+        let query = Query::parse(query, &["limit"])?;
+        let limit = query.number("limit")?.unwrap_or(DEFAULT_HISTORY);
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let changes = self.hooks.config.history(limit);
+        Ok(json(StatusCode::OK, &HistoryListing { changes }))
+    }
+
+    fn config(&self, query: &str) -> Result<Response, String> {
+        let query = Query::parse(query, &["kind", "id"])?;
+        let config = self.hooks.config.current();
+        let kind = match query.get("kind") {
+            Some(text) => Some(text.parse::<ObjectKind>().map_err(|_| {
+                format!("kind {text:?}, expected endpoint, pool, team, work or route")
+            })?),
+            None => None,
+        };
+        let id = query.get("id");
+        if id.is_some() && kind.is_none() {
+            return Err("parameter \"id\" needs the parameter \"kind\"".to_owned());
+        }
+        let mut objects = config.objects();
+        objects.retain(|entry| {
+            let name = object_name(&entry.object);
+            kind.is_none_or(|kind| kind == name.kind) && id.is_none_or(|id| id == name.id)
+        });
+        if let (Some(kind), Some(id)) = (kind, id)
+            && objects.is_empty()
+        {
+            let detail = format!("{} does not exist", ObjectName::new(kind, id));
+            return Ok(refusal(StatusCode::NOT_FOUND, "unknown_object", detail));
+        }
+        Ok(json(StatusCode::OK, &ConfigListing { version: config.version(), objects }))
+    }
+
+    fn change(&self, query: &str, request: Request) -> Result<Response, String> {
+        let query = Query::parse(query, &["wait_ms"])?;
+        let wait_ms = query.number("wait_ms")?.map(|ms| ms.min(MAX_MEMBER_WAIT_MS));
+        let body = match read_body(request)? {
+            Some(body) => body,
+            None => {
+                let detail = format!("body above {MAX_BODY_BYTES} bytes");
+                return Ok(refusal(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", detail));
+            }
+        };
+        let mut json_body = serde_json::Deserializer::from_slice(&body);
+        let change: Change = serde_path_to_error::deserialize(&mut json_body)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        if change.change_id.is_empty() || change.author.is_empty() {
+            return Err("change_id and author must not be empty".to_owned());
+        }
+        let change_id = change.change_id.clone();
+        info!(
+            "event=config_change_received change={} author={}",
+            quoted(&change_id),
+            quoted(&change.author)
+        );
+        let version = match self.hooks.config.publish(change, Instant::now() + PUBLISH_WAIT) {
+            Ok(version) => version,
+            Err(e) => return Ok(publish_refusal(e)),
+        };
+        let members_pending = wait_ms.map(|ms| self.wait_for_members(version, ms));
+        Ok(json(StatusCode::OK, &ChangeReply { change_id, version, members_pending }))
+    }
+
+    /// Waits until all live members have the version; returns those that don't.
+    fn wait_for_members(&self, version: u64, wait_ms: u64) -> Vec<MemberVersion> {
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let others = self.waiting.fetch_add(1, Ordering::AcqRel);
+        let pending = loop {
+            let mut members = (self.hooks.member_versions)();
+            members.retain(|member| member.version.is_none_or(|known| known < version));
+            // waiting takes a thread, so above a few only one check is made
+            let done = others >= MAX_WAITING || Instant::now() >= deadline;
+            if members.is_empty() || done {
+                break members;
+            }
+            thread::sleep(MEMBER_POLL.min(deadline.saturating_duration_since(Instant::now())));
+        };
+        self.waiting.fetch_sub(1, Ordering::AcqRel);
+        pending
+    }
+
+    fn drain(&self) -> Response {
+        info!("event=drain_requested");
+        (self.hooks.drain)();
+        json(StatusCode::ACCEPTED, &value!({ "draining": true }))
+    }
+}
+
+fn publish_refusal(error: PublishError) -> Response {
+    let detail = error.to_string();
+    match error {
+        PublishError::Rejected(rejection) => rejected(*rejection),
+        PublishError::TooLarge { .. } => {
+            refusal(StatusCode::PAYLOAD_TOO_LARGE, "change_too_large", detail)
+        }
+        PublishError::NotReady(_) => {
+            refusal(StatusCode::SERVICE_UNAVAILABLE, "not_ready", detail)
+        }
+        PublishError::NotApplied(_) => {
+            refusal(StatusCode::SERVICE_UNAVAILABLE, "log_unavailable", detail)
+        }
+        PublishError::Unknown(_) => refusal(StatusCode::GATEWAY_TIMEOUT, "outcome_unknown", detail),
+    }
+}
+
+/// Reads a body; `None` if it is too large.
+fn read_body(mut request: Request) -> Result<Option<Vec<u8>>, String> {
+    let mut body = Vec::new();
+    let reader = request.body_mut().reader();
+    reader.take(MAX_BODY_BYTES + 1).read_to_end(&mut body).map_err(|e| format!("body: {e}"))?;
+    Ok((body.len() as u64 <= MAX_BODY_BYTES).then_some(body))
+}
--- /dev/null
+++ b/crates/router/src/settings/check.rs
@@ -0,0 +1,254 @@
+use {
+    flexi_logger::LogSpecification,
+    mango_wire::settings::Settings,
+    std::{fmt::Display, net::SocketAddr},
+};
+
+const MIN_SECRET_CHARS: usize = 16;
+const MAX_ID_BYTES: usize = 128;
+const MIN_RECORD_BYTES: u32 = 64 * 1024;
+const MAX_KEY_RANGES: u32 = 1024;
+
+/// Checks what the types can't express. Returns one text per fault, with the
+/// path of the setting and the expected value.
+pub(crate) fn check_settings(settings: &Settings) -> Vec<String> {
+    let mut faults = Faults::default();
+    check_host(settings, &mut faults);
+    check_addresses(settings, &mut faults);
+    check_secrets(settings, &mut faults);
+    check_platform(settings, &mut faults);
+    check_callers(settings, &mut faults);
+    check_membership(settings, &mut faults);
+    check_admission(settings, &mut faults);
+    check_health(settings, &mut faults);
+    check_dispatch(settings, &mut faults);
+    check_claims(settings, &mut faults);
+    if let Err(e) = LogSpecification::parse(&settings.log_spec) {
+        faults.add("log_spec", format!("{e}, expected for example \"info\""));
+    }
+    faults.0
+}
+
+#[derive(Default)]
+struct Faults(Vec<String>);
+
+impl Faults {
+    fn add(&mut self, path: &str, detail: impl Display) {
+        self.0.push(format!("{path}: {detail}"));
+    }
+
+    fn at_least<T: PartialOrd + Display>(&mut self, path: &str, value: T, least: T) {
+        if value < least {
+            self.add(path, format!("{value}, expected at least {least}"));
+        }
+    }
+
+    fn positive(&mut self, values: &[(&str, u32)]) {
+        for (path, value) in values {
+            self.at_least(path, *value, 1);
+        }
+    }
+
+    // a NaN is in no range
+    fn within(&mut self, path: &str, value: f64, least: f64, most: f64) {
+        if !(least..=most).contains(&value) {
+            self.add(path, format!("{value}, expected {least} to {most}"));
+        }
+    }
+}
+
+fn check_host(settings: &Settings, faults: &mut Faults) {
+    let ids =
+        [("host_id", &settings.host_id), ("region", &settings.region), ("zone", &settings.zone)];
+    for (path, id) in ids {
+        let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+        if id.is_empty() || id.len() > MAX_ID_BYTES || !id.chars().all(allowed) {
+            let detail = format!(
+                "{id:?}, expected 1 to {MAX_ID_BYTES} characters of a-z, A-Z, 0-9, `.`, `_`, `-`"
+            );
+            faults.add(path, detail);
+        }
+    }
+}
+
+fn check_addresses(settings: &Settings, faults: &mut Faults) {
+    let addresses = [
+        ("caller_address", &settings.caller_address),
+        ("operator_address", &settings.operator_address),
+        ("peer_address", &settings.peer_address),
+    ];
+    let mut bound: Vec<(&str, SocketAddr)> = Vec::new();
+    for (path, text) in addresses {
+        let Some(address) = parse_address(path, text, faults) else { continue };
+        let taken = bound.iter().find(|(_, other)| *other == address && address.port() != 0);
+        if let Some((other, _)) = taken {
+            faults.add(path, format!("{text:?} is {other} as well, expected another address"));
+        }
+        bound.push((path, address));
+    }
+    for (index, seed) in settings.seeds.iter().enumerate() {
+        parse_address(&format!("seeds[{index}]"), seed, faults);
+    }
+}
+
+fn parse_address(path: &str, text: &str, faults: &mut Faults) -> Option<SocketAddr> {
+    match text.parse() {
+        Ok(address) => Some(address),
+        Err(_) => {
+            let detail =
+                format!("{text:?}, expected an IP address and port, for example 10.0.0.7:8080");
+            faults.add(path, detail);
+            None
+        }
+    }
+}
+
+fn check_secrets(settings: &Settings, faults: &mut Faults) {
+    let secrets =
+        [("peer_secret", &settings.peer_secret), ("operator_token", &settings.operator_token)];
+    for (path, secret) in secrets {
+        let length = secret.chars().count();
+        if length < MIN_SECRET_CHARS {
+            let detail =
+                format!("{length} characters, expected at least {MIN_SECRET_CHARS} characters");
+            faults.add(path, detail);
+        }
+        if secret.trim() != secret {
+            faults.add(path, "starts or ends with a space, expected none");
+        }
+    }
+    if settings.peer_secret == settings.operator_token {
+        faults.add("operator_token", "the same as peer_secret, expected another secret");
+    }
+}
+
+fn check_platform(settings: &Settings, faults: &mut Faults) {
+    let platform = &settings.platform;
+    let urls = [
+        ("platform.log_url", &platform.log_url),
+        ("platform.host_list_url", &platform.host_list_url),
+        ("platform.weight_store_url", &platform.weight_store_url),
+    ];
+    for (path, url) in urls {
+        if url.strip_prefix("http://").is_none_or(str::is_empty) {
+            faults.add(path, format!("{url:?}, expected a URL that starts with http://"));
+        }
+    }
+    faults.positive(&[
+        ("platform.poll_ms", platform.poll_ms),
+        ("platform.request_ms", platform.request_ms),
+        ("platform.reconnect_max_ms", platform.reconnect_max_ms),
+        ("platform.host_list_ms", platform.host_list_ms),
+    ]);
+    faults.at_least("platform.max_record_bytes", platform.max_record_bytes, MIN_RECORD_BYTES);
+    let ownership = settings.ownership.clone().unwrap_or_default();
+    faults.positive(&[
+        ("ownership.lease_ms", ownership.lease_ms),
+        ("ownership.rebalance_ms", ownership.rebalance_ms),
+    ]);
+    // a lease must outlast one poll and the answer to it
+    if platform.poll_ms > ownership.lease_ms / 2 {
+        let detail = format!(
+            "{}, expected at most half of ownership.lease_ms, which is {}",
+            platform.poll_ms, ownership.lease_ms
+        );
+        faults.add("platform.poll_ms", detail);
+    }
+    let least = u64::from(ownership.lease_ms) * 3;
+    if platform.retention_ms < least {
+        let detail = format!(
+            "{}, expected at least three times ownership.lease_ms, which is {least}",
+            platform.retention_ms
+        );
+        faults.add("platform.retention_ms", detail);
+    }
+}
+
+fn check_callers(settings: &Settings, faults: &mut Faults) {
+    let callers = settings.callers.clone().unwrap_or_default();
+    faults.positive(&[
+        ("callers.max_connections", callers.max_connections),
+        ("callers.max_in_flight", callers.max_in_flight),
+        ("callers.max_body_bytes", callers.max_body_bytes),
+        ("callers.read_ms", callers.read_ms),
+        ("callers.write_ms", callers.write_ms),
+        ("callers.default_deadline_ms", callers.default_deadline_ms),
+    ]);
+    faults.at_least("callers.max_header_bytes", callers.max_header_bytes, 1024);
+}
+
+fn check_membership(settings: &Settings, faults: &mut Faults) {
+    let membership = settings.membership.clone().unwrap_or_default();
+    faults.positive(&[
+        ("membership.heartbeat_ms", membership.heartbeat_ms),
+        ("membership.monitors", membership.monitors),
+        ("membership.gossip_ms", membership.gossip_ms),
+        ("membership.gossip_fanout", membership.gossip_fanout),
+        ("membership.gossip_bytes_per_s", membership.gossip_bytes_per_s),
+    ]);
+    // one lost heartbeat must not make a host suspect
+    if membership.suspect_ms < membership.heartbeat_ms.saturating_mul(2) {
+        let detail = format!(
+            "{}, expected at least twice membership.heartbeat_ms, which is {}",
+            membership.suspect_ms, membership.heartbeat_ms
+        );
+        faults.add("membership.suspect_ms", detail);
+    }
+}
+
+fn check_admission(settings: &Settings, faults: &mut Faults) {
+    let admission = settings.admission.clone().unwrap_or_default();
+    faults.positive(&[
+        ("admission.load_ttl_ms", admission.load_ttl_ms),
+        ("admission.queue_max", admission.queue_max),
+        ("admission.may_wait_queue_max", admission.may_wait_queue_max),
+        ("admission.long_tokens", admission.long_tokens),
+        ("admission.dispatch_ms", admission.dispatch_ms),
+        ("admission.permit_idle_ms", admission.permit_idle_ms),
+        ("admission.warm_chats_max", admission.warm_chats_max),
+    ]);
+    faults.within("admission.may_wait_share", admission.may_wait_share, 0.0, 1.0);
+    faults.within("admission.short_reserve", admission.short_reserve, 0.0, 1.0);
+}
+
+fn check_health(settings: &Settings, faults: &mut Faults) {
+    let health = settings.health.clone().unwrap_or_default();
+    faults.within("health.slow_ratio", health.slow_ratio, 1.1, 1000.0);
+    faults.within("health.min_weight", health.min_weight, 0.001, 1.0);
+    faults.within("health.max_degraded_share", health.max_degraded_share, 0.0, 1.0);
+    faults.within("health.smoothing", health.smoothing, 0.001, 1.0);
+}
+
+fn check_dispatch(settings: &Settings, faults: &mut Faults) {
+    let dispatch = settings.dispatch.clone().unwrap_or_default();
+    faults.positive(&[
+        ("dispatch.connect_ms", dispatch.connect_ms),
+        ("dispatch.stall_ms", dispatch.stall_ms),
+    ]);
+    faults.within("dispatch.retry_share", dispatch.retry_share, 0.0, 1.0);
+    faults.within("dispatch.hedge_share", dispatch.hedge_share, 0.0, 1.0);
+    faults.within("dispatch.hedge_ratio", dispatch.hedge_ratio, 1.0, 1000.0);
+}
+
+fn check_claims(settings: &Settings, faults: &mut Faults) {
+    let claims = settings.claims.clone().unwrap_or_default();
+    if !(1..=MAX_KEY_RANGES).contains(&claims.key_ranges) {
+        let detail = format!("{}, expected 1 to {MAX_KEY_RANGES}", claims.key_ranges);
+        faults.add("claims.key_ranges", detail);
+    }
+    faults.positive(&[("claims.batch_ms", claims.batch_ms)]);
+    // an outcome is written as one record, base64 and escapes included
+    let limit = settings.platform.max_record_bytes / 2;
+    if claims.max_outcome_bytes > limit {
+        let detail = format!(
+            "{}, expected at most half of platform.max_record_bytes, which is {limit}",
+            claims.max_outcome_bytes
+        );
+        faults.add("claims.max_outcome_bytes", detail);
+    }
+    let orders = settings.orders.clone().unwrap_or_default();
+    faults.positive(&[
+        ("orders.weight_loads", orders.weight_loads),
+        ("orders.order_ms", orders.order_ms),
+    ]);
+}
--- /dev/null
+++ b/crates/router/src/settings/load.rs
@@ -0,0 +1,26 @@
+use {
+    super::check::check_settings,
+    anyhow::{Context, Result, anyhow},
+    mango_wire::settings::Settings,
+    std::{fs, path::Path},
+};
+
+/// Loads and checks a settings file. Errors name the file, the path of the
+/// wrong setting and the expected value; values of secrets are not shown.
+pub(crate) fn load_settings(path: &Path) -> Result<Settings> {
+    let file = path.display();
+    let text = fs::read_to_string(path).with_context(|| format!("{file}"))?;
+    parse_settings(&text).with_context(|| format!("{file}"))
+}
+
+pub(super) fn parse_settings(text: &str) -> Result<Settings> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let settings: Settings = serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| anyhow!("{}: {}", e.path(), e.inner()))?;
+    json.end().context("after the settings")?;
+    let faults = check_settings(&settings);
+    if !faults.is_empty() {
+        return Err(anyhow!(faults.join("\n")));
+    }
+    Ok(settings)
+}
