--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -202,8 +202,9 @@
                 return fault(&path, detail);
             }
             if let Some(c) = text.chars().find(|c| !is_word_char(*c)) {
-                let detail =
-                    format!("{c:?} in the {part}, expected letters, digits, `_`, `-`, `.`, `/`, `:`");
+                let detail = format!(
+                    "{c:?} in the {part}, expected letters, digits, `_`, `-`, `.`, `/`, `:`"
+                );
                 return fault(&path, detail);
             }
         }
--- a/crates/config/src/files.rs
+++ b/crates/config/src/files.rs
@@ -1,4 +1,5 @@
 use {
+    crate::api::ConfigListing,
     anyhow::{Context, Result, anyhow, bail},
     mango_wire::config::ConfigObject,
     serde::de::DeserializeOwned,
@@ -9,34 +10,63 @@
     },
 };
 
+/// Objects of configuration files.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigFile {
+    /// Objects in the order of the files.
+    pub objects: Vec<ConfigObject>,
+    /// Lowest version of the listings among the files, if there are any.
+    pub version: Option<u64>,
+}
+
 /// Reads the objects of a configuration file, or of all `.json` files of a
 /// directory in the order of their names. A file holds one object, several
-/// objects one after the other, or arrays of objects.
+/// objects one after the other, arrays of objects, or a listing as the
+/// operators' interface gives it.
 ///
 /// Errors name the file and the path of the wrong field.
-pub fn read_objects(path: &Path) -> Result<Vec<ConfigObject>> {
-    let mut objects = Vec::new();
+pub fn read_objects(path: &Path) -> Result<ConfigFile> {
+    let mut all = ConfigFile::default();
     for file in files_of(path)? {
         let text = fs::read_to_string(&file).with_context(|| format!("{}", file.display()))?;
-        objects.extend(parse_objects(&text).with_context(|| format!("{}", file.display()))?);
+        let part = parse_objects(&text).with_context(|| format!("{}", file.display()))?;
+        all.add(part);
     }
-    Ok(objects)
+    Ok(all)
 }
 
 /// Parses the text of a configuration file.
-pub fn parse_objects(text: &str) -> Result<Vec<ConfigObject>> {
-    let mut objects = Vec::new();
+pub fn parse_objects(text: &str) -> Result<ConfigFile> {
+    let mut all = ConfigFile::default();
     for value in serde_json::Deserializer::from_str(text).into_iter::<Value>() {
         match value? {
             Value::Array(items) => {
                 for (index, item) in items.into_iter().enumerate() {
-                    objects.push(parse_object(item).with_context(|| format!("[{index}]"))?);
+                    all.objects.push(parse_object(item).with_context(|| format!("[{index}]"))?);
                 }
             }
-            value => objects.push(parse_object(value)?),
+            value if value.get("objects").is_some() => all.add(parse_listing(value)?),
+            value => all.objects.push(parse_object(value)?),
         }
     }
-    Ok(objects)
+    Ok(all)
+}
+
+impl ConfigFile {
+    fn add(&mut self, part: Self) {
+        self.objects.extend(part.objects);
+        self.version = match (self.version, part.version) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+    }
+}
+
+fn parse_listing(value: Value) -> Result<ConfigFile> {
+    let listing: ConfigListing = serde_path_to_error::deserialize(value)
+        .map_err(|e| anyhow!("{}: {}", e.path(), e.inner()))?;
+    let objects = listing.objects.into_iter().map(|entry| entry.object).collect();
+    Ok(ConfigFile { objects, version: Some(listing.version) })
 }
 
 // An externally tagged enum hides the path of an inner error, so the tag is
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,7 +16,7 @@
         PrecedingChange, Rejection, RouteExplanation, TermExplanation,
     },
     check::{Problem, check_object, check_objects},
-    files::{parse_objects, read_objects},
+    files::{ConfigFile, parse_objects, read_objects},
     object::{ObjectName, object_name, object_name_of},
     selector::{Selector, SelectorError, Term, TermRule},
 };
--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,158 @@
+use {
+    clap::{Parser, Subcommand, ValueEnum},
+    mango_wire::config::ObjectKind,
+    std::path::PathBuf,
+};
+
+const EXAMPLES: &str = "\
+Examples:
+  mangoctl check -f examples/wage-survey
+  mangoctl apply -f examples/wage-survey --wait
+  mangoctl get team
+  mangoctl get pool model-farma --output json
+  mangoctl label endpoint farma-07 pool- state=repair
+  mangoctl explain --team statistika --work job-title-tagging
+
+Environment:
+  MANGOCTL_ROUTER  URL of the router, if --router is not given
+  MANGOCTL_TOKEN   operators' token, if --token-file is not given
+
+Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable or not confirmed";
+
+/// Shows and changes the configuration of a fleet of routers.
+#[derive(Clone, Debug, Parser)]
+#[command(name = "mangoctl", version, after_help = EXAMPLES)]
+pub struct Args {
+    /// URL of any router's operators' address.
+    #[arg(long, global = true, value_name = "URL")]
+    pub router: Option<String>,
+    /// File that holds the operators' token.
+    #[arg(long, global = true, value_name = "FILE")]
+    pub token_file: Option<PathBuf>,
+    /// Format of the output.
+    #[arg(long, global = true, value_enum, default_value_t = Output::Table)]
+    pub output: Output,
+    /// Command.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// Format of the output.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum Output {
+    /// Text for people.
+    Table,
+    /// JSON for programs.
+    Json,
+}
+
+/// Commands.
+#[derive(Clone, Debug, Subcommand)]
+pub enum Command {
+    /// Create or replace the objects of a file or of a directory's .json files.
+    #[command(after_help = "\
+Only objects that differ are sent, as one change. The change is made against the
+version in the file, if the file is the output of `get --output json`, or else
+against the version in force. It is rejected if another change touched one of
+its objects after that version.
+
+Examples:
+  mangoctl apply -f teams.json
+  mangoctl get team --output json > teams.json   # edit, then
+  mangoctl apply -f teams.json --wait")]
+    Apply {
+        /// File or directory.
+        #[arg(short, long, value_name = "PATH")]
+        file: PathBuf,
+        #[command(flatten)]
+        change: ChangeArgs,
+    },
+    /// List objects, all or of one kind, or show one object.
+    #[command(after_help = "Examples:\n  mangoctl get\n  mangoctl get route\n  \
+                            mangoctl get team statistika --output json")]
+    Get {
+        /// endpoint, pool, team, work or route.
+        #[arg(value_parser = parse_kind)]
+        kind: Option<ObjectKind>,
+        /// Id of one object.
+        #[arg(requires = "kind")]
+        id: Option<String>,
+    },
+    /// Delete an object.
+    #[command(after_help = "Example:\n  mangoctl delete route drafts-to-farma")]
+    Delete {
+        /// endpoint, pool, team, work or route.
+        #[arg(value_parser = parse_kind)]
+        kind: ObjectKind,
+        /// Id.
+        id: String,
+        #[command(flatten)]
+        change: ChangeArgs,
+    },
+    /// Set and remove labels of an endpoint, a team or a kind of work.
+    #[command(after_help = "Examples:\n  mangoctl label endpoint farma-07 state=repair\n  \
+                            mangoctl label team statistika large- --wait")]
+    Label {
+        /// endpoint, team or work.
+        #[arg(value_parser = parse_kind)]
+        kind: ObjectKind,
+        /// Id.
+        id: String,
+        /// `key=value` sets a label, `key-` removes it.
+        #[arg(required = true, value_name = "KEY=VALUE|KEY-")]
+        labels: Vec<String>,
+        #[command(flatten)]
+        change: ChangeArgs,
+    },
+    /// Check files without a router, as a complete configuration.
+    #[command(after_help = "Example:\n  mangoctl check -f examples/gas-recalls")]
+    Check {
+        /// File or directory.
+        #[arg(short, long, value_name = "PATH")]
+        file: PathBuf,
+    },
+    /// Say where a piece of work may run, and which condition decided it.
+    #[command(
+        after_help = "Examples:\n  mangoctl explain --team tartu --work doorstep-question\n  \
+                            mangoctl explain --team tartu --work visit-booking --service broneering"
+    )]
+    Explain {
+        /// Team id.
+        #[arg(long)]
+        team: String,
+        /// Id of the kind of work.
+        #[arg(long)]
+        work: String,
+        /// Service in the request path; omitted for model work.
+        #[arg(long)]
+        service: Option<String>,
+    },
+    /// Show the state of the router.
+    State,
+    /// Start a planned stop of the router.
+    Drain,
+    /// Show accepted and rejected changes, newest first.
+    History {
+        /// Changes shown at most.
+        #[arg(long, default_value_t = 20)]
+        limit: u32,
+    },
+}
+
+/// Arguments of commands that change the configuration.
+#[derive(Clone, Debug, clap::Args)]
+pub struct ChangeArgs {
+    /// Wait until all live routers have the change.
+    #[arg(long)]
+    pub wait: bool,
+    /// Longest wait, in milliseconds.
+    #[arg(long, default_value_t = 10_000, value_name = "MS")]
+    pub wait_ms: u32,
+    /// Author of the change; the user's name if not given.
+    #[arg(long, value_name = "NAME")]
+    pub author: Option<String>,
+}
+
+fn parse_kind(text: &str) -> Result<ObjectKind, String> {
+    text.parse().map_err(|_| "expected endpoint, pool, team, work or route".to_owned())
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,321 @@
+use {
+    crate::{
+        args::{Args, ChangeArgs, Command, Output},
+        client::Client,
+        failure::Failure,
+        output,
+    },
+    clap::Parser,
+    mango_config::{
+        ChangeReply, ConfigFile, check_object, check_objects, object_name, read_objects,
+    },
+    mango_wire::config::{Change, ConfigObject, ObjectKey, ObjectKind},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        env,
+        ffi::OsString,
+        fs,
+        io::Write,
+        path::Path,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+    uuid::Uuid,
+};
+
+const DEFAULT_ROUTER: &str = "http://127.0.0.1:8081";
+
+/// Runs one command line. Results go to `out`, faults to `err`. Returns the
+/// exit code: 0 done, 1 refused, 2 usage, 3 unreachable or not confirmed.
+pub fn run<I, T>(args: I, out: &mut dyn Write, err: &mut dyn Write) -> u8
+where
+    I: IntoIterator<Item = T>,
+    T: Into<OsString> + Clone,
+{
+    let args = match Args::try_parse_from(args) {
+        Ok(args) => args,
+        Err(e) => {
+            let code = if e.use_stderr() { 2 } else { 0 };
+            let _ = match code {
+                0 => write!(out, "{e}"),
+                _ => write!(err, "{e}"),
+            };
+            return code;
+        }
+    };
+    match execute(&args) {
+        Ok(Done { text, failure: None }) => {
+            let _ = out.write_all(text.as_bytes());
+            0
+        }
+        Ok(Done { text, failure: Some(failure) }) => {
+            let _ = out.write_all(text.as_bytes());
+            let _ = writeln!(err, "mangoctl: {failure}");
+            failure.exit_code()
+        }
+        Err(failure) => {
+            let _ = writeln!(err, "mangoctl: {failure}");
+            failure.exit_code()
+        }
+    }
+}
+
+/// Output of a command, with a failure that it does not replace.
+struct Done {
+    text: String,
+    failure: Option<Failure>,
+}
+
+impl From<String> for Done {
+    fn from(text: String) -> Self {
+        Self { text, failure: None }
+    }
+}
+
+fn execute(args: &Args) -> Result<Done, Failure> {
+    let output = args.output;
+    if let Command::Check { file } = &args.command {
+        return check(file, output).map(Done::from);
+    }
+    let client = connect(args)?;
+    match &args.command {
+        Command::Check { .. } => Ok(String::new().into()),
+        Command::Apply { file, change } => apply(&client, file, change, output),
+        Command::Get { kind, id } => get(&client, *kind, id.as_deref(), output).map(Done::from),
+        Command::Delete { kind, id, change } => delete(&client, *kind, id, change, output),
+        Command::Label { kind, id, labels, change } => {
+            label(&client, (*kind, id), labels, change, output)
+        }
+        Command::Explain { team, work, service } => {
+            let explanation = client.explain(team, work, service.as_deref())?;
+            let text = match output {
+                Output::Json => output::json(&explanation)?,
+                Output::Table => output::explanation(&explanation),
+            };
+            let failure = explanation
+                .unknown
+                .map(|key| Failure::Refused(format!("{}/{} does not exist", key.kind, key.id)));
+            Ok(Done { text, failure })
+        }
+        Command::State => show(&client.state()?, output).map(Done::from),
+        Command::Drain => show(&client.drain()?, output).map(Done::from),
+        Command::History { limit } => {
+            let listing = client.history(*limit)?;
+            let text = match output {
+                Output::Json => output::json(&listing)?,
+                Output::Table => output::history(&listing.changes),
+            };
+            Ok(text.into())
+        }
+    }
+}
+
+fn connect(args: &Args) -> Result<Client, Failure> {
+    let router = args.router.clone().or_else(|| env::var("MANGOCTL_ROUTER").ok());
+    let token = match &args.token_file {
+        Some(path) => fs::read_to_string(path)
+            .map_err(|e| Failure::Usage(format!("token file {}: {e}", path.display())))?,
+        None => env::var("MANGOCTL_TOKEN").map_err(|_| {
+            Failure::Usage("no token, expected --token-file or MANGOCTL_TOKEN".to_owned())
+        })?,
+    };
+    Client::new(router.as_deref().unwrap_or(DEFAULT_ROUTER), token.trim())
+}
+
+fn show(value: &serde_json::Value, output: Output) -> Result<String, Failure> {
+    match output {
+        Output::Json => output::json(value),
+        Output::Table => Ok(output::flattened(value)),
+    }
+}
+
+fn read(path: &Path) -> Result<ConfigFile, Failure> {
+    read_objects(path).map_err(|e| Failure::Refused(format!("{e:#}")))
+}
+
+fn check(path: &Path, output: Output) -> Result<String, Failure> {
+    let file = read(path)?;
+    let problems = check_objects(&file.objects);
+    if !problems.is_empty() {
+        let lines: Vec<_> = problems.iter().map(|problem| format!("  {problem}")).collect();
+        let count = problems.len();
+        return Err(Failure::Refused(format!("{count} problems\n{}", lines.join("\n"))));
+    }
+    let mut counts: BTreeMap<ObjectKind, usize> = BTreeMap::new();
+    for object in &file.objects {
+        *counts.entry(object_name(object).kind).or_default() += 1;
+    }
+    match output {
+        Output::Json => {
+            let counts: BTreeMap<_, _> =
+                counts.iter().map(|(kind, count)| (kind.to_string(), *count)).collect();
+            output::json(&counts)
+        }
+        Output::Table => {
+            let rows = counts.iter().map(|(kind, count)| vec![kind.to_string(), count.to_string()]);
+            Ok(output::table(&["KIND", "OBJECTS"], rows.collect()))
+        }
+    }
+}
+
+fn get(
+    client: &Client,
+    kind: Option<ObjectKind>,
+    id: Option<&str>,
+    output: Output,
+) -> Result<String, Failure> {
+    let listing = client.listing(kind, id)?;
+    match output {
+        Output::Json => output::json(&listing),
+        Output::Table => Ok(output::objects(&listing.objects)),
+    }
+}
+
+fn apply(
+    client: &Client,
+    path: &Path,
+    change: &ChangeArgs,
+    output: Output,
+) -> Result<Done, Failure> {
+    let file = read(path)?;
+    let mut names = BTreeSet::new();
+    for object in &file.objects {
+        check_object(object).map_err(|problem| Failure::Refused(problem.to_string()))?;
+        let name = object_name(object);
+        if !names.insert(name.clone()) {
+            return Err(Failure::Refused(format!("{name}: occurs twice")));
+        }
+    }
+    let current = client.listing(None, None)?;
+    let known: HashMap<_, _> =
+        current.objects.iter().map(|entry| (object_name(&entry.object), &entry.object)).collect();
+    let put: Vec<_> = file
+        .objects
+        .into_iter()
+        .filter(|object| known.get(&object_name(object)).is_none_or(|known| differ(known, object)))
+        .collect();
+    if put.is_empty() {
+        return unchanged(current.version, output);
+    }
+    publish(client, file.version.unwrap_or(current.version), put, Vec::new(), change, output)
+}
+
+fn differ(a: &ConfigObject, b: &ConfigObject) -> bool {
+    match (serde_json::to_value(a), serde_json::to_value(b)) {
+        (Ok(a), Ok(b)) => a != b,
+        _ => true,
+    }
+}
+
+fn delete(
+    client: &Client,
+    kind: ObjectKind,
+    id: &str,
+    change: &ChangeArgs,
+    output: Output,
+) -> Result<Done, Failure> {
+    let listing = client.listing(Some(kind), Some(id))?;
+    let key = ObjectKey { kind, id: id.to_owned() };
+    publish(client, listing.version, Vec::new(), vec![key], change, output)
+}
+
+fn label(
+    client: &Client,
+    (kind, id): (ObjectKind, &str),
+    edits: &[String],
+    change: &ChangeArgs,
+    output: Output,
+) -> Result<Done, Failure> {
+    if matches!(kind, ObjectKind::Pool | ObjectKind::Route) {
+        return Err(Failure::Usage(format!("a {kind} has no labels")));
+    }
+    let edits = edits.iter().map(|edit| parse_edit(edit)).collect::<Result<Vec<_>, _>>()?;
+    let listing = client.listing(Some(kind), Some(id))?;
+    let Some(entry) = listing.objects.into_iter().next() else {
+        return Err(Failure::Refused(format!("{kind}/{id} does not exist")));
+    };
+    let mut object = entry.object.clone();
+    let labels = match &mut object {
+        ConfigObject::Endpoint(endpoint) => &mut endpoint.labels,
+        ConfigObject::Team(team) => &mut team.labels,
+        ConfigObject::Work(work) => &mut work.labels,
+        ConfigObject::Pool(_) | ConfigObject::Route(_) => {
+            return Err(Failure::Refused(format!("{kind}/{id} has no labels")));
+        }
+    };
+    for (key, value) in edits {
+        match value {
+            Some(value) => labels.insert(key.to_owned(), value.to_owned()),
+            None => labels.remove(key),
+        };
+    }
+    check_object(&object).map_err(|problem| Failure::Refused(problem.to_string()))?;
+    if !differ(&entry.object, &object) {
+        return unchanged(listing.version, output);
+    }
+    publish(client, listing.version, vec![object], Vec::new(), change, output)
+}
+
+fn parse_edit(edit: &str) -> Result<(&str, Option<&str>), Failure> {
+    match (edit.split_once('='), edit.strip_suffix('-')) {
+        (Some((key, value)), _) if !key.is_empty() && !value.is_empty() => Ok((key, Some(value))),
+        (None, Some(key)) if !key.is_empty() => Ok((key, None)),
+        _ => Err(Failure::Usage(format!("label {edit:?}, expected key=value or key-"))),
+    }
+}
+
+fn unchanged(version: u64, output: Output) -> Result<Done, Failure> {
+    match output {
+        Output::Json => Ok(output::json(&serde_json::json!({ "unchanged": version }))?.into()),
+        Output::Table => Ok(format!("unchanged, version {version}\n").into()),
+    }
+}
+
+fn publish(
+    client: &Client,
+    based_on: u64,
+    put: Vec<ConfigObject>,
+    delete: Vec<ObjectKey>,
+    args: &ChangeArgs,
+    output: Output,
+) -> Result<Done, Failure> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let count = put.len() + delete.len();
+    let change = Change {
+        author: author(args),
+        based_on,
+        change_id: Uuid::now_v7().to_string(),
+        delete,
+        made_at_ms: now.as_millis() as u64,
+        put,
+    };
+    let reply = client.change(&change, args.wait.then_some(args.wait_ms))?;
+    let text = match output {
+        Output::Json => output::json(&reply)?,
+        Output::Table => {
+            format!("accepted, version {}, {count} objects changed\n", reply.version)
+        }
+    };
+    Ok(Done { text, failure: not_everywhere(&reply) })
+}
+
+fn not_everywhere(reply: &ChangeReply) -> Option<Failure> {
+    let pending = reply.members_pending.as_ref().filter(|pending| !pending.is_empty())?;
+    let members: Vec<_> = pending
+        .iter()
+        .map(|member| match member.version {
+            Some(version) => format!("{} (version {version})", member.host_id),
+            None => format!("{} (no answer)", member.host_id),
+        })
+        .collect();
+    let detail = format!(
+        "version {} is accepted, but not confirmed by {}",
+        reply.version,
+        members.join(", ")
+    );
+    Some(Failure::Unreachable(detail))
+}
+
+fn author(args: &ChangeArgs) -> String {
+    let user = || env::var("USER").ok().filter(|user| !user.is_empty());
+    args.author.clone().or_else(user).unwrap_or_else(|| "unknown".to_owned())
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,1 +1,13 @@
-fn main() {}
+use std::{
+    env,
+    io::{self, Write},
+    process::ExitCode,
+};
+
+fn main() -> ExitCode {
+    let mut out = Vec::new();
+    let code = mangoctl::run(env::args_os(), &mut out, &mut io::stderr());
+    // a closed pipe, as of `head`, is no fault
+    let _ = io::stdout().write_all(&out);
+    ExitCode::from(code)
+}
--- a/crates/router/src/config/compiled.rs
+++ b/crates/router/src/config/compiled.rs
@@ -73,7 +73,10 @@
             return Err(whole_change(detail));
         }
         if offset <= self.version {
-            return Err(whole_change(format!("offset {offset} is not above version {}", self.version)));
+            return Err(whole_change(format!(
+                "offset {offset} is not above version {}",
+                self.version
+            )));
         }
         if change.put.is_empty() && change.delete.is_empty() {
             return Err(whole_change("the change has no objects".to_owned()));
@@ -212,7 +215,8 @@
     fn check_references(&self, update: &Update) -> Result<(), Rejection> {
         let routes = self.routes.by_id();
         let changed = update.routes.iter().filter_map(|id| routes.get(id));
-        let orphaned = routes.values().filter(|route| update.deleted_pools.contains(route.pool_id()));
+        let orphaned =
+            routes.values().filter(|route| update.deleted_pools.contains(route.pool_id()));
         for route in changed.chain(orphaned) {
             let pool = route.pool_id();
             if self.pools.get_id(pool_key(pool), pool).is_none() {
@@ -220,10 +224,8 @@
                 return Err(rejection(&name, format!("pool: pool/{pool} does not exist")));
             }
         }
-        let changed = update
-            .endpoints
-            .iter()
-            .filter_map(|id| self.endpoints.get_id(endpoint_key(id), id));
+        let changed =
+            update.endpoints.iter().filter_map(|id| self.endpoints.get_id(endpoint_key(id), id));
         for endpoint in changed {
             self.check_repeatable(endpoint)?;
         }
@@ -356,7 +358,8 @@
     /// All objects with their versions, ordered by kind and id.
     pub(crate) fn objects(&self) -> Vec<VersionedObject> {
         let mut objects = Vec::with_capacity(self.len());
-        objects.extend(self.endpoints.iter().map(|info| versioned(info.to_endpoint(), info.version)));
+        objects
+            .extend(self.endpoints.iter().map(|info| versioned(info.to_endpoint(), info.version)));
         objects.extend(self.pools.iter().map(|info| versioned(info.to_pool(), info.version)));
         objects.extend(self.teams.iter().map(|info| versioned(info.to_team(), info.version)));
         objects.extend(self.works.iter().map(|info| versioned(info.to_work(), info.version)));
@@ -381,7 +384,9 @@
 
     fn id_at_key(&self, name: &ObjectName) -> Option<&str> {
         match name.kind {
-            ObjectKind::Endpoint => self.endpoints.get(endpoint_key(&name.id)).map(|info| info.id()),
+            ObjectKind::Endpoint => {
+                self.endpoints.get(endpoint_key(&name.id)).map(|info| info.id())
+            }
             ObjectKind::Pool => self.pools.get(pool_key(&name.id)).map(|info| info.id()),
             ObjectKind::Team => self.teams.get(team_key(&name.id)).map(|info| info.id()),
             ObjectKind::Work => self.works.get(work_key(&name.id)).map(|info| info.id()),
--- a/crates/router/src/config/config_store.rs
+++ b/crates/router/src/config/config_store.rs
@@ -232,11 +232,7 @@
 
     /// Publishes a change and waits until the log order decides it. Returns the
     /// version of the accepted change.
-    pub(crate) fn publish(
-        &self,
-        change: Change,
-        deadline: Instant,
-    ) -> Result<u64, PublishError> {
+    pub(crate) fn publish(&self, change: Change, deadline: Instant) -> Result<u64, PublishError> {
         self.check_before_append(&change, deadline)?;
         let change_id = change.change_id.clone();
         let body = serde_json::to_string(&ConfigRecord::Change(change))
@@ -271,9 +267,7 @@
         let decision = state.config().decide(change, u64::MAX);
         match decision {
             Ok(_) => Ok(()),
-            Err(rejection) => {
-                Err(PublishError::Rejected(Box::new(state.with_author(rejection))))
-            }
+            Err(rejection) => Err(PublishError::Rejected(Box::new(state.with_author(rejection)))),
         }
     }
 
--- a/crates/router/src/config/explain.rs
+++ b/crates/router/src/config/explain.rs
@@ -47,8 +47,7 @@
         }
         explanation.pools =
             self.pools_for(team, work, service).iter().map(|pool| pool.id.clone()).collect();
-        explanation.pool_members =
-            pools.values().map(|pool| self.explain_pool(pool)).collect();
+        explanation.pool_members = pools.values().map(|pool| self.explain_pool(pool)).collect();
         explanation
     }
 
@@ -70,7 +69,11 @@
                 .take(MAX_OUTSIDE)
                 .map(|endpoint| EndpointExplanation {
                     endpoint: endpoint.id.clone(),
-                    terms: explain_endpoint(endpoint).terms.into_iter().filter(|t| !t.holds).collect(),
+                    terms: explain_endpoint(endpoint)
+                        .terms
+                        .into_iter()
+                        .filter(|t| !t.holds)
+                        .collect(),
                 })
                 .collect(),
         }
--- a/crates/router/src/config/follower.rs
+++ b/crates/router/src/config/follower.rs
@@ -106,8 +106,8 @@
         if self.store.current().version() > 0 {
             return;
         }
-        let fetched = fetch_snapshot(&self.peers, Instant::now() + PEERS_WAIT)
-            .and_then(|snapshot| {
+        let fetched =
+            fetch_snapshot(&self.peers, Instant::now() + PEERS_WAIT).and_then(|snapshot| {
                 let version = snapshot.version;
                 self.store.adopt_from_peer(snapshot).map(|adopted| (version, adopted))
             });
--- a/crates/router/src/config/key_map.rs
+++ b/crates/router/src/config/key_map.rs
@@ -1,7 +1,4 @@
-use std::{
-    collections::BTreeMap,
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 // A change copies one shard: about 94 entries with 24,000 teams.
 const SHARDS: usize = 256;
--- a/crates/router/src/config/mod.rs
+++ b/crates/router/src/config/mod.rs
@@ -27,7 +27,6 @@
     config_store::{ConfigStatus, ConfigStore},
     endpoint_info::EndpointInfo,
     key_map::{KeyMap, Keyed},
-    
     pool_info::PoolInfo,
     publish_error::PublishError,
     route_info::RouteInfo,
--- a/crates/router/src/logging/quoted.rs
+++ b/crates/router/src/logging/quoted.rs
@@ -11,7 +11,8 @@
 impl<T: Display> Display for Quoted<T> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let text = self.0.to_string();
-        let plain = |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=' | '\\');
+        let plain =
+            |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=' | '\\');
         if !text.is_empty() && text.chars().all(plain) {
             return f.write_str(&text);
         }
--- a/crates/router/src/operators/api_reply.rs
+++ b/crates/router/src/operators/api_reply.rs
@@ -42,8 +42,6 @@
 fn answer(status: StatusCode, content_type: &'static str, text: String) -> Response {
     let mut response = Response::new(Body::new(text));
     *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, http::HeaderValue::from_static(content_type));
+    response.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static(content_type));
     response
 }
--- a/crates/router/src/operators/operator_server.rs
+++ b/crates/router/src/operators/operator_server.rs
@@ -14,8 +14,7 @@
     },
 };
 
-// Requests served at once; each takes a thread. Four of them may be waiting
-// for members, so health checks keep threads to run on.
+// Requests served at once; each takes a thread.
 const MAX_WORKERS: usize = 16;
 const REBIND_PAUSE: Duration = Duration::from_millis(200);
 
@@ -30,8 +29,7 @@
         settings: &Settings,
         hooks: OperatorHooks<L>,
     ) -> Result<Self> {
-        let wanted: SocketAddr =
-            settings.operator_address.parse().context("operator_address")?;
+        let wanted: SocketAddr = settings.operator_address.parse().context("operator_address")?;
         let server = bind(wanted)?;
         let address = server.local_addr().context("operator_address")?;
         let handler = Arc::new(RequestHandler::new(&settings.operator_token, hooks));
--- a/crates/router/src/operators/query.rs
+++ b/crates/router/src/operators/query.rs
@@ -26,7 +26,9 @@
     }
 
     pub(super) fn require(&self, name: &str) -> Result<&str, String> {
-        self.get(name).filter(|value| !value.is_empty()).ok_or(format!("parameter {name:?} missing"))
+        self.get(name)
+            .filter(|value| !value.is_empty())
+            .ok_or(format!("parameter {name:?} missing"))
     }
 
     pub(super) fn number(&self, name: &str) -> Result<Option<u64>, String> {
--- a/crates/router/src/operators/request_handler.rs
+++ b/crates/router/src/operators/request_handler.rs
@@ -5,11 +5,7 @@
         query::Query,
         token_check::TokenCheck,
     },
-    crate::{
-        config::PublishError,
-        logging::quoted,
-        platform::RecordLog,
-    },
+    crate::{config::PublishError, logging::quoted, platform::RecordLog},
     astra::{Request, Response},
     http::{Method, StatusCode, header::AUTHORIZATION},
     log::info,
@@ -31,19 +27,21 @@
 const PUBLISH_WAIT: Duration = Duration::from_secs(10);
 const MAX_MEMBER_WAIT_MS: u64 = 60_000;
 const MEMBER_POLL: Duration = Duration::from_millis(100);
-const MAX_WAITING: usize = 4;
+// A change takes a thread until it is decided and spread; the other threads
+// stay free for health checks.
+const MAX_CHANGES: usize = 8;
 const DEFAULT_HISTORY: u64 = 100;
 
 /// Answers the requests of operators.
 pub(super) struct RequestHandler<L> {
     token: TokenCheck,
     hooks: OperatorHooks<L>,
-    waiting: AtomicUsize,
+    changes: AtomicUsize,
 }
 
 impl<L: RecordLog> RequestHandler<L> {
     pub(super) fn new(token: &str, hooks: OperatorHooks<L>) -> Self {
-        Self { token: TokenCheck::new(token), hooks, waiting: AtomicUsize::new(0) }
+        Self { token: TokenCheck::new(token), hooks, changes: AtomicUsize::new(0) }
     }
 
     pub(super) fn handle(&self, request: Request) -> Response {
@@ -69,9 +67,8 @@
             let detail = format!("{} is not supported on {path}", request.method());
             return refusal(StatusCode::METHOD_NOT_ALLOWED, "method_not_allowed", detail);
         }
-        self.route(&path, request).unwrap_or_else(|detail| {
-            refusal(StatusCode::BAD_REQUEST, "bad_request", detail)
-        })
+        self.route(&path, request)
+            .unwrap_or_else(|detail| refusal(StatusCode::BAD_REQUEST, "bad_request", detail))
     }
 
     fn route(&self, path: &str, request: Request) -> Result<Response, String> {
@@ -84,7 +81,7 @@
             "/explain" => self.explain(&query),
             "/history" => self.history(&query),
             "/config" if request.method() == Method::GET => self.config(&query),
-            "/config" => self.change(&query, request),
+            "/config" => self.change_bounded(&query, request),
             _ => Ok(self.drain()),
         }
     }
@@ -150,6 +147,18 @@
         Ok(json(StatusCode::OK, &ConfigListing { version: config.version(), objects }))
     }
 
+    fn change_bounded(&self, query: &str, request: Request) -> Result<Response, String> {
+        let others = self.changes.fetch_add(1, Ordering::AcqRel);
+        let result = if others < MAX_CHANGES {
+            self.change(query, request)
+        } else {
+            let detail = format!("{MAX_CHANGES} changes are in progress, try again");
+            Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, "too_many_changes", detail))
+        };
+        self.changes.fetch_sub(1, Ordering::AcqRel);
+        result
+    }
+
     fn change(&self, query: &str, request: Request) -> Result<Response, String> {
         let query = Query::parse(query, &["wait_ms"])?;
         let wait_ms = query.number("wait_ms")?.map(|ms| ms.min(MAX_MEMBER_WAIT_MS));
@@ -183,19 +192,15 @@
     /// Waits until all live members have the version; returns those that don't.
     fn wait_for_members(&self, version: u64, wait_ms: u64) -> Vec<MemberVersion> {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
-        let others = self.waiting.fetch_add(1, Ordering::AcqRel);
-        let pending = loop {
+        loop {
             let mut members = (self.hooks.member_versions)();
             members.retain(|member| member.version.is_none_or(|known| known < version));
-            // waiting takes a thread, so above a few only one check is made
-            let done = others >= MAX_WAITING || Instant::now() >= deadline;
-            if members.is_empty() || done {
-                break members;
+            let left = deadline.saturating_duration_since(Instant::now());
+            if members.is_empty() || left.is_zero() {
+                return members;
             }
-            thread::sleep(MEMBER_POLL.min(deadline.saturating_duration_since(Instant::now())));
-        };
-        self.waiting.fetch_sub(1, Ordering::AcqRel);
-        pending
+            thread::sleep(MEMBER_POLL.min(left));
+        }
     }
 
     fn drain(&self) -> Response {
@@ -212,9 +217,7 @@
         PublishError::TooLarge { .. } => {
             refusal(StatusCode::PAYLOAD_TOO_LARGE, "change_too_large", detail)
         }
-        PublishError::NotReady(_) => {
-            refusal(StatusCode::SERVICE_UNAVAILABLE, "not_ready", detail)
-        }
+        PublishError::NotReady(_) => refusal(StatusCode::SERVICE_UNAVAILABLE, "not_ready", detail),
         PublishError::NotApplied(_) => {
             refusal(StatusCode::SERVICE_UNAVAILABLE, "log_unavailable", detail)
         }
