--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -10,7 +10,7 @@
   mangoctl apply -f examples/wage-survey --wait
   mangoctl get team
   mangoctl get pool model-farma --output json
-  mangoctl label endpoint farma-07 pool- state=repair
+  mangoctl label endpoint farma-07 state=repair
   mangoctl explain --team statistika --work job-title-tagging
 
 Environment:
--- a/crates/router/src/config/mod.rs
+++ b/crates/router/src/config/mod.rs
@@ -17,7 +17,7 @@
 mod snapshot_writer;
 mod team_info;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod tombstones;
 mod work_info;
 
