--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -1,1 +1,1 @@
-
+pub(crate) mod rendezvous;
--- a/crates/router/src/platform/mod.rs
+++ b/crates/router/src/platform/mod.rs
@@ -1,5 +1,15 @@
+mod backoff;
+mod confirmed;
+mod host_list_client;
 mod log_client;
 mod log_error;
 mod log_metrics;
+mod log_tail;
+mod record_log;
+mod tail_sink;
 
-pub(crate) use {log_client::LogClient, log_error::LogError};
+pub(crate) use {
+    backoff::Backoff, confirmed::Confirmed, host_list_client::HostListClient,
+    log_client::LogClient, log_error::LogError, log_tail::LogTail, record_log::RecordLog,
+    tail_sink::TailSink,
+};
--- /dev/null
+++ b/crates/router/src/platform/record_log.rs
@@ -0,0 +1,37 @@
+use {
+    super::{log_client::LogClient, log_error::LogError},
+    mango_wire::{Offset, platform::ReadReply},
+    std::time::{Duration, Instant},
+};
+
+/// An append-only log of several streams that share one sequence of offsets.
+pub(crate) trait RecordLog: Clone + Send + Sync + 'static {
+    /// Appends one record and returns its offset.
+    fn append(&self, stream: &str, body: &str, deadline: Instant) -> Result<Offset, LogError>;
+
+    /// Reads records of one stream from an offset on. Waits up to `wait` for the
+    /// first record; an empty answer confirms that there was none.
+    fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<ReadReply, LogError>;
+}
+
+impl RecordLog for LogClient {
+    fn append(&self, stream: &str, body: &str, deadline: Instant) -> Result<Offset, LogError> {
+        self.append(stream, body, deadline)
+    }
+
+    fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<ReadReply, LogError> {
+        self.read(stream, from, wait, deadline)
+    }
+}
