--- /dev/null
+++ b/crates/router/src/peer/peer_metrics.rs
@@ -0,0 +1,84 @@
+use {
+    super::{link_error::LinkErrorKind, message_kind::MessageKind},
+    crate::metrics::Metrics,
+    prometheus_client::metrics::{counter::Counter, family::Family, gauge::Gauge},
+    std::sync::Arc,
+    strum::IntoEnumIterator,
+};
+
+type Labels = [(&'static str, &'static str); 1];
+
+/// Counters of the links between routers.
+#[derive(Clone)]
+pub(crate) struct PeerMetrics {
+    /// Bytes written to and read from sockets, with HTTP/2 framing.
+    pub(crate) sent_bytes: Counter,
+    pub(crate) received_bytes: Counter,
+    pub(crate) links: Gauge,
+    pub(crate) dropped_messages: Counter,
+    pub(crate) failed_dials: Counter,
+    pub(crate) refused_connections: Counter,
+    // one counter for each kind, so that the request path takes no lock of a family
+    sent_kinds: Arc<[Counter]>,
+    received_kinds: Arc<[Counter]>,
+    closed_links: Family<Labels, Counter>,
+}
+
+impl PeerMetrics {
+    pub(crate) fn register(metrics: &Metrics) -> Self {
+        let counter = |name, help| metrics.register(name, help, Counter::default());
+        Self {
+            sent_bytes: counter("peer_sent_bytes", "Bytes written to links, all framing included"),
+            received_bytes: counter(
+                "peer_received_bytes",
+                "Bytes read from links, all framing included",
+            ),
+            links: metrics.register("peer_links", "Authenticated links", Gauge::default()),
+            dropped_messages: counter(
+                "peer_dropped_messages",
+                "Messages dropped because a send queue was full or a link failed",
+            ),
+            failed_dials: counter("peer_failed_dials", "Attempts to connect that failed"),
+            refused_connections: counter(
+                "peer_refused_connections",
+                "Connections closed at once because too many were open",
+            ),
+            sent_kinds: per_kind(
+                metrics,
+                "peer_sent_message_bytes",
+                "Message bytes sent, by kind, without HTTP/2 framing",
+            ),
+            received_kinds: per_kind(
+                metrics,
+                "peer_received_message_bytes",
+                "Message bytes received, by kind, without HTTP/2 framing",
+            ),
+            closed_links: metrics.register(
+                "peer_closed_links",
+                "Links that closed, by reason",
+                Family::default(),
+            ),
+        }
+    }
+
+    pub(crate) fn count_sent(&self, kind: MessageKind, bytes: usize) {
+        self.sent_kinds[kind as usize].inc_by(bytes as u64);
+    }
+
+    pub(crate) fn count_received(&self, kind: MessageKind, bytes: usize) {
+        self.received_kinds[kind as usize].inc_by(bytes as u64);
+    }
+
+    pub(crate) fn count_closed(&self, kind: LinkErrorKind) {
+        self.closed_links.get_or_create(&[("reason", kind.into())]).inc();
+    }
+
+    pub(crate) fn closed(&self, kind: LinkErrorKind) -> u64 {
+        self.closed_links.get_or_create(&[("reason", kind.into())]).get()
+    }
+}
+
+fn per_kind(metrics: &Metrics, name: &str, help: &str) -> Arc<[Counter]> {
+    let family = metrics.register(name, help, Family::<Labels, Counter>::default());
+    MessageKind::iter().map(|kind| family.get_or_create_owned(&[("kind", kind.into())])).collect()
+}
--- /dev/null
+++ b/crates/router/src/peer/pending_call.rs
@@ -0,0 +1,54 @@
+use {
+    super::{call_error::CallError, outbox::Outbox},
+    crossbeam::channel::{Receiver, RecvTimeoutError},
+    mango_wire::peer::PeerMessage,
+    std::{sync::Arc, time::Instant},
+};
+
+/// Reply of a peer with the identity of the process that sent it.
+pub(crate) type CallReply = Result<(Arc<str>, PeerMessage), CallError>;
+
+/// A call whose reply has not been waited for yet.
+pub(crate) struct PendingCall {
+    state: State,
+}
+
+enum State {
+    Failed(CallError),
+    Waiting { outbox: Arc<Outbox>, call: u32, reply: Receiver<CallReply> },
+}
+
+impl PendingCall {
+    pub(crate) fn failed(error: CallError) -> Self {
+        Self { state: State::Failed(error) }
+    }
+
+    pub(crate) fn waiting(outbox: Arc<Outbox>, call: u32, reply: Receiver<CallReply>) -> Self {
+        Self { state: State::Waiting { outbox, call, reply } }
+    }
+
+    /// Waits for the reply until the deadline.
+    pub(crate) fn wait(self, deadline: Instant) -> Result<PeerMessage, CallError> {
+        self.wait_identified(deadline).map(|(_, message)| message)
+    }
+
+    /// Waits for the reply and returns also the identity of the replying process.
+    pub(crate) fn wait_identified(self, deadline: Instant) -> CallReply {
+        match &self.state {
+            State::Failed(error) => Err(*error),
+            State::Waiting { reply, .. } => match reply.recv_deadline(deadline) {
+                Ok(result) => result,
+                Err(RecvTimeoutError::Timeout) => Err(CallError::Timeout),
+                Err(RecvTimeoutError::Disconnected) => Err(CallError::LinkLost),
+            },
+        }
+    }
+}
+
+impl Drop for PendingCall {
+    fn drop(&mut self) {
+        if let State::Waiting { outbox, call, .. } = &self.state {
+            outbox.forget(*call);
+        }
+    }
+}
