--- a/crates/router/src/membership/member_table.rs
+++ b/crates/router/src/membership/member_table.rs
@@ -28,6 +28,8 @@
     members: HashMap<HostId, Member>,
     left: HashSet<String>,
     left_order: VecDeque<String>,
+    /// Whether the view may have changed since `take_changed`.
+    changed: bool,
 }
 
 struct Member {
@@ -68,11 +70,18 @@
             members: HashMap::new(),
             left: HashSet::new(),
             left_order: VecDeque::new(),
+            changed: true,
         }
     }
 
+    /// Returns whether the view may have changed since the last call.
+    pub(crate) fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Applies a Join record. Returns whether its identity is registered now.
     pub(crate) fn join(&mut self, join: &Join, at_ms: u64, now: Instant) -> bool {
+        self.changed = true;
         self.expire(at_ms);
         let Ok(peer_address) = join.peer_address.parse() else {
             return false;
@@ -110,6 +119,7 @@
 
     /// Applies a Leave record. Returns whether a registered host is gone.
     pub(crate) fn leave(&mut self, leave: &Leave, at_ms: u64) -> bool {
+        self.changed = true;
         self.expire(at_ms);
         self.add_left(leave.identity.clone());
         if !self.is_registered(&leave.host_id, &leave.identity) {
@@ -129,6 +139,7 @@
     /// have left stay known.
     pub(crate) fn reset(&mut self) {
         self.members.clear();
+        self.changed = true;
     }
 
     /// Notes a planned leave that a host announced before its record was read.
@@ -137,6 +148,7 @@
     }
 
     fn add_left(&mut self, identity: String) {
+        self.changed = true;
         if !self.left.insert(identity.clone()) {
             return;
         }
@@ -167,6 +179,7 @@
         let member = self.members.get_mut(host).filter(|m| m.info.identity == identity)?;
         member.last_heard = now;
         if member.state == State::Live || incarnation > member.incarnation {
+            self.changed |= member.state != State::Live;
             member.incarnation = member.incarnation.max(incarnation);
             member.state = State::Live;
             return None;
@@ -197,6 +210,7 @@
             return;
         };
         if member.info.identity == alive.identity && alive.incarnation > member.incarnation {
+            self.changed = true;
             member.incarnation = alive.incarnation;
             member.state = State::Live;
             member.last_heard = now;
@@ -212,6 +226,7 @@
                 && now >= deadline
             {
                 member.state = State::Dead;
+                self.changed = true;
             }
             let Some(since) = member.monitored_since else {
                 continue;
@@ -233,6 +248,15 @@
         }
     }
 
+    /// Suspicions of all dead hosts. Each is sent to the host itself now and
+    /// then, which refutes it if it is live and its refutation was lost here.
+    pub(crate) fn dead_hosts(&self) -> Vec<Suspect> {
+        let dead = |member: &&Member| {
+            member.state == State::Dead && !self.left.contains(&member.info.identity)
+        };
+        self.members.values().filter(dead).map(Member::suspicion).collect()
+    }
+
     /// Suspicions of dead hosts that this host monitors. They are repeated to
     /// reach hosts that joined later or missed the first message.
     pub(crate) fn standing_suspicions(&self) -> Vec<Suspect> {
--- a/crates/router/src/membership/membership.rs
+++ b/crates/router/src/membership/membership.rs
@@ -366,6 +366,9 @@
 
     /// Publishes a new view if the table has changed.
     fn publish(&self, state: &mut State) {
+        if !state.table.take_changed() {
+            return;
+        }
         let view = state.table.view();
         let current = self.view.load();
         if current.hosts == view.hosts && current.registered == view.registered {
@@ -419,10 +422,16 @@
         let mut suspicions = state.table.check_silence(now);
         self.publish(&mut state);
         self.suspicions.inc_by(suspicions.len() as u64);
+        let mut dead = Vec::new();
         if repeat {
             suspicions.extend(state.table.standing_suspicions());
+            dead = state.table.dead_hosts();
         }
         drop(state);
+        for suspicion in dead {
+            let host = suspicion.host_id.clone();
+            self.net.send(&host, suspicion.into());
+        }
         for suspicion in suspicions {
             self.broadcast(&suspicion.into());
         }
--- /dev/null
+++ b/crates/router/src/ownership/fleet_sink.rs
@@ -0,0 +1,110 @@
+use {
+    super::shared::Shared,
+    crate::{
+        membership::Membership,
+        platform::{Confirmed, LogError, TailSink},
+    },
+    log::{info, warn},
+    mango_wire::{
+        Offset,
+        platform::LogRecord,
+        records::{FleetRecord, Outage},
+    },
+    std::{
+        sync::Arc,
+        time::{Instant, SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Applies the records of the stream `fleet` to ownership and membership.
+pub(crate) struct FleetSink {
+    shared: Arc<Shared>,
+    membership: Arc<Membership>,
+    newest_read: Option<Instant>,
+}
+
+impl FleetSink {
+    pub(crate) fn new(shared: Arc<Shared>, membership: Arc<Membership>) -> Self {
+        Self { shared, membership, newest_read: None }
+    }
+
+    /// Notes an outage of this host for the controller to record, if the log
+    /// could not be read for longer than the lease.
+    fn note_outage(&mut self, read_started: Instant) {
+        let Some(previous) = self.newest_read.replace(read_started) else {
+            return;
+        };
+        let unread = read_started.saturating_duration_since(previous);
+        if unread <= self.shared.clock.lease() {
+            return;
+        }
+        let ended_ms =
+            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
+        let began_ms = ended_ms.saturating_sub(previous.elapsed().as_millis() as u64);
+        info!("event=log_outage_ended unread_ms={}", unread.as_millis());
+        let mut state = self.shared.state.lock();
+        // an earlier outage that is not recorded yet is joined with this one
+        let began_ms = state.unrecorded_outage.as_ref().map_or(began_ms, |o| o.began_ms);
+        let host_id = self.shared.host_id.clone();
+        state.unrecorded_outage = Some(Outage { host_id, began_ms, ended_ms });
+    }
+}
+
+impl TailSink for FleetSink {
+    fn record(&mut self, record: &LogRecord) {
+        let shared = &self.shared;
+        match serde_json::from_str(&record.body) {
+            Ok(FleetRecord::Join(join)) => self.membership.apply_join(&join, record.at_ms),
+            Ok(FleetRecord::Leave(leave)) => self.membership.apply_leave(&leave, record.at_ms),
+            Ok(FleetRecord::Take(take)) => {
+                let mut state = shared.state.lock();
+                let taken = state.fleet.take(&take, record.offset, record.at_ms);
+                shared.note_taken(&mut state, &take, &taken, record.offset);
+                shared.publish(&state);
+            }
+            Ok(FleetRecord::Release(release)) => {
+                let mut state = shared.state.lock();
+                for resource in state.fleet.release(&release, record.at_ms) {
+                    if release.identity == shared.identity {
+                        info!("event=resource_released resource={resource}");
+                        state.own.remove(&resource);
+                    }
+                }
+                shared.publish(&state);
+            }
+            Ok(FleetRecord::Outage(outage)) => {
+                shared.state.lock().fleet.note_outage(&outage, record.at_ms);
+            }
+            // a newer version of the router may write records of other kinds
+            Err(error) => {
+                warn!("event=fleet_record_ignored offset={} error=\"{error}\"", record.offset);
+            }
+        }
+        shared.note_read_record(record.offset);
+        shared.wake();
+    }
+
+    fn confirmed(&mut self, confirmed: Confirmed) {
+        self.note_outage(confirmed.read_started);
+        self.shared.clock.confirm(confirmed.read_started);
+        self.membership.note_read(confirmed.read_started, self.shared.read_offset());
+        let mut state = self.shared.state.lock();
+        if !state.confirmed {
+            state.confirmed = true;
+            self.shared.wake();
+        }
+    }
+
+    fn gap(&mut self, first_offset: Offset) {
+        warn!("event=fleet_records_missed first_offset={first_offset}");
+        let mut state = self.shared.state.lock();
+        state.fleet.reset();
+        state.own.clear();
+        state.confirmed = false;
+        self.shared.publish(&state);
+        drop(state);
+        self.membership.reset_registrations();
+    }
+
+    fn read_failed(&mut self, _error: &LogError) {}
+}
--- a/crates/router/src/ownership/mod.rs
+++ b/crates/router/src/ownership/mod.rs
@@ -1,1 +1,16 @@
+mod controller;
+mod fleet_sink;
+mod fleet_state;
+mod lease_clock;
+mod outage_prober;
+mod owner;
+mod ownership;
+mod ownership_mode;
+mod resource_id;
+mod shared;
+#[cfg(test)]
+mod tests;
 
+pub(crate) use {
+    owner::Owner, ownership::Ownership, ownership_mode::OwnershipMode, resource_id::ResourceId,
+};
--- /dev/null
+++ b/crates/router/src/ownership/shared.rs
@@ -0,0 +1,188 @@
+use {
+    super::{
+        fleet_state::{FleetState, Taken},
+        lease_clock::LeaseClock,
+        owner::Owner,
+        resource_id::ResourceId,
+    },
+    arc_swap::ArcSwap,
+    crossbeam::channel::Sender,
+    log::info,
+    mango_wire::{
+        Epoch, HostId, Offset,
+        records::{Outage, Seen, Take},
+    },
+    parking_lot::Mutex,
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+};
+
+/// State that the tail, the controller, the prober and the request path share.
+pub(crate) struct Shared {
+    pub(crate) host_id: HostId,
+    pub(crate) identity: String,
+    pub(crate) clock: LeaseClock,
+    pub(crate) state: Mutex<State>,
+    view: ArcSwap<HashMap<ResourceId, ViewEntry>>,
+    /// Offset after the newest fleet record that was read.
+    read_offset: AtomicU64,
+    /// The same, or the offset after a Take that a peer told of.
+    known_offset: AtomicU64,
+    pub(crate) draining: AtomicBool,
+    pub(crate) wake: Sender<()>,
+}
+
+pub(crate) struct State {
+    pub(crate) fleet: FleetState,
+    /// Resources that this process owns.
+    pub(crate) own: HashMap<ResourceId, OwnResource>,
+    pub(crate) resources: Option<Arc<Vec<(ResourceId, String)>>>,
+    pub(crate) confirmed: bool,
+    /// Request id of the newest own Take that was read back.
+    pub(crate) newest_own_request: Option<String>,
+    /// An outage of this host that is to be recorded.
+    pub(crate) unrecorded_outage: Option<Outage>,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct OwnResource {
+    pub(crate) epoch: Epoch,
+    /// Whether the owner before may still be within its lease.
+    pub(crate) must_wait: bool,
+    /// When this host may start to act; `None` until that is known.
+    pub(crate) acts_from: Option<Instant>,
+    pub(crate) releasing: bool,
+}
+
+struct ViewEntry {
+    owner: Owner,
+    /// Set if this host owns the resource and is not giving it up.
+    acts_from: Option<Instant>,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        host_id: &str,
+        identity: &str,
+        lease: Duration,
+        retention_ms: u64,
+        wake: Sender<()>,
+    ) -> Self {
+        Self {
+            host_id: host_id.to_owned(),
+            identity: identity.to_owned(),
+            clock: LeaseClock::new(lease),
+            state: Mutex::new(State {
+                fleet: FleetState::new(retention_ms),
+                own: HashMap::new(),
+                resources: None,
+                confirmed: false,
+                newest_own_request: None,
+                unrecorded_outage: None,
+            }),
+            view: ArcSwap::default(),
+            read_offset: AtomicU64::new(0),
+            known_offset: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            wake,
+        }
+    }
+
+    pub(crate) fn owner(&self, resource: &ResourceId) -> Option<Owner> {
+        self.view.load().get(resource).map(|entry| entry.owner.clone())
+    }
+
+    /// Epoch of the resource while this host may act on it.
+    pub(crate) fn acting_epoch(&self, resource: &ResourceId) -> Option<Epoch> {
+        // The tail publishes the view before it extends the deadline, so the
+        // deadline is read first, and the time last.
+        let until = self.clock.acting_until();
+        let view = self.view.load();
+        let entry = view.get(resource)?;
+        let acts_from = entry.acts_from?;
+        let now = Instant::now();
+        (acts_from <= now && now < until).then_some(entry.owner.epoch)
+    }
+
+    pub(crate) fn publish(&self, state: &State) {
+        let acts_from = |resource: &ResourceId, owner: &Owner| {
+            let own = state.own.get(resource)?;
+            let acting =
+                owner.identity == self.identity && own.epoch == owner.epoch && !own.releasing;
+            own.acts_from.filter(|_| acting)
+        };
+        let view = state
+            .fleet
+            .owners()
+            .map(|(resource, owner)| {
+                let acts_from = acts_from(resource, owner);
+                (resource.clone(), ViewEntry { owner: owner.clone(), acts_from })
+            })
+            .collect();
+        self.view.store(Arc::new(view));
+    }
+
+    pub(crate) fn wake(&self) {
+        // a full channel means that the controller will run anyway
+        let _ = self.wake.try_send(());
+    }
+
+    pub(crate) fn read_offset(&self) -> Offset {
+        self.read_offset.load(Ordering::Acquire)
+    }
+
+    /// Offset after the newest fleet record that is known to exist.
+    pub(crate) fn known_offset(&self) -> Offset {
+        self.known_offset.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn note_read_record(&self, offset: Offset) {
+        self.read_offset.fetch_max(offset + 1, Ordering::AcqRel);
+        self.known_offset.fetch_max(offset + 1, Ordering::AcqRel);
+    }
+
+    /// Notes that fleet records below `next` exist. If this host has not read
+    /// them, it can't go on by an outage that it has verified.
+    pub(crate) fn note_existing(&self, next: Offset) {
+        self.known_offset.fetch_max(next, Ordering::AcqRel);
+        if next > self.read_offset() {
+            self.clock.revoke_outage();
+        }
+    }
+
+    /// Updates the own resources after a Take record.
+    pub(crate) fn note_taken(&self, state: &mut State, take: &Take, taken: &[Taken], epoch: Epoch) {
+        let own = take.identity == self.identity;
+        if own {
+            state.newest_own_request = Some(take.request_id.clone());
+        }
+        for Taken { resource, released } in taken {
+            if !own {
+                if state.own.remove(resource).is_some() {
+                    info!("event=resource_lost resource={resource} to={}", take.host_id);
+                }
+                continue;
+            }
+            info!("event=resource_taken resource={resource} epoch={epoch} released={released}");
+            let resource_state = OwnResource {
+                epoch,
+                must_wait: !released,
+                acts_from: released.then(Instant::now),
+                releasing: false,
+            };
+            state.own.insert(resource.clone(), resource_state);
+        }
+    }
+}
+
+/// Resources with the epochs that this host holds them at.
+pub(crate) fn seen<'a>(own: impl Iterator<Item = (&'a ResourceId, &'a OwnResource)>) -> Vec<Seen> {
+    own.map(|(resource, own)| Seen { resource: resource.as_str().to_owned(), epoch: own.epoch })
+        .collect()
+}
