--- a/crates/router/src/membership/membership.rs
+++ b/crates/router/src/membership/handle.rs
@@ -253,9 +253,6 @@
         if join.identity == self.identity {
             state.own_join_read = Some(Instant::now());
         }
-        if let Ok(address) = join.peer_address.parse() {
-            self.net.set_address(&join.host_id, address);
-        }
         self.publish(&mut state);
         let suspicions = state.table.standing_suspicions();
         drop(state);
@@ -286,10 +283,10 @@
         state.newest_read = state.newest_read.max(Some(read_started));
     }
 
-    /// Adds the address of a host that the platform's host list names. An
-    /// address that the host registered itself takes precedence.
+    /// Adds the address of a host that the platform's host list names. The
+    /// address that a live host registered itself takes precedence.
     pub(super) fn add_contact(&self, host: &HostId, address: SocketAddr) {
-        if !self.view.load().registered.contains_key(host) {
+        if self.view.load().live(host).is_none() {
             self.net.set_address(host, address);
         }
     }
@@ -298,6 +295,10 @@
         self.state.lock().marked_leaving = hosts;
     }
 
+    pub(super) fn is_leaving(&self) -> bool {
+        self.state.lock().leaving
+    }
+
     pub(super) fn own_identity_left(&self) -> bool {
         self.state.lock().table.has_left(&self.identity)
     }
@@ -377,6 +378,11 @@
         for host in current.hosts.iter().filter(|host| view.live(&host.host_id).is_none()) {
             warn!("event=host_not_live host={} identity={}", host.host_id, host.identity);
         }
+        for host in view.hosts.iter() {
+            if current.live(&host.host_id) != Some(host) {
+                self.net.set_address(&host.host_id, host.peer_address);
+            }
+        }
         self.live_gauge.set(view.hosts.len() as i64);
         self.registered_gauge.set(view.registered.len() as i64);
         state.table.assign_monitored(&view, Instant::now());
--- a/crates/router/src/membership/mod.rs
+++ b/crates/router/src/membership/mod.rs
@@ -1,7 +1,9 @@
+mod handle;
 mod host_info;
 mod live_view;
 mod member_table;
-mod membership;
 mod registrar;
+#[cfg(test)]
+mod tests;
 
-pub(crate) use {host_info::HostInfo, membership::Membership};
+pub(crate) use {handle::Membership, host_info::HostInfo};
--- a/crates/router/src/membership/registrar.rs
+++ b/crates/router/src/membership/registrar.rs
@@ -1,5 +1,5 @@
 use {
-    super::membership::Membership,
+    super::handle::Membership,
     crate::platform::{Backoff, HostListClient, RecordLog},
     crossbeam::channel::{Receiver, RecvTimeoutError, Sender},
     log::{error, info, warn},
@@ -91,6 +91,9 @@
 
     /// Appends a Join when this host is not registered or its Join gets old.
     fn renew_join(&mut self, membership: &Membership) {
+        if membership.is_leaving() {
+            return;
+        }
         if membership.own_identity_left() {
             error!("event=identity_replaced identity={}", self.identity);
             self.next_join = Instant::now() + Duration::from_secs(60);
--- /dev/null
+++ b/crates/router/src/membership/tests.rs
@@ -0,0 +1,240 @@
+use {
+    super::{Membership, member_table::MemberTable},
+    crate::{
+        metrics::Metrics,
+        peer::{PeerHandler, PeerNet, Replier},
+        platform::{Confirmed, LogTail, MemoryLog, TailSink},
+    },
+    mango_wire::{
+        HostId, Offset,
+        peer::{Alive, PeerMessage, Suspect},
+        platform::LogRecord,
+        records::{FleetRecord, Join, Leave},
+        settings::Settings,
+    },
+    serde_json::json,
+    std::{
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+const SUSPECT: Duration = Duration::from_millis(300);
+const RETENTION_MS: u64 = 1_000;
+
+struct Handler(Arc<Membership>);
+
+impl PeerHandler for Handler {
+    fn handle(&self, from: &HostId, message: PeerMessage, replier: Replier) {
+        self.0.handle(from, replier.identity(), &message);
+    }
+
+    fn link_down(&self, _host: &HostId) {}
+}
+
+struct Feed(Arc<Membership>);
+
+impl TailSink for Feed {
+    fn record(&mut self, record: &LogRecord) {
+        match serde_json::from_str(&record.body).unwrap() {
+            FleetRecord::Join(join) => self.0.apply_join(&join, record.at_ms),
+            FleetRecord::Leave(leave) => self.0.apply_leave(&leave, record.at_ms),
+            _ => {}
+        }
+    }
+
+    fn confirmed(&mut self, confirmed: Confirmed) {
+        self.0.note_read(confirmed.read_started, confirmed.next_offset);
+    }
+
+    fn gap(&mut self, _first_offset: Offset) {}
+}
+
+struct Host {
+    net: PeerNet,
+    metrics: Metrics,
+    membership: Arc<Membership>,
+    log: MemoryLog,
+    _tail: LogTail,
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.membership.stop();
+        self.net.stop();
+    }
+}
+
+fn start(name: &str, log: MemoryLog, suspect: Option<Duration>) -> Host {
+    let mut value = json!({
+        "host_id": name, "region": "r", "zone": "z", "peer_secret": "a secret of the fleet",
+        "peer_address": "127.0.0.1:0", "caller_address": "127.0.0.1:0",
+        "operator_address": "127.0.0.1:0", "operator_token": "0123456789abcdef",
+        "platform": {"host_list_url": "", "log_url": "", "weight_store_url": ""},
+    });
+    if let Some(suspect) = suspect {
+        let ms = suspect.as_millis();
+        value["membership"] = json!({"heartbeat_ms": ms / 5, "suspect_ms": ms});
+    }
+    let settings: Settings = serde_json::from_value(value).unwrap();
+    let metrics = Metrics::new();
+    let identity = format!("{name}-1");
+    let net = PeerNet::bind(&settings, &identity, &metrics).unwrap();
+    let membership =
+        Membership::spawn(&settings, &identity, log.clone(), net.clone(), &metrics).unwrap();
+    net.start(Arc::new(Handler(membership.clone())));
+    let feed = Feed(membership.clone());
+    let tail = LogTail::spawn(log.clone(), "fleet", &settings.platform, feed).unwrap();
+    Host { net, metrics, membership, log, _tail: tail }
+}
+
+fn start_all(count: usize, suspect: Option<Duration>) -> Vec<Host> {
+    let log = MemoryLog::default();
+    let hosts: Vec<_> =
+        (0..count).map(|n| start(&format!("h{n}"), log.client(), suspect)).collect();
+    wait_until("all hosts are live", || live_counts(&hosts).iter().all(|live| *live == count));
+    hosts
+}
+
+fn live_counts(hosts: &[Host]) -> Vec<usize> {
+    hosts.iter().map(|host| host.membership.live_hosts().len()).collect()
+}
+
+fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !condition() {
+        assert!(Instant::now() < deadline, "timed out waiting until {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+// Guards against work that is sent to a crashed host for long, also by hosts
+// that do not monitor it.
+#[test]
+fn crashed_host_is_dead_for_all() {
+    let mut hosts = start_all(7, Some(SUSPECT));
+    let crashed = hosts.remove(3);
+    let started = Instant::now();
+    drop(crashed);
+    wait_until("all know", || live_counts(&hosts).iter().all(|live| *live == 6));
+    assert!(started.elapsed() < SUSPECT * 2, "{:?}", started.elapsed());
+    assert!(hosts.iter().all(|host| host.membership.registered() == 7));
+}
+
+// Guards against a live host that stays dead for others after a false report,
+// and against an old report that is believed after it was refuted.
+#[test]
+fn false_suspicion_is_refuted() {
+    let hosts = start_all(3, Some(SUSPECT));
+    let report = || {
+        for host in &hosts[1..] {
+            // as from a monitor that does not hear the host
+            host.membership.handle(&"h9".into(), "h9-1", &suspicion(0).into());
+        }
+    };
+    report();
+    // by then the grace is over and the host has answered
+    thread::sleep(SUSPECT);
+    wait_until("the host is live again", || live_counts(&hosts) == [3, 3, 3]);
+    report();
+    for _ in 0..30 {
+        assert_eq!(live_counts(&hosts), [3, 3, 3]);
+        thread::sleep(SUSPECT / 30);
+    }
+}
+
+fn suspicion(incarnation: u64) -> Suspect {
+    Suspect { host_id: "h0".to_owned(), identity: "h0-1".to_owned(), incarnation }
+}
+
+// Guards against a report that is not acted on, and against a dead host that comes
+// back by a heartbeat from before its refutation.
+#[test]
+fn suspected_host_is_dead_after_the_grace_until_it_refutes() {
+    let start = Instant::now();
+    let mut table = MemberTable::new("own", "own-1", 4, SUSPECT, RETENTION_MS);
+    table.join(&Join { host_id: "h0".to_owned(), ..join("h0-1") }, 0, start);
+    assert!(table.suspect(&suspicion(3), start));
+    assert_eq!(table.view().hosts.len(), 1, "may still refute");
+    table.check_silence(start + SUSPECT / 5);
+    assert_eq!(table.view().hosts.len(), 0);
+    let asked = table.heartbeat("h0", "h0-1", 3, start + SUSPECT);
+    assert_eq!(asked.map(|suspect| suspect.incarnation), Some(3));
+    assert_eq!(table.view().hosts.len(), 0);
+    let alive =
+        |incarnation| Alive { host_id: "h0".to_owned(), identity: "h0-1".to_owned(), incarnation };
+    table.alive(&alive(3), start + SUSPECT);
+    assert_eq!(table.view().hosts.len(), 0);
+    table.alive(&alive(4), start + SUSPECT);
+    assert_eq!(table.view().hosts.len(), 1);
+    assert!(!table.suspect(&suspicion(3), start + SUSPECT), "older than the refutation");
+}
+
+// Guards against heartbeats that hide an unreadable log, which the fleet needs to
+// know of to tell an outage from a cut link.
+#[test]
+fn heartbeats_tell_of_log_reads() {
+    let hosts = start_all(3, Some(SUSPECT));
+    hosts[0].log.set_cut(true);
+    thread::sleep(SUSPECT * 2);
+    assert!(hosts[0].membership.log_age_ms() < 600, "heartbeats of others tell of reads");
+    hosts[1].log.set_down(true);
+    thread::sleep(SUSPECT * 3);
+    for host in &hosts {
+        assert!(host.membership.log_age_ms() > 600, "{} ms", host.membership.log_age_ms());
+    }
+}
+
+// Guards against control traffic that grows with the fleet.
+#[test]
+fn heartbeats_are_cheap() {
+    let hosts = start_all(20, None);
+    let sent = || -> u64 {
+        let line = "mangobridge_peer_sent_bytes_total ";
+        let of = |host: &Host| {
+            let text = host.metrics.encode().unwrap();
+            text.lines().find_map(|l| l.strip_prefix(line)?.parse::<u64>().ok()).unwrap()
+        };
+        hosts.iter().map(of).sum()
+    };
+    thread::sleep(Duration::from_millis(1000)); // links are being made
+    let before = sent();
+    thread::sleep(Duration::from_millis(2000));
+    let bytes_per_s = (sent() - before) / 2 / 20;
+    println!("heartbeats: {bytes_per_s} bytes/s per host");
+    assert!(bytes_per_s < 1500, "{bytes_per_s} bytes/s per host");
+}
+
+fn join(identity: &str) -> Join {
+    Join {
+        at_ms: 0,
+        host_id: "a".to_owned(),
+        identity: identity.to_owned(),
+        peer_address: "127.0.0.1:9".to_owned(),
+        region: "r".to_owned(),
+        zone: "z".to_owned(),
+    }
+}
+
+// Guards against hosts that disagree on who is registered, and against an
+// identity that comes back after it left.
+#[test]
+fn registration_follows_the_records() {
+    let now = Instant::now();
+    let mut table = MemberTable::new("own", "own-1", 4, SUSPECT, RETENTION_MS);
+    assert!(table.join(&join("a-1"), 0, now));
+    assert!(table.join(&join("a-1"), 900, now), "renewal");
+    assert!(table.join(&Join { host_id: "b".to_owned(), ..join("b-1") }, 1_800, now));
+    assert!(table.is_registered("a", "a-1"), "renewed at 900");
+    assert!(table.join(&Join { host_id: "b".to_owned(), ..join("b-1") }, 2_000, now));
+    assert!(!table.is_registered("a", "a-1"), "expired");
+    assert!(table.join(&join("a-2"), 2_000, now));
+    let leave = Leave { host_id: "a".to_owned(), identity: "a-2".to_owned() };
+    assert!(table.leave(&leave, 2_001));
+    assert!(!table.join(&join("a-2"), 2_002, now), "left");
+    assert!(table.join(&join("a-3"), 2_003, now));
+    assert!(table.join(&join("a-4"), 2_004, now));
+    assert!(!table.join(&join("a-3"), 2_005, now), "replaced");
+    assert!(!table.join(&Join { peer_address: "nowhere".to_owned(), ..join("a-5") }, 2_006, now));
+}
--- a/crates/router/src/ownership/mod.rs
+++ b/crates/router/src/ownership/mod.rs
@@ -2,10 +2,10 @@
 mod controller;
 mod fleet_sink;
 mod fleet_state;
+mod handle;
 mod lease_clock;
 mod outage_prober;
 mod owner;
-mod ownership;
 mod ownership_mode;
 mod resource_id;
 mod shared;
@@ -13,5 +13,5 @@
 mod tests;
 
 pub(crate) use {
-    owner::Owner, ownership::Ownership, ownership_mode::OwnershipMode, resource_id::ResourceId,
+    handle::Ownership, owner::Owner, ownership_mode::OwnershipMode, resource_id::ResourceId,
 };
--- a/crates/router/src/ownership/tests.rs
+++ b/crates/router/src/ownership/tests.rs
@@ -362,7 +362,9 @@
         fleet.hosts.iter().all(|h| h.membership.live_hosts().len() == 4)
     });
     fleet.wait_all_acting(&fleet.hosts);
-    let crashed = fleet.hosts.remove(0);
+    let owner = fleet.owners()[0].clone().unwrap();
+    let index = fleet.hosts.iter().position(|h| h.id == owner).unwrap();
+    let crashed = fleet.hosts.remove(index);
     let owned: Vec<_> = fleet.resources.iter().filter(|r| crashed.acts_on(r)).cloned().collect();
     assert!(!owned.is_empty());
     let started = Instant::now();
--- a/crates/router/src/peer/peer_metrics.rs
+++ b/crates/router/src/peer/peer_metrics.rs
@@ -72,10 +72,6 @@
     pub(crate) fn count_closed(&self, kind: LinkErrorKind) {
         self.closed_links.get_or_create(&[("reason", kind.into())]).inc();
     }
-
-    pub(crate) fn closed(&self, kind: LinkErrorKind) -> u64 {
-        self.closed_links.get_or_create(&[("reason", kind.into())]).get()
-    }
 }
 
 fn per_kind(metrics: &Metrics, name: &str, help: &str) -> Arc<[Counter]> {
--- a/crates/router/src/peer/peer_net.rs
+++ b/crates/router/src/peer/peer_net.rs
@@ -51,14 +51,21 @@
     local_address: SocketAddr,
     dialled: RwLock<HashMap<HostId, Arc<Dialled>>>,
     commands: mpsc::UnboundedSender<Command>,
-    /// Work for the network thread; taken by `start`.
-    start: Mutex<Option<(Sender<Task>, TcpListener, mpsc::UnboundedReceiver<Command>)>>,
+    /// Taken by `start`.
+    not_started: Mutex<Option<NotStarted>>,
     thread: Mutex<Option<JoinHandle<()>>>,
     seeds: AtomicUsize,
     stopped: AtomicBool,
     stop: Notify,
 }
 
+struct NotStarted {
+    task: Sender<Task>,
+    listener: TcpListener,
+    commands: mpsc::UnboundedReceiver<Command>,
+}
+
+/// Work of the network thread.
 type Task = Box<dyn FnOnce(Runtime) + Send>;
 
 /// A host that this one can dial.
@@ -106,7 +113,11 @@
             local_address,
             dialled: RwLock::new(HashMap::new()),
             commands,
-            start: Mutex::new(Some((task_sender, listener, received_commands))),
+            not_started: Mutex::new(Some(NotStarted {
+                task: task_sender,
+                listener,
+                commands: received_commands,
+            })),
             thread: Mutex::new(Some(thread)),
             seeds: AtomicUsize::new(0),
             stopped: AtomicBool::new(false),
@@ -118,7 +129,8 @@
     /// Serves connections and delivers messages to the handler. A second call
     /// has no effect.
     pub(crate) fn start<H: PeerHandler>(&self, handler: Arc<H>) {
-        let Some((task, listener, commands)) = self.shared.start.lock().take() else {
+        let Some(NotStarted { task, listener, commands }) = self.shared.not_started.lock().take()
+        else {
             return;
         };
         let context = Arc::new(LinkContext {
@@ -240,7 +252,7 @@
             dialled.drain().map(|(_, entry)| entry).collect()
         };
         // a net that was never started has only a listener
-        drop(self.shared.start.lock().take());
+        drop(self.shared.not_started.lock().take());
         self.shared.stop.notify_one();
         let thread = self.shared.thread.lock().take();
         if let Some(thread) = thread
--- a/crates/router/src/peer/tests.rs
+++ b/crates/router/src/peer/tests.rs
@@ -1,9 +1,11 @@
 use {
-    super::{PeerHandler, PeerNet, Replier, call_error::CallError},
+    super::{PeerHandler, PeerNet, Replier, call_error::CallError, outbox::encode_frame},
     crate::metrics::Metrics,
     mango_wire::{
         HostId, MAX_MESSAGE_BYTES,
-        peer::{ConfigReply, OutageProbe, OutageReply, PeerMessage, StatusRequest},
+        peer::{
+            ConfigReply, Hello, OutageProbe, OutageReply, PeerFrame, PeerMessage, StatusRequest,
+        },
         settings::Settings,
     },
     parking_lot::Mutex,
@@ -308,14 +310,26 @@
     }
 }
 
-// Guards against buffering for a peer that announces more than a message may have.
+// Guards against buffering for a peer that announces more than a message may
+// have, and against misread messages of another version.
 #[test]
-fn oversize_and_silence_are_closed() {
+fn oversize_version_and_silence_are_closed() {
     let b = node("b");
     let oversize = request_with_body(&(MAX_MESSAGE_BYTES as u32 + 1).to_be_bytes());
     send_raw(b.net.local_address(), &oversize);
     let reason = "mangobridge_peer_closed_links_total{reason=\"too_large\"}";
     wait_until("the size is refused", || metric(&b, reason) == 1);
+    let hello = Hello {
+        protocol_version: 99,
+        host_id: "a".to_owned(),
+        identity: "a".to_owned(),
+        zone: "z".to_owned(),
+        nonce: vec![0; 32],
+    };
+    let frame = PeerFrame { call: 0, reply: false, message: hello.into() };
+    send_raw(b.net.local_address(), &request_with_body(&encode_frame(&frame).unwrap()));
+    let reason = "mangobridge_peer_closed_links_total{reason=\"version\"}";
+    wait_until("the version is refused", || metric(&b, reason) == 1);
     let silent = TcpStream::connect(b.net.local_address()).unwrap();
     let reason = "mangobridge_peer_closed_links_total{reason=\"handshake_timeout\"}";
     wait_until("the silent peer is closed", || metric(&b, reason) == 1);
--- a/crates/router/src/platform/mod.rs
+++ b/crates/router/src/platform/mod.rs
@@ -9,6 +9,8 @@
 mod memory_log;
 mod record_log;
 mod tail_sink;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use {
     backoff::Backoff, confirmed::Confirmed, host_list_client::HostListClient,
--- /dev/null
+++ b/crates/router/src/platform/tests.rs
@@ -0,0 +1,119 @@
+use {
+    super::{Confirmed, LogError, LogTail, MemoryLog, RecordLog, TailSink},
+    crossbeam::channel::{Sender, unbounded},
+    mango_wire::{
+        Offset,
+        platform::{LogRecord, ReadReply},
+        settings::PlatformSettings,
+    },
+    serde_json::json,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+#[derive(Debug)]
+enum Event {
+    Record(Offset),
+    Confirmed(Confirmed),
+    Gap(Offset),
+}
+
+struct Events(Sender<Event>);
+
+impl TailSink for Events {
+    fn record(&mut self, record: &LogRecord) {
+        self.0.send(Event::Record(record.offset)).unwrap();
+    }
+
+    fn confirmed(&mut self, confirmed: Confirmed) {
+        let _ = self.0.send(Event::Confirmed(confirmed));
+    }
+
+    fn gap(&mut self, first_offset: Offset) {
+        self.0.send(Event::Gap(first_offset)).unwrap();
+    }
+}
+
+fn settings() -> PlatformSettings {
+    serde_json::from_value(json!({
+        "host_list_url": "", "log_url": "", "weight_store_url": "",
+        "poll_ms": 30, "reconnect_max_ms": 100,
+    }))
+    .unwrap()
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(1)
+}
+
+// Guards against a lease that is confirmed before all records were read: the
+// double cuts answers short at 16 records.
+#[test]
+fn tail_is_confirmed_only_after_all_records() {
+    let log = MemoryLog::default();
+    for _ in 0..100 {
+        log.append("other", "", soon()).unwrap();
+        log.append("fleet", "", soon()).unwrap();
+    }
+    let (sender, events) = unbounded();
+    let _tail = LogTail::spawn(log.clone(), "fleet", &settings(), Events(sender)).unwrap();
+    let mut records = 0;
+    let confirmed = loop {
+        match events.recv_timeout(Duration::from_secs(5)).unwrap() {
+            Event::Record(_) => records += 1,
+            Event::Confirmed(confirmed) => break confirmed,
+            Event::Gap(offset) => panic!("gap at {offset}"),
+        }
+    };
+    assert_eq!((records, confirmed.next_offset), (100, 201));
+    // a new record is delivered by the long poll, not after it
+    let appended = log.append("fleet", "", soon()).unwrap();
+    loop {
+        match events.recv_timeout(Duration::from_secs(5)).unwrap() {
+            Event::Record(offset) => break assert_eq!(offset, appended),
+            Event::Confirmed(confirmed) => assert!(confirmed.next_offset < 202),
+            Event::Gap(offset) => panic!("gap at {offset}"),
+        }
+    }
+}
+
+/// Fails reads, then answers at once without records, with a rising first offset.
+#[derive(Clone, Default)]
+struct BadLog {
+    reads: Arc<AtomicUsize>,
+}
+
+impl RecordLog for BadLog {
+    fn append(&self, _: &str, _: &str, _: Instant) -> Result<Offset, LogError> {
+        Err(LogError::NotApplied(String::new()))
+    }
+
+    fn read(&self, _: &str, _: Offset, _: Duration, _: Instant) -> Result<ReadReply, LogError> {
+        let reads = self.reads.fetch_add(1, Ordering::SeqCst) as u64;
+        if reads < 4 {
+            return Err(LogError::NotApplied(String::new()));
+        }
+        let first_offset = reads * 10;
+        Ok(ReadReply { first_offset, next_offset: first_offset, records: Vec::new() })
+    }
+}
+
+// Guards against a loop without pauses on a log that fails, or that does not wait,
+// and against records that expire unread without notice.
+#[test]
+fn faulty_log_is_read_with_pauses() {
+    let log = BadLog::default();
+    let (sender, events) = unbounded();
+    let tail = LogTail::spawn(log.clone(), "fleet", &settings(), Events(sender)).unwrap();
+    thread::sleep(Duration::from_millis(400));
+    tail.stop();
+    let reads = log.reads.load(Ordering::SeqCst);
+    assert!((5..=90).contains(&reads), "{reads} reads in 400 ms");
+    assert!(events.try_iter().any(|event| matches!(event, Event::Gap(_))));
+}
