--- a/crates/router/src/ownership/fleet_sink.rs
+++ b/crates/router/src/ownership/fleet_sink.rs
@@ -68,6 +68,7 @@
                     if release.identity == shared.identity {
                         info!("event=resource_released resource={resource}");
                         state.own.remove(&resource);
+                        shared.metrics.released.inc();
                     }
                 }
                 shared.publish(&state);
@@ -91,6 +92,7 @@
         let mut state = self.shared.state.lock();
         if !state.confirmed {
             state.confirmed = true;
+            self.shared.publish(&state);
             self.shared.wake();
         }
     }
@@ -100,8 +102,8 @@
         let mut state = self.shared.state.lock();
         state.fleet.reset();
         state.own.clear();
-        state.confirmed = false;
         self.shared.publish(&state);
+        state.confirmed = false;
         drop(state);
         self.membership.reset_registrations();
     }
--- a/crates/router/src/ownership/handle.rs
+++ b/crates/router/src/ownership/handle.rs
@@ -4,12 +4,14 @@
         fleet_sink::FleetSink,
         outage_prober::OutageProber,
         owner::Owner,
+        ownership_metrics::OwnershipMetrics,
         ownership_mode::OwnershipMode,
         resource_id::ResourceId,
         shared::Shared,
     },
     crate::{
         membership::Membership,
+        metrics::Metrics,
         peer::{PeerNet, Replier},
         platform::{LogTail, RecordLog},
     },
@@ -47,6 +49,7 @@
         log: L,
         net: PeerNet,
         membership: Arc<Membership>,
+        metrics: &Metrics,
     ) -> anyhow::Result<Arc<Self>> {
         let timing = settings.ownership.clone().unwrap_or_default();
         let platform = &settings.platform;
@@ -59,6 +62,7 @@
             Duration::from_millis(timing.lease_ms.max(1).into()),
             platform.retention_ms,
             wake,
+            OwnershipMetrics::register(metrics),
         ));
         let (stop_controller, controller_stopped) = bounded(1);
         let (stop_prober, prober_stopped) = bounded(1);
--- a/crates/router/src/ownership/mod.rs
+++ b/crates/router/src/ownership/mod.rs
@@ -6,6 +6,7 @@
 mod lease_clock;
 mod outage_prober;
 mod owner;
+mod ownership_metrics;
 mod ownership_mode;
 mod resource_id;
 mod shared;
--- a/crates/router/src/ownership/outage_prober.rs
+++ b/crates/router/src/ownership/outage_prober.rs
@@ -98,6 +98,7 @@
         if shared.known_offset() > offset {
             return Finding::LogInUse;
         }
+        shared.metrics.probes.inc();
         let registered = self.membership.registered_hosts();
         if registered.get(&shared.host_id) != Some(&shared.identity) {
             return Finding::NoMajority;
@@ -131,6 +132,7 @@
         if shared.known_offset() > offset {
             return Finding::LogInUse;
         }
+        shared.metrics.verified_outages.inc();
         shared.clock.verify_outage(started);
         Finding::Outage
     }
--- a/crates/router/src/ownership/shared.rs
+++ b/crates/router/src/ownership/shared.rs
@@ -3,6 +3,7 @@
         fleet_state::{FleetState, Taken},
         lease_clock::LeaseClock,
         owner::Owner,
+        ownership_metrics::OwnershipMetrics,
         resource_id::ResourceId,
     },
     arc_swap::ArcSwap,
@@ -36,6 +37,7 @@
     known_offset: AtomicU64,
     pub(crate) draining: AtomicBool,
     pub(crate) wake: Sender<()>,
+    pub(crate) metrics: OwnershipMetrics,
     /// Hosts that can't read the log while this host can.
     cut_off: Mutex<HashMap<HostId, CutOff>>,
 }
@@ -85,6 +87,7 @@
         lease: Duration,
         retention_ms: u64,
         wake: Sender<()>,
+        metrics: OwnershipMetrics,
     ) -> Self {
         Self {
             host_id: host_id.to_owned(),
@@ -103,6 +106,7 @@
             known_offset: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             wake,
+            metrics,
             cut_off: Mutex::new(HashMap::new()),
         }
     }
@@ -149,7 +153,13 @@
         (acts_from <= now && now < until).then_some(entry.owner.epoch)
     }
 
+    /// Publishes the owners for the request path, once the records kept on the
+    /// log have been read.
     pub(crate) fn publish(&self, state: &State) {
+        if !state.confirmed {
+            return;
+        }
+        self.metrics.owned.set(state.own.len() as i64);
         let acts_from = |resource: &ResourceId, owner: &Owner| {
             let own = state.own.get(resource)?;
             let acting =
@@ -204,6 +214,7 @@
         for Taken { resource, released } in taken {
             if !own {
                 if state.own.remove(resource).is_some() {
+                    self.metrics.lost.inc();
                     info!("event=resource_lost resource={resource} to={}", take.host_id);
                 }
                 continue;
@@ -215,6 +226,7 @@
                 acts_from: released.then(Instant::now),
                 releasing: false,
             };
+            self.metrics.taken.inc();
             state.own.insert(resource.clone(), resource_state);
         }
     }
--- a/crates/router/src/ownership/tests.rs
+++ b/crates/router/src/ownership/tests.rs
@@ -212,9 +212,15 @@
     let net = PeerNet::bind(&settings, identity, &metrics).unwrap();
     let membership =
         Membership::spawn(&settings, identity, log.clone(), net.clone(), &metrics).unwrap();
-    let ownership =
-        Ownership::spawn(&settings, identity, log.clone(), net.clone(), membership.clone())
-            .unwrap();
+    let ownership = Ownership::spawn(
+        &settings,
+        identity,
+        log.clone(),
+        net.clone(),
+        membership.clone(),
+        &metrics,
+    )
+    .unwrap();
     net.start(Arc::new(Handler { membership: membership.clone(), ownership: ownership.clone() }));
     Host { id: name.to_owned(), log, net, membership, ownership }
 }
--- a/crates/router/src/peer/peer_net.rs
+++ b/crates/router/src/peer/peer_net.rs
@@ -35,7 +35,8 @@
 const MAX_UNAUTHENTICATED: usize = 256;
 const MAX_SEEDS: usize = 64;
 
-/// Links to the other routers. All links of a process run on one thread.
+/// Links to the other routers. All links of a process run on one thread, which
+/// ends on `stop`.
 ///
 /// Messages and calls go out on a link that this host dialled; replies go back
 /// on the link that the call came on. Two hosts that talk to each other in both
