Handle messages that were received before a link closed

The connection's end and its last messages can become ready at once; the messages were then dropped, and the link's closing reason was lost.

--- a/crates/router/src/peer/link.rs
+++ b/crates/router/src/peer/link.rs
@@ -32,6 +32,9 @@
 // Data that stays unacknowledged for this long means that the host is gone
 // without having closed its connections.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+// Messages that are buffered when a connection ends need no more data; the limit
+// only covers a session that waits to send.
+const LAST_MESSAGES: Duration = Duration::from_millis(100);
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 // Four of the largest messages; bounds what a peer can make this host buffer.
@@ -82,10 +85,8 @@
                 result = self.write_queued(writer, outbox) => result,
             }
         };
-        let error = tokio::select! {
-            result = connection => connection_end(result),
-            result = session => result.err().unwrap_or(LinkError::Closed),
-        };
+        let drive = async { connection_end(connection.await) };
+        let error = run_session(session, drive).await;
         (authenticated, error)
     }
 
@@ -160,10 +161,8 @@
             }
             Ok::<(), LinkError>(())
         };
-        let error = tokio::select! {
-            result = session => result.err().unwrap_or(LinkError::Closed),
-            result = drive => result.err().unwrap_or(LinkError::Closed),
-        };
+        let drive = async { drive.await.err().unwrap_or(LinkError::Closed) };
+        let error = run_session(session, drive).await;
         match known {
             Some(peer) => Ok((peer, error)),
             None => Err(error),
@@ -290,6 +289,23 @@
     }
 }
 
+/// Runs a session while `drive` moves the connection's data. When the connection
+/// ends, the session still handles the messages that were received before.
+async fn run_session(
+    session: impl Future<Output = Result<(), LinkError>>,
+    drive: impl Future<Output = LinkError>,
+) -> LinkError {
+    tokio::pin!(session);
+    let ended = tokio::select! {
+        result = &mut session => return result.err().unwrap_or(LinkError::Closed),
+        ended = drive => ended,
+    };
+    match timeout(LAST_MESSAGES, session).await {
+        Ok(Err(error)) => error,
+        Ok(Ok(())) | Err(_) => ended,
+    }
+}
+
 /// Counts an authenticated link while it exists, also when its task is cancelled.
 struct LinkGuard(Gauge);
 
--- a/crates/router/src/peer/tests.rs
+++ b/crates/router/src/peer/tests.rs
@@ -335,3 +335,16 @@
     wait_until("the silent peer is closed", || metric(&b, reason) == 1);
     drop(silent);
 }
+
+// Guards against messages lost because the peer closed right after it sent them.
+#[test]
+fn messages_before_a_close_are_handled() {
+    let b = node("b");
+    let bad = PeerFrame { call: 0, reply: false, message: PeerMessage::Ack };
+    let bytes = request_with_body(&encode_frame(&bad).unwrap());
+    for _ in 0..100 {
+        send_raw(b.net.local_address(), &bytes);
+    }
+    let reason = "mangobridge_peer_closed_links_total{reason=\"unexpected\"}";
+    wait_until("each message was seen", || metric(&b, reason) == 100);
+}
