--- a/crates/router/src/platform/record_log.rs
+++ b/crates/router/src/platform/record_log.rs
@@ -4,12 +4,13 @@
     std::time::{Duration, Instant},
 };
 
-/// Append-only log with streams of records.
-pub(crate) trait RecordLog: Send + Sync + 'static {
+/// An append-only log of several streams that share one sequence of offsets.
+pub(crate) trait RecordLog: Clone + Send + Sync + 'static {
     /// Appends one record and returns its offset.
     fn append(&self, stream: &str, body: &str, deadline: Instant) -> Result<Offset, LogError>;
 
-    /// Reads records of one stream from an offset on, waiting up to `wait` for the first.
+    /// Reads records of one stream from an offset on. Waits up to `wait` for the
+    /// first record; an empty answer confirms that there was none.
     fn read(
         &self,
         stream: &str,
@@ -21,7 +22,7 @@
 
 impl RecordLog for LogClient {
     fn append(&self, stream: &str, body: &str, deadline: Instant) -> Result<Offset, LogError> {
-        LogClient::append(self, stream, body, deadline)
+        self.append(stream, body, deadline)
     }
 
     fn read(
@@ -31,6 +32,6 @@
         wait: Duration,
         deadline: Instant,
     ) -> Result<ReadReply, LogError> {
-        LogClient::read(self, stream, from, wait, deadline)
+        self.read(stream, from, wait, deadline)
     }
 }
