--- /dev/null
+++ b/crates/router/src/placement/candidate_plan.rs
@@ -0,0 +1,115 @@
+use {
+    super::{candidate::Candidate, pool_member::PoolMember, pool_view::PoolView, rendezvous::rank},
+    mango_wire::{ChatKey, EndpointKey, peer::AcquireMode},
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{collections::VecDeque, sync::Arc, time::Instant},
+};
+
+/// Engines tried by gossip besides the home and the second choice.
+const LEAST_LOADED_TRIES: usize = 2;
+
+/// Sequence in which the entry router asks owners for a permit. The least loaded
+/// engines are looked up when their turn comes.
+#[derive(Debug)]
+pub(crate) struct CandidatePlan {
+    pool: Arc<PoolView>,
+    steps: VecDeque<Candidate>,
+    /// Engines that are not looked up again as least loaded.
+    tried: Vec<EndpointKey>,
+    /// Where the request queues at last; `None` after that step, and for baselines.
+    queue_at: Option<EndpointKey>,
+    home: Option<EndpointKey>,
+    second: Option<EndpointKey>,
+    searched: bool,
+    rng: SmallRng,
+}
+
+impl CandidatePlan {
+    /// Plan of the policy `owner`. `is_returning` says whether the chat has earlier turns.
+    pub(crate) fn new(pool: Arc<PoolView>, chat: ChatKey, is_returning: bool, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        // requests without a chat would otherwise all have the same home
+        let subject = if chat == 0 { rng.random() } else { chat };
+        let ranked = rank(subject, pool.members.iter().map(|m| (m.key, m.weight)));
+        let tried: Vec<_> = ranked.into_iter().take(2).collect();
+        let mut steps = VecDeque::with_capacity(4);
+        if is_returning && chat != 0 {
+            steps.extend(tried.iter().map(|e| step(*e, AcquireMode::IfWarm)));
+        }
+        steps.extend(tried.iter().map(|e| step(*e, AcquireMode::IfRoom)));
+        let (home, second) = (tried.first().copied(), tried.get(1).copied());
+        Self { pool, steps, tried, queue_at: home, home, second, searched: false, rng }
+    }
+
+    /// Plan of a baseline: one engine, whatever its load.
+    pub(crate) fn single(pool: Arc<PoolView>, endpoint: Option<EndpointKey>, seed: u64) -> Self {
+        let steps = endpoint.map(|e| step(e, AcquireMode::Queue)).into_iter().collect();
+        let rng = SmallRng::seed_from_u64(seed);
+        let (tried, searched) = (Vec::new(), true);
+        Self { pool, steps, tried, queue_at: None, home: None, second: None, searched, rng }
+    }
+
+    /// Continues after a queue answered `at_cap`: the least loaded engines are
+    /// looked up again, then the request queues again.
+    pub(crate) fn search_again(&mut self) {
+        self.tried.clear();
+        self.searched = false;
+        self.queue_at = self.home;
+    }
+
+    fn search(&mut self) {
+        self.searched = true;
+        let now = Instant::now();
+        let mut found = Vec::new();
+        for member in &self.pool.members {
+            if !self.tried.contains(&member.key)
+                && let Some(load) = free_load(member, now)
+            {
+                // ties are common; a random order spreads the routers over equal engines
+                found.push((load, self.rng.random::<u32>(), member.key));
+            }
+        }
+        found.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, _, key) in found.into_iter().take(LEAST_LOADED_TRIES) {
+            self.tried.push(key);
+            self.steps.push_back(step(key, AcquireMode::IfRoom));
+        }
+    }
+
+    /// Queues at home, or at the second choice if only the home is degraded.
+    fn queue_step(&mut self) -> Option<Candidate> {
+        let home = self.queue_at.take()?;
+        let degraded = self.pool.degraded(Instant::now());
+        let second = self.second.filter(|e| !degraded.contains(e));
+        let endpoint = if degraded.contains(&home) { second.unwrap_or(home) } else { home };
+        Some(step(endpoint, AcquireMode::Queue))
+    }
+}
+
+impl Iterator for CandidatePlan {
+    type Item = Candidate;
+
+    fn next(&mut self) -> Option<Candidate> {
+        if let Some(step) = self.steps.pop_front() {
+            return Some(step);
+        }
+        if !self.searched {
+            self.search();
+        }
+        self.steps.pop_front().or_else(|| self.queue_step())
+    }
+}
+
+fn step(endpoint: EndpointKey, mode: AcquireMode) -> Candidate {
+    Candidate { endpoint, mode }
+}
+
+/// Load per weight of an engine that has a free slot and no queue by gossip.
+fn free_load(member: &PoolMember, now: Instant) -> Option<f64> {
+    let load = member.cell.fresh(now)?;
+    if load.in_flight >= member.slots || load.queued > 0 || member.weight <= 0.0 {
+        return None;
+    }
+    let factor = f64::from(load.weight_permille.max(1)) / 1000.0;
+    Some(f64::from(load.in_flight + 1) / (member.weight * factor))
+}
--- /dev/null
+++ b/crates/router/src/placement/load_cell.rs
@@ -0,0 +1,85 @@
+use {
+    super::{load::Load, speed::Speed},
+    mango_wire::EndpointKey,
+    parking_lot::Mutex,
+    std::time::{Duration, Instant},
+};
+
+/// Newest load and speed of one engine. Pools keep the cells of their engines, so
+/// a survey of a pool needs no look-up by key.
+#[derive(Debug)]
+pub(crate) struct LoadCell {
+    pub(crate) key: EndpointKey,
+    load: Mutex<Option<Load>>,
+    speed: Mutex<Option<Speed>>,
+}
+
+impl LoadCell {
+    pub(crate) fn new(key: EndpointKey) -> Self {
+        Self { key, load: Mutex::new(None), speed: Mutex::new(None) }
+    }
+
+    /// Newest load, also if it is too old to be used.
+    pub(crate) fn last(&self) -> Option<Load> {
+        *self.load.lock()
+    }
+
+    /// Load, unless it is unknown or too old.
+    pub(crate) fn fresh(&self, now: Instant) -> Option<Load> {
+        self.last().filter(|load| load.is_fresh(now))
+    }
+
+    /// Takes a report if it is newer than the present one.
+    pub(crate) fn merge(&self, load: Load) -> bool {
+        let mut current = self.load.lock();
+        if current.is_some_and(|current| !load.supersedes(&current)) {
+            return false;
+        }
+        *current = Some(load);
+        true
+    }
+
+    /// Stores the exact count of an engine that this host owns.
+    pub(crate) fn set_local(&self, load: Load) {
+        let mut current = self.load.lock();
+        if current.is_none_or(|current| load.epoch >= current.epoch) {
+            *current = Some(load);
+        }
+    }
+
+    /// Ends local ownership, so that reports of the next owner are taken.
+    pub(crate) fn clear_local(&self) {
+        let mut current = self.load.lock();
+        if let Some(load) = current.as_mut() {
+            load.is_local = false;
+        }
+    }
+
+    /// Speed, unless it is unknown or older than `max_age`.
+    pub(crate) fn speed(&self, max_age: Duration, now: Instant) -> Option<Speed> {
+        let speed = *self.speed.lock();
+        speed.filter(|s| now.saturating_duration_since(s.measured_at) < max_age)
+    }
+
+    pub(crate) fn set_speed(&self, speed: Speed) {
+        *self.speed.lock() = Some(speed);
+    }
+
+    /// Adds one measurement with weight `smoothing`; a time of 0 was not measured.
+    pub(crate) fn observe(&self, first_token_ms: f64, gap_us: f64, smoothing: f64, now: Instant) {
+        let mut speed = self.speed.lock();
+        let old = speed.unwrap_or(Speed { first_token_ms: 0.0, gap_us: 0.0, measured_at: now });
+        *speed = Some(Speed {
+            first_token_ms: blend(old.first_token_ms, first_token_ms, smoothing),
+            gap_us: blend(old.gap_us, gap_us, smoothing),
+            measured_at: now,
+        });
+    }
+}
+
+fn blend(old: f64, sample: f64, smoothing: f64) -> f64 {
+    if sample <= 0.0 {
+        return old;
+    }
+    if old <= 0.0 { sample } else { old + smoothing * (sample - old) }
+}
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -1,1 +1,39 @@
+mod candidate;
+mod candidate_plan;
+mod engine_spec;
+mod load;
+mod load_cell;
+mod load_table;
+mod planner;
+mod pool_member;
+mod pool_spec;
+mod pool_speed;
+mod pool_view;
+mod rendezvous;
+mod speed;
+mod survey;
+mod team_spec;
+#[cfg(test)]
+mod tests;
+mod topology;
+mod work_spec;
 
+pub(crate) use {
+    candidate::Candidate,
+    candidate_plan::CandidatePlan,
+    engine_spec::EngineSpec,
+    load::Load,
+    load_cell::LoadCell,
+    load_table::LoadTable,
+    planner::Planner,
+    pool_member::PoolMember,
+    pool_spec::PoolSpec,
+    pool_speed::PoolSpeed,
+    pool_view::PoolView,
+    rendezvous::{rank, score},
+    speed::Speed,
+    survey::Survey,
+    team_spec::TeamSpec,
+    topology::Topology,
+    work_spec::WorkSpec,
+};
--- /dev/null
+++ b/crates/router/src/placement/pool_view.rs
@@ -0,0 +1,154 @@
+use {
+    super::{
+        load_table::LoadTable, pool_member::PoolMember, pool_speed::PoolSpeed, survey::Survey,
+        topology::Topology,
+    },
+    mango_wire::{EndpointKey, PoolKey},
+    parking_lot::Mutex,
+    std::{
+        collections::HashMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Speeds measured longer ago say nothing about the present median.
+const SPEED_MAX_AGE: Duration = Duration::from_secs(30);
+/// The median is sorted from all engines, too much work for each request.
+const MEDIAN_REUSE: Duration = Duration::from_millis(100);
+/// A median of fewer engines would be moved by the slow engine itself.
+const MEDIAN_MIN_ENGINES: usize = 3;
+
+/// A pool's engines with direct access to their loads.
+#[derive(Debug)]
+pub(crate) struct PoolView {
+    pub(crate) key: PoolKey,
+    pub(crate) cap_multiple: f64,
+    pub(crate) members: Vec<PoolMember>,
+    weight_sum: f64,
+    max_degraded: usize,
+    median: Mutex<Option<(Instant, PoolSpeed)>>,
+}
+
+impl PoolView {
+    /// Creates the views of all pools. `max_degraded_share` is the largest share of
+    /// a pool's engines that may have a reduced weight.
+    pub(crate) fn build(
+        topology: &Topology,
+        table: &LoadTable,
+        max_degraded_share: f64,
+    ) -> HashMap<PoolKey, Arc<PoolView>> {
+        let specs: HashMap<_, _> = topology.engines.iter().map(|e| (e.key, e)).collect();
+        let member = |key: &EndpointKey| {
+            let spec = specs.get(key)?;
+            let (slots, weight) = (spec.slots, spec.weight.max(0.0));
+            Some(PoolMember { key: *key, slots, weight, cell: table.cell(*key) })
+        };
+        let view = |pool: &super::PoolSpec| {
+            let members: Vec<_> = pool.engines.iter().filter_map(member).collect();
+            Self::new(pool.key, pool.cap_multiple, members, max_degraded_share)
+        };
+        topology.pools.iter().map(|pool| (pool.key, Arc::new(view(pool)))).collect()
+    }
+
+    fn new(key: PoolKey, cap_multiple: f64, members: Vec<PoolMember>, share: f64) -> Self {
+        let weight_sum = members.iter().map(|m| m.weight).sum();
+        let max_degraded = max_degraded(members.len(), share);
+        Self { key, cap_multiple, members, weight_sum, max_degraded, median: Mutex::new(None) }
+    }
+
+    /// Requests in flight; unknown and too old counts are 0.
+    pub(crate) fn total(&self, now: Instant) -> u32 {
+        self.members.iter().map(|m| m.count(now).0).sum()
+    }
+
+    /// Surveys the pool for the engine `own`, whose count and health are exact.
+    pub(crate) fn survey(
+        &self,
+        own: EndpointKey,
+        own_in_flight: u32,
+        own_permille: u16,
+        now: Instant,
+    ) -> Survey {
+        let mut survey =
+            Survey { in_flight: 0, weight_sum: self.weight_sum, full_weight: 0.0, weight: 0.0 };
+        let mut slow = Vec::new();
+        for member in &self.members {
+            let is_own = member.key == own;
+            let (in_flight, permille) =
+                if is_own { (own_in_flight, own_permille) } else { member.count(now) };
+            survey.in_flight += in_flight;
+            if is_own {
+                survey.full_weight = member.weight;
+                survey.weight = member.weight;
+            }
+            if permille < 1000 {
+                slow.push((permille, member.key, member.weight));
+            }
+        }
+        for (permille, key, weight) in self.limit_degraded(slow) {
+            let reduced = weight * f64::from(permille) / 1000.0;
+            survey.weight_sum -= weight - reduced;
+            if key == own {
+                survey.weight = reduced;
+            }
+        }
+        survey
+    }
+
+    /// Engines that are treated as degraded, by gossip.
+    pub(crate) fn degraded(&self, now: Instant) -> Vec<EndpointKey> {
+        let permille = |m: &PoolMember| (m.count(now).1, m.key, m.weight);
+        let slow = self.members.iter().map(permille).filter(|(p, ..)| *p < 1000).collect();
+        self.limit_degraded(slow).into_iter().map(|(_, key, _)| key).collect()
+    }
+
+    /// Keeps the slowest engines up to the allowed number. All owners apply the same
+    /// order to the measured factors, so they agree without a message.
+    fn limit_degraded(
+        &self,
+        mut slow: Vec<(u16, EndpointKey, f64)>,
+    ) -> Vec<(u16, EndpointKey, f64)> {
+        if slow.len() > self.max_degraded {
+            slow.sort_unstable_by_key(|(permille, key, _)| (*permille, *key));
+            slow.truncate(self.max_degraded);
+        }
+        slow
+    }
+
+    /// Median speed of the pool's engines, at most `MEDIAN_REUSE` old.
+    pub(crate) fn speed(&self, now: Instant) -> PoolSpeed {
+        let mut median = self.median.lock();
+        if let Some((at, speed)) = *median
+            && now.saturating_duration_since(at) < MEDIAN_REUSE
+        {
+            return speed;
+        }
+        let speeds: Vec<_> =
+            self.members.iter().filter_map(|m| m.cell.speed(SPEED_MAX_AGE, now)).collect();
+        let speed = PoolSpeed {
+            first_token_ms: median_of(speeds.iter().map(|s| s.first_token_ms)),
+            gap_us: median_of(speeds.iter().map(|s| s.gap_us)),
+        };
+        *median = Some((now, speed));
+        speed
+    }
+}
+
+/// At least one engine may be degraded in a pool of two or more: the share alone
+/// would never let a pool of three avoid its slow engine.
+fn max_degraded(engines: usize, share: f64) -> usize {
+    if engines < 2 || share <= 0.0 {
+        return 0;
+    }
+    ((engines as f64 * share) as usize).max(1)
+}
+
+fn median_of(times: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut times: Vec<f64> = times.filter(|t| *t > 0.0).collect();
+    if times.len() < MEDIAN_MIN_ENGINES {
+        return None;
+    }
+    times.sort_unstable_by(f64::total_cmp);
+    Some(times[times.len() / 2])
+}
--- /dev/null
+++ b/crates/router/src/placement/rendezvous.rs
@@ -0,0 +1,23 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Score of a member for a subject. The member with the highest score wins, and
+/// each member wins a share of subjects in proportion to its weight.
+pub(crate) fn score(subject: u64, member: u64, weight: f64) -> f64 {
+    let hash = xxh3_64_with_seed(&subject.to_le_bytes(), member);
+    // 53 bits fill a double's mantissa; the half keeps the value inside (0, 1)
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    weight.max(0.0) / -uniform.ln()
+}
+
+/// Orders members by score for a subject, best first; ties go to the lower key.
+pub(crate) fn rank<K: Copy + Ord + Into<u64>>(
+    subject: u64,
+    members: impl IntoIterator<Item = (K, f64)>,
+) -> Vec<K> {
+    let mut scored: Vec<(f64, K)> = members
+        .into_iter()
+        .map(|(key, weight)| (score(subject, key.into(), weight), key))
+        .collect();
+    scored.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+    scored.into_iter().map(|(_, key)| key).collect()
+}
--- /dev/null
+++ b/crates/router/src/placement/survey.rs
@@ -0,0 +1,24 @@
+/// Loads and weights of a pool as seen by one owner at one time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Survey {
+    /// Requests in flight on the pool's engines; too old counts are 0.
+    pub(crate) in_flight: u32,
+    /// Sum of the weights after health.
+    pub(crate) weight_sum: f64,
+    /// Configured weight of the engine that asked.
+    pub(crate) full_weight: f64,
+    /// Its weight after health.
+    pub(crate) weight: f64,
+}
+
+impl Survey {
+    /// Requests that the engine may carry at weight `weight`, without the limit of its slots.
+    pub(crate) fn cap(&self, cap_multiple: f64, weight: f64) -> u32 {
+        if self.weight_sum <= 0.0 {
+            return 1;
+        }
+        let share = cap_multiple * weight / self.weight_sum * f64::from(self.in_flight + 1);
+        // rounding errors of the product must not lift a whole number to the next one
+        ((share - 1e-9).ceil() as u32).max(1)
+    }
+}
