--- /dev/null
+++ b/crates/router/src/admission/engine_permits.rs
@@ -0,0 +1,268 @@
+use {
+    super::{
+        authority::Authority, context::Context, decision::Decision, demoted::Demoted,
+        engine_core::EngineCore, engine_grants::Outbox, permit::Permit,
+    },
+    mango_wire::{
+        config::WorkClass,
+        peer::{PassReason, PermitInUse, Progress, Release, ReleaseOutcome},
+    },
+    std::time::{Duration, Instant},
+};
+
+/// The mean gap of fewer tokens says little.
+const MIN_GAP_TOKENS: u32 = 4;
+
+impl<R> EngineCore<R> {
+    pub(super) fn release<A: Authority>(
+        &mut self,
+        ctx: &Context<A>,
+        now: Instant,
+        origin: u64,
+        release: &Release,
+        out: &mut Outbox<R>,
+    ) {
+        self.permits.forget_freed(release.permit);
+        if self.permits.get_mut(release.permit).is_none_or(|p| p.origin != origin) {
+            return;
+        }
+        let Some(permit) = self.permits.remove(release.permit) else { return };
+        self.learn(ctx, now, &permit, release);
+        self.pump(ctx, now, out);
+    }
+
+    fn learn<A: Authority>(
+        &mut self,
+        ctx: &Context<A>,
+        now: Instant,
+        permit: &Permit,
+        release: &Release,
+    ) {
+        let is_answered = release.outcome == ReleaseOutcome::Completed;
+        if release.outcome != ReleaseOutcome::Unused {
+            let held = now.saturating_duration_since(permit.granted_at);
+            self.waits.observe(permit.long, held);
+        }
+        if is_answered && release.tokens > 0 {
+            ctx.length.observe(permit.team, permit.work, release.tokens);
+        }
+        if !permit.has_first_token && release.first_token_ms > 0 {
+            self.observe_first_token(ctx, now, permit, f64::from(release.first_token_ms));
+        }
+        if release.tokens >= MIN_GAP_TOKENS && release.gap_us > 0 {
+            self.observe_gap(ctx, now, permit, f64::from(release.gap_us));
+        }
+        let is_cached = is_answered || release.tokens > 0 || permit.warm;
+        if !is_cached {
+            self.warm.remove(permit.chat);
+        }
+    }
+
+    /// Takes a first token or a length. A first-token time of 0 only confirms that
+    /// the request was sent.
+    pub(super) fn progress<A: Authority>(
+        &mut self,
+        ctx: &Context<A>,
+        now: Instant,
+        progress: &Progress,
+    ) -> Option<Demoted> {
+        if self.permits.reinstate(progress.permit) {
+            ctx.metrics.reinstated_permits.inc();
+            self.decide(now, 0, Decision::Reinstated, 0);
+        }
+        let permit = self.permits.get_mut(progress.permit)?;
+        permit.in_use = true;
+        permit.free_at = None;
+        let is_first = !permit.has_first_token && progress.first_token_ms > 0;
+        permit.has_first_token |= is_first;
+        let permit = permit.clone();
+        if is_first {
+            self.observe_first_token(ctx, now, &permit, f64::from(progress.first_token_ms));
+        }
+        if progress.tokens >= MIN_GAP_TOKENS && progress.gap_us > 0 {
+            self.observe_gap(ctx, now, &permit, f64::from(progress.gap_us));
+        }
+        if progress.tokens <= ctx.limits.long_tokens || !self.permits.mark_long(progress.permit) {
+            return None;
+        }
+        ctx.metrics.demoted.inc();
+        self.decide(now, permit.request, Decision::Demoted, 0);
+        Some(Demoted { permit: progress.permit, priority: permit.demoted_priority() })
+    }
+
+    fn observe_first_token<A: Authority>(
+        &mut self,
+        ctx: &Context<A>,
+        now: Instant,
+        permit: &Permit,
+        first_token_ms: f64,
+    ) {
+        let speed = self.pool_speed(permit.pool, now);
+        let settings = &ctx.limits.health;
+        self.health.observe_first_token(first_token_ms, permit.warm, speed, settings);
+        self.cell.set_speed(self.health.speed(now));
+    }
+
+    fn observe_gap<A: Authority>(
+        &mut self,
+        ctx: &Context<A>,
+        now: Instant,
+        permit: &Permit,
+        gap_us: f64,
+    ) {
+        let speed = self.pool_speed(permit.pool, now);
+        self.health.observe_gap(gap_us, speed, &ctx.limits.health);
+        self.cell.set_speed(self.health.speed(now));
+    }
+
+    pub(super) fn cancel<A: Authority>(
+        &mut self,
+        ctx: &Context<A>,
+        now: Instant,
+        origin: u64,
+        request: u64,
+        out: &mut Outbox<R>,
+    ) {
+        for queued in self.queue.extract(|q| q.origin == origin && q.request == request) {
+            self.refuse(ctx, now, queued, PassReason::Cancelled, Duration::ZERO, out);
+        }
+        // the grant crossed the cancel, so the permit will not be used
+        if let Some(permit) = self.permits.unused_of(origin, request) {
+            self.permits.remove(permit);
+            self.pump(ctx, now, out);
+        }
+    }
+
+    pub(super) fn host_down<A: Authority>(
+        &mut self,
+        ctx: &Context<A>,
+        now: Instant,
+        origin: u64,
+        out: &mut Outbox<R>,
+    ) {
+        let free_at = now + ctx.limits.permit_idle;
+        for permit in self.permits.values_mut().filter(|p| p.origin == origin) {
+            permit.free_at = Some(permit.free_at.map_or(free_at, |at| at.max(free_at)));
+        }
+        for queued in self.queue.extract(|q| q.origin == origin) {
+            self.refuse(ctx, now, queued, PassReason::Cancelled, Duration::ZERO, out);
+        }
+    }
+
+    /// Takes the complete list of permits that a host uses on this engine: unknown
+    /// ones are counted, and others of the host are freed once they had the time to
+    /// be received and used.
+    pub(super) fn reregister<A: Authority>(
+        &mut self,
+        ctx: &Context<A>,
+        now: Instant,
+        origin: u64,
+        listed: &[(PermitInUse, WorkClass)],
+        out: &mut Outbox<R>,
+    ) {
+        for (in_use, class) in listed {
+            self.permits.forget_freed(in_use.permit);
+            match self.permits.get_mut(in_use.permit) {
+                Some(permit) => confirm(permit, now),
+                None => {
+                    let permit = self.reregistered(origin, in_use, *class, now);
+                    self.permits.insert(in_use.permit, permit);
+                }
+            }
+        }
+        let is_listed = |id| listed.iter().any(|(p, _)| p.permit == id);
+        let unused_after = ctx.limits.unused_after();
+        let freed = self.permits.retain(|id, p| {
+            p.origin != origin || p.granted_at + unused_after > now || is_listed(id)
+        });
+        if freed > 0 {
+            ctx.metrics.freed_permits.inc_by(freed as u64);
+            self.decide(now, 0, Decision::FreedUnlisted, 0);
+            self.pump(ctx, now, out);
+        }
+    }
+
+    fn reregistered(
+        &self,
+        origin: u64,
+        in_use: &PermitInUse,
+        class: WorkClass,
+        now: Instant,
+    ) -> Permit {
+        Permit {
+            origin,
+            request: 0,
+            team: in_use.team,
+            work: in_use.work,
+            class,
+            pool: self.pools.first().map_or(0, |pool| pool.key),
+            chat: 0,
+            warm: true,
+            long: in_use.long,
+            epoch: in_use.epoch,
+            granted_at: now,
+            free_at: None,
+            in_use: true,
+            // its first-token time began under another owner and is not comparable
+            has_first_token: true,
+            counted_late: true,
+            reregistered_at: Some(now),
+        }
+    }
+
+    /// Does what is due: drops expired requests, frees permits, counts late first
+    /// tokens, and uses room that gossip has brought.
+    pub(super) fn tick<A: Authority>(
+        &mut self,
+        ctx: &Context<A>,
+        now: Instant,
+        out: &mut Outbox<R>,
+    ) {
+        if self.is_idle() {
+            return;
+        }
+        for queued in self.queue.expire(now) {
+            self.refuse(ctx, now, queued, PassReason::Deadline, Duration::ZERO, out);
+        }
+        for permit in self.permits.free_due(now) {
+            let is_dead = permit.in_use;
+            let decision = if is_dead { Decision::FreedHostDown } else { Decision::FreedUnused };
+            ctx.metrics.freed_permits.inc();
+            self.decide(now, permit.request, decision, 0);
+        }
+        self.count_late(ctx, now);
+        if self.acting(ctx, now).is_none() {
+            return self.refuse_queue(ctx, now, PassReason::LeaseLapsed, out);
+        }
+        self.pump(ctx, now, out);
+        self.redirect(ctx, now, out);
+    }
+
+    /// Counts each late first token once with the time waited so far; a stalled
+    /// engine would otherwise look healthy until it answers.
+    fn count_late<A: Authority>(&mut self, ctx: &Context<A>, now: Instant) {
+        let Some(pool) = self.pools.first().map(|pool| pool.speed(now)) else { return };
+        let Some(late_ms) = self.health.late_first_token_ms(pool, &ctx.limits.health) else {
+            return;
+        };
+        let waited_ms =
+            |p: &Permit| now.saturating_duration_since(p.granted_at).as_secs_f64() * 1000.0;
+        let mut late = Vec::new();
+        for permit in self.permits.values_mut() {
+            let is_waiting = permit.in_use && !permit.has_first_token && !permit.counted_late;
+            if is_waiting && waited_ms(permit) > late_ms {
+                permit.counted_late = true;
+                late.push(permit.clone());
+            }
+        }
+        for permit in late {
+            self.observe_first_token(ctx, now, &permit, waited_ms(&permit));
+        }
+    }
+}
+
+fn confirm(permit: &mut Permit, now: Instant) {
+    permit.in_use = true;
+    permit.free_at = None;
+    permit.reregistered_at = Some(now);
+}
--- /dev/null
+++ b/crates/router/src/admission/engine_state.rs
@@ -0,0 +1,34 @@
+use {
+    mango_wire::{EndpointKey, Epoch, TeamKey},
+    serde::Serialize,
+};
+
+/// State of one owned engine for the state dump.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct EngineState {
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) id: String,
+    /// Epoch of the last grant.
+    pub(crate) epoch: Option<Epoch>,
+    /// Whether this host may grant now.
+    pub(crate) is_acting: bool,
+    pub(crate) is_draining: bool,
+    pub(crate) in_flight: u32,
+    pub(crate) long_in_flight: u32,
+    pub(crate) slots: u32,
+    pub(crate) long_slots: u32,
+    /// Cap by pool id key.
+    pub(crate) caps: Vec<(u32, u32)>,
+    pub(crate) queued: usize,
+    pub(crate) may_wait_queued: usize,
+    pub(crate) queued_by_team: Vec<(TeamKey, usize)>,
+    /// Measured health factor.
+    pub(crate) health_factor: f64,
+    /// Whether the limit on degraded engines lets the factor count in some pool.
+    pub(crate) is_degraded: bool,
+    pub(crate) first_token_ms: f64,
+    pub(crate) gap_us: f64,
+    pub(crate) warm_chats: usize,
+    /// Newest decisions with their reasons, oldest first.
+    pub(crate) decisions: Vec<String>,
+}
--- /dev/null
+++ b/crates/router/src/admission/length_stats.rs
@@ -0,0 +1,33 @@
+/// Learned length of one team's requests of one kind.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LengthStats {
+    mean_tokens: f32,
+    deviation_tokens: f32,
+    samples: u16,
+}
+
+impl LengthStats {
+    pub(crate) fn new(expected_tokens: u32) -> Self {
+        Self { mean_tokens: expected_tokens as f32, deviation_tokens: 0.0, samples: 0 }
+    }
+
+    pub(crate) fn add(&mut self, tokens: u32) {
+        // the first samples weigh more, so that a wrong configured length is soon forgotten
+        let smoothing = (1.0 / (f32::from(self.samples) + 1.0)).max(0.1);
+        let error = tokens as f32 - self.mean_tokens;
+        self.mean_tokens += smoothing * error;
+        if self.samples > 0 {
+            self.deviation_tokens += smoothing * (error.abs() - self.deviation_tokens);
+        }
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    pub(crate) fn mean_tokens(&self) -> u32 {
+        self.mean_tokens as u32
+    }
+
+    /// Mean plus deviation.
+    pub(crate) fn upper_tokens(&self) -> u32 {
+        (self.mean_tokens + self.deviation_tokens) as u32
+    }
+}
--- /dev/null
+++ b/crates/router/src/admission/tests/mod.rs
@@ -0,0 +1,4 @@
+mod cap;
+mod fleet;
+mod owner;
+mod speed;
--- a/crates/router/src/placement/candidate_plan.rs
+++ b/crates/router/src/placement/candidate_plan.rs
@@ -106,8 +106,8 @@
 
 /// Load per weight of an engine that has a free slot and no queue by gossip.
 fn free_load(member: &PoolMember, now: Instant) -> Option<f64> {
-    let load = member.cell.fresh(now)?;
-    if load.in_flight >= member.slots || load.queued > 0 || member.weight <= 0.0 {
+    let load = member.cell.last()?;
+    if !load.is_free(member.slots, now) || member.weight <= 0.0 {
         return None;
     }
     let factor = f64::from(load.weight_permille.max(1)) / 1000.0;
--- a/crates/router/src/placement/load.rs
+++ b/crates/router/src/placement/load.rs
@@ -3,6 +3,10 @@
     std::time::{Duration, Instant},
 };
 
+/// Age up to which a report may point to a free engine. Idle engines report seldom,
+/// and a wrong guess costs one refused try.
+const SEARCH_MAX_AGE: Duration = Duration::from_secs(5);
+
 /// Load of one engine as its owner last reported it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Load {
@@ -39,6 +43,12 @@
         now < self.expires_at
     }
 
+    /// Whether the engine is worth a try by this report.
+    pub(crate) fn is_free(&self, slots: u32, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.counted_at);
+        age < SEARCH_MAX_AGE && self.in_flight < slots && self.queued == 0
+    }
+
     /// Whether this report replaces `other`.
     pub(crate) fn supersedes(&self, other: &Load) -> bool {
         if self.epoch == other.epoch && other.is_local {
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -1,6 +1,7 @@
 mod candidate;
 mod candidate_plan;
 mod engine_spec;
+mod free_engine;
 mod load;
 mod load_cell;
 mod load_table;
@@ -22,6 +23,7 @@
     candidate::Candidate,
     candidate_plan::CandidatePlan,
     engine_spec::EngineSpec,
+    free_engine::FreeEngine,
     load::Load,
     load_cell::LoadCell,
     load_table::LoadTable,
--- a/crates/router/src/placement/pool_view.rs
+++ b/crates/router/src/placement/pool_view.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        load_table::LoadTable, pool_member::PoolMember, pool_speed::PoolSpeed, survey::Survey,
-        topology::Topology,
+        free_engine::FreeEngine, load_table::LoadTable, pool_member::PoolMember,
+        pool_speed::PoolSpeed, survey::Survey, topology::Topology,
     },
     mango_wire::{EndpointKey, PoolKey},
     parking_lot::Mutex,
@@ -103,6 +103,28 @@
         self.limit_degraded(slow).into_iter().map(|(_, key, _)| key).collect()
     }
 
+    /// Other engines with room by gossip. Their room is divided by the number of
+    /// engines with a queue.
+    pub(crate) fn free_engines(&self, own: EndpointKey, now: Instant) -> Vec<FreeEngine> {
+        let survey = self.survey(own, 0, 1000, now);
+        let own_in_flight =
+            self.members.iter().find(|m| m.key == own).map_or(0, |m| m.count(now).0);
+        let survey = Survey { in_flight: survey.in_flight + own_in_flight, ..survey };
+        let queueing = |m: &&PoolMember| m.cell.fresh(now).is_some_and(|load| load.queued > 0);
+        let queueing = self.members.iter().filter(queueing).count().max(1) as u32;
+        let free = |member: &PoolMember| {
+            let load = member.cell.last()?;
+            let weight = member.weight * f64::from(load.weight_permille) / 1000.0;
+            let cap = survey.cap(self.cap_multiple, weight).min(member.slots);
+            if member.key == own || !load.is_free(cap, now) {
+                return None;
+            }
+            let room = ((cap - load.in_flight) / queueing).max(1);
+            Some(FreeEngine { key: member.key, epoch: load.epoch, version: load.version, room })
+        };
+        self.members.iter().filter_map(free).collect()
+    }
+
     /// Keeps the slowest engines up to the allowed number. All owners apply the same
     /// order to the measured factors, so they agree without a message.
     fn limit_degraded(
