--- a/crates/router/src/admission/engine_core.rs
+++ b/crates/router/src/admission/engine_core.rs
@@ -158,6 +158,7 @@
                 epoch,
                 version: self.version,
                 in_flight: self.permits.in_flight(),
+                earlier_in_flight: self.permits.in_flight(),
                 queued: queue as u32,
                 weight_permille: self.health.factor_permille(&ctx.limits.health),
                 counted_at: now,
--- a/crates/router/src/admission/tests/cap.rs
+++ b/crates/router/src/admission/tests/cap.rs
@@ -10,15 +10,15 @@
         (150.0, 1000.0, 2.0),
         (20.0, 500.0, 3.0),
     ] {
-        for seed in 0..3 {
+        for seed in 0..30 {
             let mut fleet = Fleet::new(seed);
             fleet.run(20_000, per_s, hold, skew);
             println!("{per_s} {hold} {skew}: {} of {}", fleet.over_cap, fleet.grants);
         }
     }
-    for seed in 0..5 {
+    for seed in 0..60 {
         let mut fleet = Fleet::new(seed);
-        for k in 0..10 {
+        for k in 0..30 {
             fleet.run(1_000, 150.0, 500.0, 3.0);
             fleet.run(1_000, 30.0, 500.0, 3.0);
         }
--- a/crates/router/src/placement/load_cell.rs
+++ b/crates/router/src/placement/load_cell.rs
@@ -30,11 +30,14 @@
     }
 
     /// Takes a report if it is newer than the present one.
-    pub(crate) fn merge(&self, load: Load) -> bool {
+    pub(crate) fn merge(&self, mut load: Load) -> bool {
         let mut current = self.load.lock();
         if current.is_some_and(|current| !load.supersedes(&current)) {
             return false;
         }
+        // an expired count was 0 to its readers
+        let earlier = current.filter(|current| current.is_fresh(load.counted_at));
+        load.earlier_in_flight = earlier.map_or(0, |earlier| earlier.in_flight);
         *current = Some(load);
         true
     }
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -17,6 +17,7 @@
 #[cfg(test)]
 mod tests;
 mod topology;
+mod total_estimate;
 mod work_spec;
 
 pub(crate) use {
@@ -37,5 +38,6 @@
     survey::Survey,
     team_spec::TeamSpec,
     topology::Topology,
+    total_estimate::TotalEstimate,
     work_spec::WorkSpec,
 };
--- a/crates/router/src/placement/pool_member.rs
+++ b/crates/router/src/placement/pool_member.rs
@@ -14,9 +14,10 @@
 }
 
 impl PoolMember {
-    /// Requests in flight and measured health factor in permille; 0 and full
-    /// health if the report is unknown or too old, which only lowers caps.
-    pub(crate) fn count(&self, now: Instant) -> (u32, u16) {
-        self.cell.fresh(now).map_or((0, 1000), |load| (load.in_flight, load.weight_permille))
+    /// Newest and earlier requests in flight and measured health factor in permille;
+    /// 0 and full health if the report is unknown or too old, which only lowers caps.
+    pub(crate) fn count(&self, now: Instant) -> (u32, u32, u16) {
+        let load = self.cell.fresh(now);
+        load.map_or((0, 0, 1000), |l| (l.in_flight, l.earlier_in_flight, l.weight_permille))
     }
 }
--- a/crates/router/src/placement/pool_view.rs
+++ b/crates/router/src/placement/pool_view.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         free_engine::FreeEngine, load_table::LoadTable, pool_member::PoolMember,
-        pool_speed::PoolSpeed, survey::Survey, topology::Topology,
+        pool_speed::PoolSpeed, survey::Survey, topology::Topology, total_estimate::TotalEstimate,
     },
     mango_wire::{EndpointKey, PoolKey},
     parking_lot::Mutex,
@@ -72,12 +72,13 @@
     ) -> Survey {
         let mut survey =
             Survey { in_flight: 0, weight_sum: self.weight_sum, full_weight: 0.0, weight: 0.0 };
+        let mut total = TotalEstimate::default();
         let mut slow = Vec::new();
         for member in &self.members {
             let is_own = member.key == own;
-            let (in_flight, permille) =
-                if is_own { (own_in_flight, own_permille) } else { member.count(now) };
-            survey.in_flight += in_flight;
+            let own_count = (own_in_flight, own_in_flight, own_permille);
+            let (newest, earlier, permille) = if is_own { own_count } else { member.count(now) };
+            total.add(newest, earlier);
             if is_own {
                 survey.full_weight = member.weight;
                 survey.weight = member.weight;
@@ -86,6 +87,7 @@
                 slow.push((permille, member.key, member.weight));
             }
         }
+        survey.in_flight = total.cautious();
         for (permille, key, weight) in self.limit_degraded(slow) {
             let reduced = weight * f64::from(permille) / 1000.0;
             survey.weight_sum -= weight - reduced;
@@ -98,7 +100,7 @@
 
     /// Engines that are treated as degraded, by gossip.
     pub(crate) fn degraded(&self, now: Instant) -> Vec<EndpointKey> {
-        let permille = |m: &PoolMember| (m.count(now).1, m.key, m.weight);
+        let permille = |m: &PoolMember| (m.count(now).2, m.key, m.weight);
         let slow = self.members.iter().map(permille).filter(|(p, ..)| *p < 1000).collect();
         self.limit_degraded(slow).into_iter().map(|(_, key, _)| key).collect()
     }
--- a/crates/router/src/placement/survey.rs
+++ b/crates/router/src/placement/survey.rs
@@ -1,7 +1,7 @@
 /// Loads and weights of a pool as seen by one owner at one time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Survey {
-    /// Requests in flight on the pool's engines; too old counts are 0.
+    /// Cautious estimate of the requests in flight on the pool's engines.
     pub(crate) in_flight: u32,
     /// Sum of the weights after health.
     pub(crate) weight_sum: f64,
