--- a/crates/router/src/admission/context.rs
+++ b/crates/router/src/admission/context.rs
@@ -4,7 +4,10 @@
     },
     mango_wire::Epoch,
     std::{
-        sync::atomic::{AtomicU64, Ordering},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
 };
@@ -20,6 +23,8 @@
     pub(crate) length: LengthModel,
     pub(crate) metrics: AdmissionMetrics,
     pub(crate) permits: AtomicU64,
+    /// See `LoadTable::local_starts`.
+    pub(crate) local_starts: Arc<AtomicU64>,
 }
 
 impl<A: Authority> Context<A> {
--- a/crates/router/src/admission/engine_core.rs
+++ b/crates/router/src/admission/engine_core.rs
@@ -11,7 +11,7 @@
         settings::Policy,
     },
     std::{
-        sync::Arc,
+        sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
     },
 };
@@ -41,6 +41,8 @@
     pub(super) redirected: Vec<(EndpointKey, Epoch, u32)>,
     version: u32,
     reported: Option<(Instant, u32, u32, u16)>,
+    /// Count that the cell shows.
+    published: u32,
     counted_queue: i64,
     counted_slow: i64,
 }
@@ -64,6 +66,7 @@
             redirected: Vec::new(),
             version: 0,
             reported: None,
+            published: 0,
             counted_queue: 0,
             counted_slow: 0,
         }
@@ -153,12 +156,19 @@
         let slow = i64::from(self.health.is_slow());
         ctx.metrics.degraded_engines.inc_by(slow - self.counted_slow);
         self.counted_slow = slow;
+        let in_flight = self.permits.in_flight();
+        let started = in_flight.saturating_sub(self.published);
+        if started > 0 {
+            // counted before the start is visible in the cell
+            ctx.local_starts.fetch_add(u64::from(started), Ordering::SeqCst);
+        }
+        self.published = in_flight;
         if let Some(epoch) = self.epoch {
             self.cell.set_local(Load {
                 epoch,
                 version: self.version,
-                in_flight: self.permits.in_flight(),
-                earlier_in_flight: self.permits.in_flight(),
+                in_flight,
+                earlier_in_flight: in_flight,
                 queued: queue as u32,
                 weight_permille: self.health.factor_permille(&ctx.limits.health),
                 counted_at: now,
--- a/crates/router/src/admission/handle.rs
+++ b/crates/router/src/admission/handle.rs
@@ -51,6 +51,7 @@
             length: LengthModel::new(),
             metrics: AdmissionMetrics::register(metrics),
             permits: AtomicU64::new(0),
+            local_starts: table.local_starts(),
         };
         let roster = ArcSwap::from_pointee(Roster::new());
         Self { ctx, table, roster, updating: Mutex::new(()) }
--- /dev/null
+++ b/crates/router/src/admission/tests/length.rs
@@ -0,0 +1,61 @@
+use {
+    super::{
+        super::{Demoted, LengthModel},
+        owner::{LONG, Owner, acquire, progress, reason, topology},
+    },
+    mango_wire::{
+        peer::{Acquire, AcquireMode, PassReason, ReleaseOutcome},
+        settings::AdmissionSettings,
+    },
+};
+
+/// Guards against configured lengths that stay wrong although requests show better.
+#[test]
+fn lengths_are_learned_by_team_and_kind() {
+    let owner = Owner::new(&topology(1, 4), AdmissionSettings::default());
+    let ask = |team, work| owner.call(Acquire { team, work, ..acquire(1, AcquireMode::IfRoom) });
+    let learn = |team, work, tokens| {
+        for _ in 0..5 {
+            let grant = ask(team, work).unwrap();
+            owner.release_with(&grant, ReleaseOutcome::Completed, 100, tokens, 20_000);
+        }
+    };
+    learn(1, 1, 900);
+    learn(2, LONG, 30);
+    let long = [(1, 1), (2, 1), (1, LONG), (2, LONG)].map(|(team, work)| {
+        let grant = ask(team, work).unwrap();
+        owner.release_with(&grant, ReleaseOutcome::Unused, 0, 0, 0);
+        grant.long
+    });
+    assert_eq!(long, [true, false, true, false]);
+}
+
+/// Guards against a table that grows with the number of teams.
+#[test]
+fn the_table_of_lengths_is_bounded() {
+    let model = LengthModel::new();
+    for team in 0..24_000u32 {
+        (0..4).for_each(|work| model.observe(team.wrapping_mul(0x9E37_79B9), work, 500));
+    }
+    assert!(model.len() <= 32_768);
+    assert_eq!(model.length(23_999u32.wrapping_mul(0x9E37_79B9), 3, 64).mean_tokens(), 500);
+}
+
+/// Guards against work that turns out long and holds the slots kept for short work.
+#[test]
+fn work_that_turns_out_long_is_demoted_once() {
+    let owner = Owner::new(&topology(1, 4), AdmissionSettings::default());
+    let grants: Vec<_> =
+        (0..2).map(|_| owner.call(acquire(1, AcquireMode::IfRoom)).unwrap()).collect();
+    assert_eq!(owner.admission.progress(&progress(&grants[0], 100, 256, 20_000)), None);
+    for grant in &grants {
+        let demoted = owner.admission.progress(&progress(grant, 100, 257, 20_000)).unwrap();
+        assert_eq!(demoted, Demoted { permit: grant.permit, priority: demoted.priority });
+        assert!(demoted.priority > grant.priority);
+        assert_eq!(owner.admission.progress(&progress(grant, 100, 300, 20_000)), None);
+    }
+    let long = Acquire { work: LONG, ..acquire(1, AcquireMode::IfRoom) };
+    assert_eq!(reason(owner.call(long.clone())), PassReason::NoSlot);
+    owner.release(&grants[0]);
+    assert!(owner.call(long).is_ok());
+}
--- a/crates/router/src/admission/tests/mod.rs
+++ b/crates/router/src/admission/tests/mod.rs
@@ -1,4 +1,9 @@
 mod cap;
 mod fleet;
+mod health;
+mod length;
 mod owner;
+mod permits;
+mod queue;
 mod speed;
+mod warm;
--- a/crates/router/src/admission/tests/owner.rs
+++ b/crates/router/src/admission/tests/owner.rs
@@ -121,6 +121,24 @@
         outcome(result)
     }
 
+    /// Like `call`, for tests with several threads.
+    pub(super) fn call_apart(&self, acquire: Acquire) -> Result<Grant, Refuse> {
+        let (sender, answers) = unbounded();
+        self.admission.acquire(&"a".to_owned(), acquire, Answer(0, sender));
+        outcome(answers.recv().unwrap().1)
+    }
+
+    /// Fills the engine and returns its grants.
+    pub(super) fn fill(&self, endpoint: EndpointKey) -> Vec<Grant> {
+        let call = || self.call(acquire(endpoint, AcquireMode::IfRoom)).ok();
+        std::iter::from_fn(call).inspect(|g| self.confirm(g)).collect()
+    }
+
+    /// Confirms that the request was sent.
+    pub(super) fn confirm(&self, grant: &Grant) {
+        self.admission.progress(&progress(grant, 0, 0, 0));
+    }
+
     /// Next answer that has been given.
     pub(super) fn next(&self) -> Option<(u64, AcquireResult)> {
         self.answers.try_recv().ok()
--- /dev/null
+++ b/crates/router/src/admission/tests/queue.rs
@@ -0,0 +1,194 @@
+use {
+    super::owner::{LONG, MAY_WAIT, Owner, POOL, URGENT, acquire, reason, topology},
+    mango_wire::{
+        peer::{Acquire, AcquireMode, Grant, LoadEntry, PassReason},
+        settings::AdmissionSettings,
+    },
+    std::collections::HashMap,
+};
+
+fn waiting(team: u32, work: u32) -> Acquire {
+    Acquire { team, work, ..acquire(1, AcquireMode::Queue) }
+}
+
+/// Owner of a pool of one engine, whose cap is its slots, and its first grants.
+fn full(slots: u32, settings: AdmissionSettings) -> (Owner, Vec<Grant>) {
+    let owner = Owner::new(&topology(1, slots), settings);
+    let grants = owner.fill(1);
+    assert_eq!(grants.len(), slots as usize);
+    (owner, grants)
+}
+
+/// Releases one grant at a time and returns the requests in the order of their grants.
+fn drain(owner: &Owner, mut grants: Vec<Grant>, count: usize) -> Vec<u64> {
+    let mut order = Vec::new();
+    while order.len() < count {
+        owner.release(&grants.pop().expect("a grant to release"));
+        for (request, result) in owner.answers() {
+            order.push(request);
+            grants.push(result.expect("a grant"));
+        }
+    }
+    order
+}
+
+/// Guards against a surging team that takes the slots of the others.
+#[test]
+fn slots_are_shared_by_weight() {
+    let (owner, grants) = full(4, AdmissionSettings::default());
+    let mut team_of = HashMap::new();
+    for _ in 0..150 {
+        team_of.insert(owner.ask(waiting(1, 1)), 1);
+    }
+    for team in [2, 9].repeat(30) {
+        team_of.insert(owner.ask(waiting(team, 1)), team);
+    }
+    let order = drain(&owner, grants, 50);
+    let count = |team| order.iter().filter(|r| team_of[r] == team).count();
+    assert_eq!((count(1), count(2), count(9)), (10, 10, 30));
+}
+
+/// Guards against urgent work that waits behind other work of its team.
+#[test]
+fn class_and_deadline_order_a_team() {
+    let (owner, grants) = full(1, AdmissionSettings::default());
+    let late = owner.ask(Acquire { remaining_ms: 9_000, ..waiting(1, 1) });
+    let early = owner.ask(Acquire { remaining_ms: 5_000, ..waiting(1, 1) });
+    let urgent = owner.ask(waiting(1, URGENT));
+    assert_eq!(drain(&owner, grants, 3), [urgent, early, late]);
+}
+
+/// Guards against work that may wait and never gets a slot, or gets too many.
+#[test]
+fn work_that_may_wait_gets_its_share() {
+    let (owner, grants) = full(4, AdmissionSettings::default());
+    let may_wait: Vec<_> = (0..20).map(|_| owner.ask(waiting(2, MAY_WAIT))).collect();
+    for _ in 0..200 {
+        owner.ask(waiting(1, 1));
+    }
+    let order = drain(&owner, grants, 100);
+    assert_eq!(order.iter().filter(|r| may_wait.contains(r)).count(), 5);
+}
+
+/// Guards against long work that takes the slots kept for short work, and against
+/// long work that starves behind a stream of short work.
+#[test]
+fn long_work_is_limited_but_not_starved() {
+    let owner = Owner::new(&topology(1, 4), AdmissionSettings::default());
+    let long = Acquire { work: LONG, ..acquire(1, AcquireMode::IfRoom) };
+    let held: Vec<_> = (0..2).map(|_| owner.call(long.clone()).unwrap()).collect();
+    assert!(held[0].long);
+    assert_eq!(reason(owner.call(long)), PassReason::NoSlot);
+    let short = owner.fill(1);
+    assert_eq!(short.len(), 2);
+    let waiting_long = owner.ask(waiting(1, LONG));
+    let others: Vec<_> = (0..40).map(|_| owner.ask(waiting(2, 1))).collect();
+    // a short slot goes to short work although the long request came first
+    owner.release(&short[0]);
+    assert_eq!(owner.answers()[0].0, others[0]);
+    owner.release(&held[0]);
+    let grants: Vec<_> = owner.answers().into_iter().map(|(_, g)| g.unwrap()).collect();
+    assert!(drain(&owner, grants, 30).contains(&waiting_long));
+}
+
+/// Guards against requests that wait for a slot they can't get before their deadline.
+#[test]
+fn hopeless_requests_are_refused_at_once() {
+    let (owner, mut grants) = full(2, AdmissionSettings::default());
+    owner.advance(1_000);
+    owner.release(&grants.pop().unwrap());
+    grants.extend(owner.fill(1));
+    // 2 slots are free each second, so the 12th has to wait 6 s
+    let request = Acquire { remaining_ms: 6_000, ..waiting(1, 1) };
+    for _ in 0..12 {
+        owner.ask(request.clone());
+    }
+    assert!(owner.next().is_none());
+    let refuse = owner.call(request).unwrap_err();
+    assert_eq!((refuse.reason, refuse.retry_after_ms), (PassReason::Deadline, 500));
+    // a team without a backlog is behind one request of the other team only
+    owner.ask(Acquire { remaining_ms: 2_000, ..waiting(2, 1) });
+    assert!(owner.next().is_none());
+}
+
+/// Guards against a slot given to a request whose caller has gone.
+#[test]
+fn expired_requests_get_no_slot() {
+    let (owner, grants) = full(1, AdmissionSettings::default());
+    let expired = owner.ask(Acquire { remaining_ms: 100, ..waiting(1, 1) });
+    let alive = owner.ask(waiting(1, 1));
+    owner.advance(100);
+    owner.release(&grants[0]);
+    let answers = owner.answers();
+    assert_eq!(answers[0].0, expired);
+    assert_eq!(answers[0].1.as_ref().unwrap_err().reason, PassReason::Deadline);
+    assert_eq!(answers[1].0, alive);
+    let expired = owner.ask(Acquire { remaining_ms: 100, ..waiting(1, 1) });
+    owner.advance(100);
+    owner.admission.tick();
+    assert_eq!(owner.next().map(|(request, _)| request), Some(expired));
+}
+
+/// Guards against a full queue that turns away the teams that did not fill it.
+#[test]
+fn the_largest_backlog_is_evicted() {
+    let settings =
+        AdmissionSettings { queue_max: 10, may_wait_queue_max: 2, ..AdmissionSettings::default() };
+    let (owner, _grants) = full(1, settings);
+    let surge: Vec<_> = (0..10).map(|_| owner.ask(waiting(1, 1))).collect();
+    owner.ask(waiting(2, 1));
+    let (evicted, result) = owner.answers().pop().unwrap();
+    assert!(surge.contains(&evicted));
+    let refuse = result.unwrap_err();
+    assert_eq!(refuse.reason, PassReason::QueueFull);
+    assert!(refuse.retry_after_ms > 0);
+    // work that may wait has its own bound
+    owner.ask(waiting(2, MAY_WAIT));
+    owner.ask(waiting(2, MAY_WAIT));
+    assert!(owner.next().is_none());
+    assert_eq!(reason(owner.call(waiting(2, MAY_WAIT))), PassReason::QueueFull);
+}
+
+/// Guards against requests that wait while another engine of the pool is free, and
+/// against sending more of them there than one report allows.
+#[test]
+fn waiting_requests_are_sent_to_a_free_engine() {
+    let owner = Owner::new(&topology(2, 4), AdmissionSettings::default());
+    owner.authority.epoch.store(1, std::sync::atomic::Ordering::SeqCst);
+    owner.admission.set_draining(2, true);
+    let busy = |version, in_flight| LoadEntry {
+        endpoint: 2,
+        epoch: 2,
+        version,
+        in_flight,
+        queued: 0,
+        weight_permille: 1000,
+        age_ms: 0,
+    };
+    owner.table.merge_at(&[busy(1, 4)], owner.now());
+    owner.table.merge_at(&[busy(2, 4)], owner.now());
+    assert_eq!(owner.fill(1).len(), 4);
+    for _ in 0..10 {
+        owner.ask(waiting(1, 1));
+    }
+    owner.admission.loads_merged();
+    assert!(owner.next().is_none());
+    owner.table.merge_at(&[busy(3, 2)], owner.now());
+    owner.admission.loads_merged();
+    owner.admission.tick();
+    let answers = owner.answers();
+    assert!((1..=2).contains(&answers.len()), "{}", answers.len());
+    assert!(answers.iter().all(|(_, r)| r.as_ref().unwrap_err().reason == PassReason::AtCap));
+}
+
+/// Guards against a request that is left without an answer when its pool goes.
+#[test]
+fn requests_of_a_removed_pool_are_answered() {
+    let (owner, _grants) = full(1, AdmissionSettings::default());
+    owner.ask(waiting(1, 1));
+    let mut shape = topology(1, 1);
+    shape.pools[0].key = POOL + 1;
+    owner.admission.set_topology(&shape);
+    let refused = owner.answers().pop().unwrap().1;
+    assert_eq!(reason(refused), PassReason::UnknownEndpoint);
+}
--- /dev/null
+++ b/crates/router/src/admission/tests/warm.rs
@@ -0,0 +1,94 @@
+use {
+    super::owner::{Owner, acquire, reason, topology},
+    mango_wire::{
+        peer::{Acquire, AcquireMode, PassReason, ReleaseOutcome},
+        platform::{CacheEvent, CacheEvents, CacheListing},
+        settings::AdmissionSettings,
+    },
+};
+
+fn owner() -> Owner {
+    let settings = AdmissionSettings { warm_chats_max: 3, ..AdmissionSettings::default() };
+    Owner::new(&topology(1, 4), settings)
+}
+
+fn event(sequence: u64, chat: u64, cached_tokens: u32) -> CacheEvent {
+    CacheEvent { sequence, chat: format!("{chat:016x}"), cached_tokens }
+}
+
+fn apply(owner: &Owner, identity: &str, next_sequence: u64, events: Vec<CacheEvent>) -> bool {
+    let identity = identity.to_owned();
+    owner.admission.cache_events(1, &CacheEvents { identity, next_sequence, events })
+}
+
+fn list(owner: &Owner, identity: &str, next_sequence: u64, chats: Vec<CacheEvent>) {
+    let identity = identity.to_owned();
+    owner.admission.cache_listing(1, &CacheListing { identity, next_sequence, chats });
+}
+
+fn is_warm(owner: &Owner, chat: u64) -> bool {
+    match owner.call(Acquire { chat, ..acquire(1, AcquireMode::IfWarm) }) {
+        Ok(grant) => {
+            owner.release(&grant);
+            grant.warm
+        }
+        refused => {
+            assert_eq!(reason(refused), PassReason::Cold);
+            false
+        }
+    }
+}
+
+/// Guards against missing events that leave the list wrong for good.
+#[test]
+fn a_gap_asks_for_a_listing_which_repairs_the_list() {
+    let owner = owner();
+    list(&owner, "x", 5, vec![event(1, 1, 10), event(2, 2, 10)]);
+    assert!(!apply(&owner, "x", 6, vec![event(5, 1, 0)]));
+    assert!(!is_warm(&owner, 1) && is_warm(&owner, 2));
+    // events 6 and 7 are missing
+    assert!(apply(&owner, "x", 9, vec![event(8, 3, 10)]));
+    assert!(is_warm(&owner, 3));
+    list(&owner, "x", 9, vec![event(7, 7, 10), event(8, 3, 10)]);
+    assert!(is_warm(&owner, 7) && is_warm(&owner, 3) && !is_warm(&owner, 2));
+    assert!(!apply(&owner, "x", 9, vec![]));
+    assert!(apply(&owner, "x", 10, vec![]), "event 9 is missing");
+    assert_eq!(owner.admission.cache_position(1), 10);
+}
+
+/// Guards against a restarted engine whose lost cache still counts as warm.
+#[test]
+fn a_new_identity_clears_the_list() {
+    let owner = owner();
+    list(&owner, "x", 5, vec![event(1, 1, 10)]);
+    assert!(apply(&owner, "y", 1, vec![event(0, 4, 10)]));
+    assert!(!is_warm(&owner, 1) && is_warm(&owner, 4));
+}
+
+/// Guards against events that are read twice and undo newer ones.
+#[test]
+fn repeated_events_are_ignored() {
+    let owner = owner();
+    list(&owner, "x", 5, vec![]);
+    let events = || vec![event(5, 1, 0), event(6, 1, 10)];
+    assert!(!apply(&owner, "x", 7, events()));
+    assert!(!apply(&owner, "x", 7, vec![event(5, 1, 0)]));
+    assert!(is_warm(&owner, 1));
+}
+
+/// Guards against a list that grows without bound or forgets the chats in use.
+#[test]
+fn own_grants_fill_a_bounded_list() {
+    let owner = owner();
+    for chat in [1, 2, 3, 1, 4] {
+        let grant = owner.call(Acquire { chat, ..acquire(1, AcquireMode::IfRoom) }).unwrap();
+        owner.release(&grant);
+    }
+    assert!(is_warm(&owner, 1) && is_warm(&owner, 4) && !is_warm(&owner, 2));
+    let grant = owner.call(Acquire { chat: 5, ..acquire(1, AcquireMode::IfRoom) }).unwrap();
+    list(&owner, "x", 5, vec![]);
+    assert!(is_warm(&owner, 5), "its request runs");
+    owner.release_with(&grant, ReleaseOutcome::Failed, 0, 0, 0);
+    assert!(!is_warm(&owner, 5), "nothing was computed");
+    assert!(!is_warm(&owner, 0));
+}
--- a/crates/router/src/placement/load_table.rs
+++ b/crates/router/src/placement/load_table.rs
@@ -4,7 +4,7 @@
     parking_lot::RwLock,
     std::{
         collections::{HashMap, HashSet},
-        sync::Arc,
+        sync::{Arc, atomic::AtomicU64},
         time::{Duration, Instant},
     },
 };
@@ -15,19 +15,26 @@
     ttl: Duration,
     smoothing: f64,
     cells: RwLock<HashMap<EndpointKey, Arc<LoadCell>>>,
+    /// Requests started on engines of this host. A survey reads the counts one after
+    /// the other, so it subtracts the starts made meanwhile.
+    local_starts: Arc<AtomicU64>,
 }
 
 impl LoadTable {
     /// Creates an empty table. `ttl` is the age after which a count is not used;
     /// `smoothing` is the weight of a new sample of speed.
     pub(crate) fn new(ttl: Duration, smoothing: f64) -> Self {
-        Self { ttl, smoothing, cells: RwLock::default() }
+        Self { ttl, smoothing, cells: RwLock::default(), local_starts: Arc::default() }
     }
 
     pub(crate) fn ttl(&self) -> Duration {
         self.ttl
     }
 
+    pub(crate) fn local_starts(&self) -> Arc<AtomicU64> {
+        self.local_starts.clone()
+    }
+
     /// Cell of an engine; created when missing.
     pub(crate) fn cell(&self, endpoint: EndpointKey) -> Arc<LoadCell> {
         if let Some(cell) = self.cells.read().get(&endpoint) {
--- a/crates/router/src/placement/pool_view.rs
+++ b/crates/router/src/placement/pool_view.rs
@@ -1,13 +1,17 @@
 use {
     super::{
         free_engine::FreeEngine, load_table::LoadTable, pool_member::PoolMember,
-        pool_speed::PoolSpeed, survey::Survey, topology::Topology, total_estimate::TotalEstimate,
+        pool_spec::PoolSpec, pool_speed::PoolSpeed, survey::Survey, topology::Topology,
+        total_estimate::TotalEstimate,
     },
     mango_wire::{EndpointKey, PoolKey},
     parking_lot::Mutex,
     std::{
         collections::HashMap,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -27,6 +31,7 @@
     pub(crate) members: Vec<PoolMember>,
     weight_sum: f64,
     max_degraded: usize,
+    local_starts: Arc<AtomicU64>,
     median: Mutex<Option<(Instant, PoolSpeed)>>,
 }
 
@@ -44,19 +49,21 @@
             let (slots, weight) = (spec.slots, spec.weight.max(0.0));
             Some(PoolMember { key: *key, slots, weight, cell: table.cell(*key) })
         };
-        let view = |pool: &super::PoolSpec| {
+        let view = |pool: &PoolSpec| {
             let members: Vec<_> = pool.engines.iter().filter_map(member).collect();
-            Self::new(pool.key, pool.cap_multiple, members, max_degraded_share)
+            PoolView {
+                key: pool.key,
+                cap_multiple: pool.cap_multiple,
+                weight_sum: members.iter().map(|m| m.weight).sum(),
+                max_degraded: max_degraded(members.len(), max_degraded_share),
+                members,
+                local_starts: table.local_starts(),
+                median: Mutex::new(None),
+            }
         };
         topology.pools.iter().map(|pool| (pool.key, Arc::new(view(pool)))).collect()
     }
 
-    fn new(key: PoolKey, cap_multiple: f64, members: Vec<PoolMember>, share: f64) -> Self {
-        let weight_sum = members.iter().map(|m| m.weight).sum();
-        let max_degraded = max_degraded(members.len(), share);
-        Self { key, cap_multiple, members, weight_sum, max_degraded, median: Mutex::new(None) }
-    }
-
     /// Requests in flight; unknown and too old counts are 0.
     pub(crate) fn total(&self, now: Instant) -> u32 {
         self.members.iter().map(|m| m.count(now).0).sum()
@@ -72,6 +79,7 @@
     ) -> Survey {
         let mut survey =
             Survey { in_flight: 0, weight_sum: self.weight_sum, full_weight: 0.0, weight: 0.0 };
+        let starts = self.local_starts.load(Ordering::SeqCst);
         let mut total = TotalEstimate::default();
         let mut slow = Vec::new();
         for member in &self.members {
@@ -87,7 +95,9 @@
                 slow.push((permille, member.key, member.weight));
             }
         }
-        survey.in_flight = total.cautious();
+        let started = self.local_starts.load(Ordering::SeqCst) - starts;
+        let started = u32::try_from(started).unwrap_or(u32::MAX);
+        survey.in_flight = total.cautious().saturating_sub(started);
         for (permille, key, weight) in self.limit_degraded(slow) {
             let reduced = weight * f64::from(permille) / 1000.0;
             survey.weight_sum -= weight - reduced;
--- a/crates/router/src/placement/tests.rs
+++ b/crates/router/src/placement/tests.rs
@@ -1,1 +1,195 @@
+use {
+    super::{
+        Candidate, EngineSpec, LoadTable, Planner, PoolSpec, PoolView, Topology, TotalEstimate,
+        rank,
+    },
+    mango_wire::{
+        peer::{AcquireMode, LoadEntry},
+        settings::Policy,
+    },
+    proptest::prelude::*,
+    std::{
+        collections::HashMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
 
+const TTL: Duration = Duration::from_millis(1000);
+
+fn topology(engines: u32) -> Topology {
+    let engine = |key| EngineSpec { key, id: key.to_string(), slots: 16, weight: 1.0 };
+    Topology {
+        engines: (1..=engines).map(engine).collect(),
+        pools: vec![PoolSpec { key: 1, cap_multiple: 1.25, engines: (1..=engines).collect() }],
+        ..Topology::default()
+    }
+}
+
+fn report(endpoint: u32, in_flight: u16) -> LoadEntry {
+    let (epoch, version, queued, weight_permille, age_ms) = (1, 1, 0, 1000, 0);
+    LoadEntry { endpoint, epoch, version, in_flight, queued, weight_permille, age_ms }
+}
+
+fn planner(policy: Policy, engines: u32) -> (Planner, Arc<LoadTable>) {
+    let table = Arc::new(LoadTable::new(TTL, 0.3));
+    let planner = Planner::new(policy, 0.3, table.clone(), 7);
+    planner.set_topology(&topology(engines));
+    (planner, table)
+}
+
+fn view(table: &LoadTable, engines: u32) -> Arc<PoolView> {
+    PoolView::build(&topology(engines), table, 0.3).remove(&1).unwrap()
+}
+
+proptest! {
+    /// Guards against a change of one engine that moves the chats of the others.
+    #[test]
+    fn only_the_chats_of_a_leaving_engine_move(
+        weights in prop::collection::vec(0.5f64..4.0, 2..30),
+        gone in any::<prop::sample::Index>(),
+        chat in any::<u64>(),
+    ) {
+        let engines: Vec<(u32, f64)> = (1u32..).zip(weights).collect();
+        let gone = engines[gone.index(engines.len())].0;
+        let left = engines.iter().copied().filter(|(key, _)| *key != gone);
+        let mut before = rank(chat, engines.iter().copied());
+        before.retain(|key| *key != gone);
+        prop_assert_eq!(before, rank(chat, left));
+    }
+
+    /// Guards against a total that is higher than the newest counts.
+    #[test]
+    fn the_cautious_total_is_no_more_than_the_newest(
+        counts in prop::collection::vec((0u32..50, 0u32..50), 0..40),
+    ) {
+        let mut total = TotalEstimate::default();
+        counts.iter().for_each(|(newest, earlier)| total.add(*newest, *earlier));
+        prop_assert!(total.cautious() <= total.newest());
+    }
+}
+
+/// Guards against engines that get more or fewer chats than their weight says.
+#[test]
+fn chats_are_spread_by_weight() {
+    let engines = [(1u32, 1.0), (2, 1.0), (3, 2.0), (4, 0.0)];
+    let mut homes = HashMap::new();
+    for chat in 1..=40_000u64 {
+        *homes.entry(rank(chat, engines)[0]).or_insert(0u32) += 1;
+    }
+    for (engine, share) in [(1, 10_000), (2, 10_000), (3, 20_000)] {
+        let chats = homes[&engine];
+        assert!(chats.abs_diff(share) < 500, "{chats} of {share}");
+    }
+    assert!(!homes.contains_key(&4));
+}
+
+/// Guards against an old owner's or a repeated report that replaces a newer one.
+#[test]
+fn only_newer_reports_are_taken() {
+    let table = LoadTable::new(TTL, 0.3);
+    table.cell(1);
+    let entry = |epoch, version, in_flight| LoadEntry { epoch, version, ..report(1, in_flight) };
+    let merges =
+        [(2, 5, 4, 1), (2, 5, 9, 0), (2, 4, 9, 0), (1, 9, 9, 0), (2, 6, 5, 1), (3, 1, 6, 1)];
+    for (epoch, version, in_flight, news) in merges {
+        assert_eq!(table.merge(&[entry(epoch, version, in_flight)]).len(), news);
+    }
+    assert_eq!(table.load(1).unwrap().in_flight, 6);
+    assert!(table.merge(&[report(99, 1)]).is_empty(), "not configured");
+}
+
+/// Guards against an age that starts anew at each host that forwards a report.
+#[test]
+fn reports_age_on_their_way() {
+    let table = LoadTable::new(TTL, 0.3);
+    let pool = view(&table, 2);
+    let now = Instant::now();
+    table.merge_at(&[LoadEntry { age_ms: 600, ..report(1, 5) }], now);
+    assert_eq!(pool.total(now + Duration::from_millis(399)), 5);
+    assert_eq!(pool.total(now + Duration::from_millis(400)), 0);
+    let late = now + Duration::from_millis(100);
+    assert_eq!(table.cell(1).last().unwrap().to_entry(1, late).age_ms, 700);
+}
+
+/// Guards against a work move that counts as two requests.
+#[test]
+fn moved_requests_are_not_counted_twice() {
+    let mut total = TotalEstimate::default();
+    // engine 1 has not yet reported that its 6 requests ended
+    total.add(6, 6);
+    total.add(0, 6);
+    total.add(6, 0);
+    assert_eq!((total.newest(), total.cautious()), (12, 9));
+}
+
+/// Guards against tries in another order than the design page says.
+#[test]
+fn candidates_follow_the_order_of_the_design() {
+    let (planner, table) = planner(Policy::Owner, 6);
+    let ranked = rank(42, (1..=6u32).map(|key| (key, 1.0)));
+    let loads: Vec<_> = (0u16..).zip(&ranked).map(|(load, key)| report(*key, 9 - load)).collect();
+    table.merge(&loads);
+    let steps = |returning| -> Vec<_> {
+        let steps = planner.plan(1, 42, returning).unwrap();
+        steps.map(|Candidate { endpoint, mode }| (endpoint, mode)).collect()
+    };
+    use AcquireMode::{IfRoom, IfWarm, Queue};
+    let (home, second) = (ranked[0], ranked[1]);
+    let rest = [(home, IfRoom), (second, IfRoom), (ranked[5], IfRoom), (ranked[4], IfRoom)];
+    let rest: Vec<_> = rest.into_iter().chain([(home, Queue)]).collect();
+    assert_eq!(steps(false), rest);
+    assert_eq!(steps(true), [vec![(home, IfWarm), (second, IfWarm)], rest].concat());
+    assert!(planner.plan(2, 42, true).is_none());
+}
+
+/// Guards against a redirected request that asks the same engines forever or never
+/// queues again.
+#[test]
+fn a_redirected_request_searches_again() {
+    let (planner, table) = planner(Policy::Owner, 3);
+    let mut plan = planner.plan(1, 42, false).unwrap();
+    let queue = plan.by_ref().last().unwrap();
+    table.merge(&[report(1, 2), report(2, 16), report(3, 1)]);
+    plan.search_again();
+    let steps: Vec<_> = plan.map(|c| (c.endpoint, c.mode)).collect();
+    let room = AcquireMode::IfRoom;
+    assert_eq!(steps, [(3, room), (1, room), (queue.endpoint, AcquireMode::Queue)]);
+}
+
+/// Guards against queueing at a slow home while the second choice is healthy.
+#[test]
+fn requests_do_not_queue_at_a_degraded_home() {
+    let (planner, table) = planner(Policy::Owner, 4);
+    let ranked = rank(42, (1..=4u32).map(|key| (key, 1.0)));
+    table.merge(&[LoadEntry { weight_permille: 200, ..report(ranked[0], 16) }]);
+    let last = planner.plan(1, 42, false).unwrap().last().unwrap();
+    assert_eq!((last.endpoint, last.mode), (ranked[1], AcquireMode::Queue));
+}
+
+/// Guards against baselines that choose by other rules than their names say.
+#[test]
+fn baselines_choose_one_engine() {
+    let chosen = |policy, chat| -> Vec<u32> {
+        let (planner, _) = planner(policy, 8);
+        for engine in 1..=8 {
+            planner.set_reported(engine, if engine == 5 { 0 } else { 10 + engine });
+        }
+        let plan = |_| {
+            let steps: Vec<_> = planner.plan(1, chat, true).unwrap().collect();
+            assert_eq!((steps.len(), steps[0].mode), (1, AcquireMode::Queue));
+            steps[0].endpoint
+        };
+        (0..800).map(plan).collect()
+    };
+    let share = |chosen: &[u32], engine| chosen.iter().filter(|e| **e == engine).count();
+    let random = chosen(Policy::Random, 42);
+    assert!((1..=8).all(|engine| (60..150).contains(&share(&random, engine))));
+    assert_eq!(random, chosen(Policy::Random, 42), "equal seeds choose equally");
+    assert_eq!(share(&chosen(Policy::LeastReported, 42), 5), 800);
+    let two = chosen(Policy::TwoChoices, 42);
+    // the least loaded engine is among two of 8 in 15 of 64 cases, the most loaded wins in 1
+    assert!((140..240).contains(&share(&two, 5)) && share(&two, 8) < 40);
+    let home = rank(42, (1..=8u32).map(|key| (key, 1.0)))[0];
+    assert_eq!(share(&chosen(Policy::Rendezvous, 42), home), 800);
+}
