--- a/crates/router/src/admission/tests/mod.rs
+++ b/crates/router/src/admission/tests/mod.rs
@@ -1,3 +1,4 @@
+mod answers;
 mod cap;
 mod fleet;
 mod health;
