--- /dev/null
+++ b/crates/router/src/admission/tests/mod.rs
@@ -0,0 +1,10 @@
+mod answers;
+mod cap;
+mod fleet;
+mod health;
+mod length;
+mod owner;
+mod permits;
+mod queue;
+mod speed;
+mod warm;
--- a/crates/router/src/placement/rendezvous.rs
+++ b/crates/router/src/placement/rendezvous.rs
@@ -1,26 +1,23 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Score of a candidate for a key in weighted rendezvous hashing. The candidate
-/// with the highest score is the choice; a candidate's share of the keys is
-/// proportional to its weight. A weight of 0 or less scores below all others.
-pub(crate) fn rendezvous_score(key_hash: u64, candidate: &str, weight: f64) -> f64 {
-    if weight <= 0.0 {
-        return f64::NEG_INFINITY;
-    }
-    let hash = xxh3_64_with_seed(candidate.as_bytes(), key_hash);
-    // the upper 53 bits as a number strictly between 0 and 1
+/// Score of a member for a subject. The member with the highest score wins, and
+/// each member wins a share of subjects in proportion to its weight.
+pub(crate) fn score(subject: u64, member: u64, weight: f64) -> f64 {
+    let hash = xxh3_64_with_seed(&subject.to_le_bytes(), member);
+    // 53 bits fill a double's mantissa; the half keeps the value inside (0, 1)
     let uniform = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    weight / -uniform.ln()
+    weight.max(0.0) / -uniform.ln()
 }
 
-/// Ranks candidates of equal weight for a key, best first. Equal scores are
-/// ordered by name, so that all hosts agree.
-pub(crate) fn rendezvous_rank<'a>(
-    key_hash: u64,
-    candidates: impl Iterator<Item = &'a str>,
-) -> Vec<&'a str> {
-    let mut scored: Vec<(f64, &str)> =
-        candidates.map(|name| (rendezvous_score(key_hash, name, 1.0), name)).collect();
-    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
-    scored.into_iter().map(|(_, name)| name).collect()
+/// Orders members by score for a subject, best first; ties go to the lower key.
+pub(crate) fn rank<K: Copy + Ord + Into<u64>>(
+    subject: u64,
+    members: impl IntoIterator<Item = (K, f64)>,
+) -> Vec<K> {
+    let mut scored: Vec<(f64, K)> = members
+        .into_iter()
+        .map(|(key, weight)| (score(subject, key.into(), weight), key))
+        .collect();
+    scored.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+    scored.into_iter().map(|(_, key)| key).collect()
 }
