--- a/crates/router/src/platform/mod.rs
+++ b/crates/router/src/platform/mod.rs
@@ -1,5 +1,6 @@
 mod log_client;
 mod log_error;
 mod log_metrics;
+mod record_log;
 
-pub(crate) use {log_client::LogClient, log_error::LogError};
+pub(crate) use {log_client::LogClient, log_error::LogError, record_log::RecordLog};
