--- a/crates/router/src/claims/tests/batching.rs
+++ b/crates/router/src/claims/tests/batching.rs
@@ -1,5 +1,8 @@
 use {
-    super::fleet::{LONG_MS, SHORT_MS, START_MS, TestFleet, key_at},
+    super::{
+        fleet::{LONG_MS, RETENTION_MS, SHORT_MS, START_MS, key_at, serving_host},
+        test_log::Stage,
+    },
     crate::claims::{KeyError, key_issued_at_ms},
     mango_wire::peer::ClaimResult,
     std::{thread, time::Duration},
@@ -10,8 +13,7 @@
 /// against records above the log's limit.
 #[test]
 fn concurrent_claims_share_bounded_batches() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
+    let (fleet, host) = serving_host();
     fleet.log.set(|faults| faults.delay = Duration::from_millis(10));
     let replies: Vec<_> =
         (0..200).map(|i| host.start(&fleet.key(), &format!("r{i}"), LONG_MS)).collect();
@@ -25,8 +27,7 @@
 /// Guards against a repeat that runs again, or gets an answer that is not the first's.
 #[test]
 fn repeats_get_the_stored_answer() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
+    let (fleet, host) = serving_host();
     let (key, large) = (fleet.key(), fleet.key());
     assert_eq!(host.result(&key, "a"), ClaimResult::Granted);
     let joined = host.start(&key, "b", LONG_MS);
@@ -43,8 +44,7 @@
 /// Guards against a key that runs a second, different request.
 #[test]
 fn another_body_is_refused() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
+    let (fleet, host) = serving_host();
     let key = fleet.key();
     assert_eq!(host.result(&key, "a"), ClaimResult::Granted);
     let reply = host.start_with(&key, "b", LONG_MS, 2).recv().unwrap();
@@ -54,8 +54,7 @@
 /// Guards against a repeat that hangs, or is run, while the first request runs.
 #[test]
 fn a_repeat_waits_no_longer_than_its_deadline() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
+    let (fleet, host) = serving_host();
     let key = fleet.key();
     assert_eq!(host.result(&key, "a"), ClaimResult::Granted);
     assert_eq!(host.claim(&key, "b", SHORT_MS).result, ClaimResult::InProgress);
@@ -65,8 +64,7 @@
 /// Guards against a key that stays blocked although nothing was sent.
 #[test]
 fn an_abandoned_key_goes_to_a_waiting_repeat() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
+    let (fleet, host) = serving_host();
     let key = fleet.key();
     assert_eq!(host.result(&key, "a"), ClaimResult::Granted);
     let joined = host.start(&key, "b", LONG_MS);
@@ -79,8 +77,7 @@
 /// Guards against a second run after a failure that may have come after the effect.
 #[test]
 fn failed_and_orphaned_requests_may_have_run() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
+    let (fleet, host) = serving_host();
     let (failed, orphan) = (fleet.key(), fleet.key());
     assert_eq!(host.result(&failed, "a"), ClaimResult::Granted);
     host.finish(&failed, "a", 0, b"");
@@ -96,23 +93,20 @@
 /// Guards against a key whose claim the log has dropped, also after a clock jump back.
 #[test]
 fn old_keys_are_refused() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
+    let (fleet, host) = serving_host();
     let key = fleet.key();
     assert_eq!(host.result(&key, "a"), ClaimResult::Granted);
-    fleet.advance(super::fleet::RETENTION_MS);
+    fleet.advance(RETENTION_MS);
     assert_eq!(host.result(&key, "b"), ClaimResult::KeyExpired);
-    fleet.advance(super::fleet::RETENTION_MS.wrapping_neg());
+    fleet.advance(RETENTION_MS.wrapping_neg());
     assert_eq!(host.result(&key, "c"), ClaimResult::KeyExpired);
 }
 
 /// Guards against a grant that nobody uses and that blocks its key for good.
 #[test]
 fn a_grant_after_the_deadline_is_given_up() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
+    let (fleet, host) = serving_host();
     let key = fleet.key();
-    assert_eq!(host.result(&fleet.key(), "first"), ClaimResult::Granted);
     fleet.log.set(|faults| faults.delay = Duration::from_millis(60));
     assert_eq!(host.start(&key, "a", 30).recv().unwrap().result, ClaimResult::Unavailable);
     fleet.log.set(|faults| faults.delay = Duration::ZERO);
@@ -124,18 +118,19 @@
 /// the log, which would then free the key of a running request.
 #[test]
 fn a_request_that_was_given_up_is_not_granted_before_its_abandonment() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
-    assert_eq!(host.result(&fleet.key(), "first"), ClaimResult::Granted);
+    let (fleet, host) = serving_host();
     let key = fleet.key();
+    let stop = host.log.stop_at(Stage::BeforeAppend);
+    let first = host.start(&key, "a", 30);
+    stop.reached.recv().unwrap();
     fleet.log.set(|faults| faults.down = true);
-    assert_eq!(host.start(&key, "a", 30).recv().unwrap().result, ClaimResult::Unavailable);
-    let again = host.start(&key, "a", LONG_MS);
     thread::sleep(Duration::from_millis(30));
+    stop.resume.send(()).unwrap();
+    assert_eq!(first.recv().unwrap().result, ClaimResult::Unavailable);
+    assert_eq!(host.claim(&key, "a", LONG_MS).result, ClaimResult::Unavailable);
     fleet.log.set(|faults| faults.down = false);
-    assert_eq!(again.recv().unwrap().result, ClaimResult::Unavailable);
     assert_eq!(host.claim(&key, "b", LONG_MS).result, ClaimResult::Granted);
-    assert_eq!(fleet.grants.lock()[&key], ["b"]);
+    assert!(fleet.grants.lock()[&key].iter().eq(["b"]));
 }
 
 /// Guards against two spellings of one key, which would be claimed in two ranges, and
--- a/crates/router/src/claims/tests/fleet.rs
+++ b/crates/router/src/claims/tests/fleet.rs
@@ -7,11 +7,12 @@
     crossbeam::channel::{Receiver, unbounded},
     mango_wire::{
         Epoch,
-        peer::{AbandonReport, ClaimReply, ClaimRequest, ClaimResult, OutcomeReport},
+        peer::{ClaimReply, ClaimRequest, ClaimResult},
     },
     parking_lot::Mutex,
+    serde_json::json,
     std::{
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -74,7 +75,7 @@
 }
 
 /// Requests that were granted, by key.
-pub(super) type Grants = HashMap<String, Vec<String>>;
+pub(super) type Grants = HashMap<String, BTreeSet<String>>;
 
 /// Hosts that share a log, a clock and the knowledge of outages.
 #[derive(Default)]
@@ -152,22 +153,15 @@
         body_digest: u64,
     ) -> Receiver<ClaimReply> {
         let (sender, receiver) = unbounded();
-        let request = ClaimRequest {
-            range: 0,
-            team: "firma".to_owned(),
-            key: key.to_owned(),
-            request_id: request_id.to_owned(),
-            body_digest,
-            remaining_ms,
-        };
+        let request: ClaimRequest = serde_json::from_value(json!({
+            "range": 0, "team": "firma", "key": key, "request_id": request_id,
+            "body_digest": body_digest, "remaining_ms": remaining_ms,
+        }))
+        .unwrap();
         let (grants, key, id) = (self.grants.clone(), key.to_owned(), request_id.to_owned());
         self.claims.claim(request, move |reply| {
             if reply.result == ClaimResult::Granted {
-                let mut grants = grants.lock();
-                let ids = grants.entry(key).or_default();
-                if !ids.contains(&id) {
-                    ids.push(id);
-                }
+                grants.lock().entry(key).or_default().insert(id);
             }
             let _ = sender.send(reply);
         });
@@ -192,25 +186,16 @@
     }
 
     pub(super) fn finish(&self, key: &str, request_id: &str, status: u16, body: &[u8]) {
-        self.claims.outcome(OutcomeReport {
-            range: 0,
-            team: "firma".to_owned(),
-            key: key.to_owned(),
-            request_id: request_id.to_owned(),
-            status,
-            content_type: "text/plain".to_owned(),
-            body: body.to_vec(),
-            body_kept: true,
+        let report = json!({
+            "range": 0, "team": "firma", "key": key, "request_id": request_id, "status": status,
+            "content_type": "text/plain", "body": body, "body_kept": true,
         });
+        self.claims.outcome(serde_json::from_value(report).unwrap());
     }
 
     pub(super) fn abandon(&self, key: &str, request_id: &str) {
-        self.claims.abandon(AbandonReport {
-            range: 0,
-            team: "firma".to_owned(),
-            key: key.to_owned(),
-            request_id: request_id.to_owned(),
-        });
+        let report = json!({ "range": 0, "team": "firma", "key": key, "request_id": request_id });
+        self.claims.abandon(serde_json::from_value(report).unwrap());
     }
 
     pub(super) fn settle(&self) {
@@ -218,6 +203,15 @@
     }
 }
 
+/// A fleet whose host `h1` serves the range under epoch 1.
+pub(super) fn serving_host() -> (TestFleet, TestHost) {
+    let fleet = TestFleet::new();
+    let host = fleet.host("h1", Some(1));
+    assert_eq!(host.result(&fleet.key(), "first"), ClaimResult::Granted);
+    host.settle();
+    (fleet, host)
+}
+
 /// A version 7 UUID issued at `issued_ms`.
 pub(super) fn key_at(issued_ms: u64) -> String {
     let random = Uuid::new_v4().into_bytes();
--- a/crates/router/src/claims/tests/outage.rs
+++ b/crates/router/src/claims/tests/outage.rs
@@ -1,23 +1,16 @@
 use {
-    super::fleet::{LEASE_MS, LONG_MS, SKEW_MS, TestFleet, TestHost, key_at},
+    super::fleet::{LEASE_MS, LONG_MS, SKEW_MS, TestFleet, key_at, serving_host},
     mango_wire::peer::ClaimResult,
     std::time::Duration,
 };
 
 const OUTAGE_MS: u64 = 30_000;
 
-fn wait_until_serving(fleet: &TestFleet, host: &TestHost) {
-    assert_eq!(host.result(&fleet.key(), "first"), ClaimResult::Granted);
-    host.settle();
-}
-
 /// Guards against claims made in an outage that the successor does not know, although
 /// the owner flushed them, and against a flushed outage that makes keys uncertain.
 #[test]
 fn flushed_claims_are_known_to_the_successor() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
-    wait_until_serving(&fleet, &host);
+    let (fleet, host) = serving_host();
     let began_ms = fleet.begin_outage();
     host.authority.set(Some(1), true);
     let (done, running, abandoned, unused) = (fleet.key(), fleet.key(), fleet.key(), fleet.key());
@@ -48,9 +41,7 @@
 /// uncertainty also holds for the successor's successor.
 #[test]
 fn unknown_keys_of_an_unflushed_outage_may_have_run() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
-    wait_until_serving(&fleet, &host);
+    let (fleet, host) = serving_host();
     let began_ms = fleet.begin_outage();
     host.authority.set(Some(1), true);
     let key = fleet.key();
@@ -80,9 +71,7 @@
 #[test]
 fn a_claim_in_flight_stays_undecided_until_the_outage_is_verified() {
     for takes_effect in [false, true] {
-        let fleet = TestFleet::new();
-        let host = fleet.host("h1", Some(1));
-        wait_until_serving(&fleet, &host);
+        let (fleet, host) = serving_host();
         let key = fleet.key();
         fleet.log.set(|faults| faults.hold_back = true);
         let undecided = host.start(&key, "a", LONG_MS);
@@ -119,9 +108,7 @@
 /// verified, when another host may own the range.
 #[test]
 fn an_unverified_outage_grants_nothing() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
-    wait_until_serving(&fleet, &host);
+    let (fleet, host) = serving_host();
     fleet.begin_outage();
     let in_flight = host.start(&fleet.key(), "a", LONG_MS);
     assert_eq!(host.result(&fleet.key(), "b"), ClaimResult::Unavailable);
--- a/crates/router/src/claims/tests/random.rs
+++ b/crates/router/src/claims/tests/random.rs
@@ -2,7 +2,7 @@
     super::fleet::{Grants, TestFleet, TestHost},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         thread,
         time::Duration,
     },
@@ -13,7 +13,7 @@
 
 /// Requests that were granted and not abandoned, for each key that has several.
 fn doubled(grants: &Grants, abandoned: &HashSet<String>) -> Vec<Vec<String>> {
-    let kept = |ids: &Vec<String>| -> Vec<String> {
+    let kept = |ids: &BTreeSet<String>| -> Vec<String> {
         ids.iter().filter(|id| !abandoned.contains(*id)).cloned().collect()
     };
     grants.values().map(kept).filter(|ids| ids.len() > 1).collect()
@@ -93,18 +93,19 @@
     }
     thread::sleep(Duration::from_millis(100));
     let grants = fleet.grants.lock();
-    (doubled(&grants, &abandoned), grants.values().map(Vec::len).sum())
+    let doubled = doubled(&grants, &abandoned);
+    if !doubled.is_empty() && !hide_other_epochs {
+        eprintln!("seed {seed}: {doubled:?}");
+    }
+    (doubled, grants.values().map(BTreeSet::len).sum())
 }
 
-fn run_all(hide_other_epochs: bool) -> Vec<(u64, Vec<Vec<String>>, usize)> {
-    let run_some = move |first: u64| {
-        (first..SEEDS).step_by(6).map(move |seed| {
-            let (doubled, granted) = run(seed, hide_other_epochs);
-            (seed, doubled, granted)
-        })
+/// Runs all seeds, six at a time.
+fn run_all(hide_other_epochs: bool) -> Vec<(Vec<Vec<String>>, usize)> {
+    let run_some = move |first: u64| -> Vec<_> {
+        (first..SEEDS).step_by(6).map(|seed| run(seed, hide_other_epochs)).collect()
     };
-    let threads: Vec<_> =
-        (0..6).map(|first| thread::spawn(move || run_some(first).collect::<Vec<_>>())).collect();
+    let threads: Vec<_> = (0..6).map(|first| thread::spawn(move || run_some(first))).collect();
     threads.into_iter().flat_map(|t| t.join().unwrap()).collect()
 }
 
@@ -113,10 +114,10 @@
 #[test]
 fn random_schedules_grant_each_key_once() {
     let runs = run_all(false);
-    for (seed, doubled, _) in &runs {
-        assert!(doubled.is_empty(), "seed {seed}: {doubled:?}");
+    for (doubled, _) in &runs {
+        assert!(doubled.is_empty(), "{doubled:?}");
     }
-    let granted: usize = runs.iter().map(|(_, _, granted)| granted).sum();
+    let granted: usize = runs.iter().map(|(_, granted)| granted).sum();
     assert!(granted > SEEDS as usize * 3, "only {granted} grants: the schedules test too little");
 }
 
@@ -124,13 +125,13 @@
 /// their predecessors' records are found out.
 #[test]
 fn the_checker_rejects_owners_that_ignore_older_records() {
-    assert!(run_all(true).iter().any(|(_, doubled, _)| !doubled.is_empty()));
+    assert!(run_all(true).iter().any(|(doubled, _)| !doubled.is_empty()));
 }
 
 /// Guards against a checker that counts a grant which was given up.
 #[test]
 fn abandoned_grants_are_not_counted() {
-    let grants = Grants::from([("k".to_owned(), vec!["a".to_owned(), "b".to_owned()])]);
+    let grants = Grants::from([("k".to_owned(), BTreeSet::from(["a".to_owned(), "b".to_owned()]))]);
     assert_eq!(doubled(&grants, &HashSet::new()).len(), 1);
     assert!(doubled(&grants, &HashSet::from(["a".to_owned()])).is_empty());
 }
--- a/crates/router/src/claims/tests/takeover.rs
+++ b/crates/router/src/claims/tests/takeover.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        fleet::{LONG_MS, TestFleet},
+        fleet::{LONG_MS, serving_host},
         test_log::Stage,
     },
     mango_wire::peer::ClaimResult,
@@ -16,20 +16,17 @@
 fn a_paused_owner_never_grants_a_key_twice() {
     for stage in STAGES {
         for still_believes in [false, true] {
-            let fleet = TestFleet::new();
-            let old = fleet.host("h1", Some(1));
-            assert_eq!(old.result(&fleet.key(), "first"), ClaimResult::Granted);
-            old.settle();
+            let (fleet, old) = serving_host();
             let key = fleet.key();
-            old.log.stop_at(stage);
+            let stop = old.log.stop_at(stage);
             let undecided = old.start(&key, "a", LONG_MS);
-            old.log.wait_until_stopped();
+            stop.reached.recv().unwrap();
             let new = fleet.host("h2", Some(2));
             if !still_believes {
                 old.authority.set(None, false);
             }
             let second = new.result(&key, "b");
-            old.log.resume();
+            stop.resume.send(()).unwrap();
             let first = undecided.recv().unwrap().result;
             let on_log = stage != Stage::BeforeAppend;
             let expected = if on_log { ClaimResult::InProgress } else { ClaimResult::Granted };
@@ -47,21 +44,18 @@
 #[test]
 fn a_claim_survives_a_crash_at_any_point() {
     for stage in STAGES {
-        let fleet = TestFleet::new();
-        let old = fleet.host("h1", Some(1));
-        assert_eq!(old.result(&fleet.key(), "first"), ClaimResult::Granted);
-        old.settle();
+        let (fleet, old) = serving_host();
         let key = fleet.key();
-        old.log.stop_at(stage);
+        let stop = old.log.stop_at(stage);
         let _undecided = old.start(&key, "a", LONG_MS);
-        old.log.wait_until_stopped();
+        stop.reached.recv().unwrap();
         old.authority.set(None, false);
         let new = fleet.host("h2", Some(2));
         assert_eq!(new.result(&key, "a"), ClaimResult::Granted, "{stage:?}");
         assert_eq!(new.result(&key, "b"), ClaimResult::InProgress, "{stage:?}");
         new.finish(&key, "a", 200, b"done");
         assert_eq!(new.claim(&key, "c", LONG_MS).body, b"done", "{stage:?}");
-        old.log.resume();
+        stop.resume.send(()).unwrap();
     }
 }
 
@@ -69,9 +63,7 @@
 /// leaves the claim undecided.
 #[test]
 fn a_lost_answer_is_recognised_by_the_batch_id() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
-    assert_eq!(host.result(&fleet.key(), "first"), ClaimResult::Granted);
+    let (fleet, host) = serving_host();
     fleet.log.set(|faults| faults.lose_answers = true);
     let key = fleet.key();
     assert_eq!(host.claim(&key, "a", LONG_MS).result, ClaimResult::Granted);
@@ -87,10 +79,8 @@
 /// freed and claimed by another request.
 #[test]
 fn a_delayed_append_has_no_second_effect() {
-    let fleet = TestFleet::new();
-    let host = fleet.host("h1", Some(1));
+    let (fleet, host) = serving_host();
     let key = fleet.key();
-    assert_eq!(host.result(&fleet.key(), "first"), ClaimResult::Granted);
     fleet.log.set(|faults| faults.hold_back = true);
     let undecided = host.start(&key, "a", LONG_MS);
     assert!(undecided.recv_timeout(std::time::Duration::from_millis(50)).is_err());
--- a/crates/router/src/claims/tests/test_log.rs
+++ b/crates/router/src/claims/tests/test_log.rs
@@ -1,11 +1,12 @@
 use {
     crate::platform::{LogError, RecordLog},
+    crossbeam::channel::{Receiver, Sender, bounded},
     mango_wire::{
         Epoch, Offset,
         platform::{LogRecord, ReadReply},
         records::ClaimBatch,
     },
-    parking_lot::{Condvar, Mutex},
+    parking_lot::Mutex,
     std::{
         sync::Arc,
         thread,
@@ -45,10 +46,14 @@
 /// A host's view of the log. It can be stopped at one stage.
 pub(super) struct HostLog {
     shared: Arc<TestLog>,
-    pub(super) last_epoch: Mutex<Epoch>,
-    stop_at: Mutex<Option<Stage>>,
-    stopped: Mutex<bool>,
-    changed: Condvar,
+    own_epoch: Mutex<Epoch>,
+    stop: Mutex<Option<(Stage, Sender<()>, Receiver<()>)>>,
+}
+
+/// A stop of a host at one stage of its next append.
+pub(super) struct Stop {
+    pub(super) reached: Receiver<()>,
+    pub(super) resume: Sender<()>,
 }
 
 impl TestLog {
@@ -81,56 +86,35 @@
 
 impl HostLog {
     pub(super) fn new(shared: Arc<TestLog>) -> Self {
-        Self {
-            shared,
-            last_epoch: Mutex::new(0),
-            stop_at: Mutex::new(None),
-            stopped: Mutex::new(false),
-            changed: Condvar::new(),
-        }
+        Self { shared, own_epoch: Mutex::new(0), stop: Mutex::new(None) }
     }
 
-    pub(super) fn stop_at(&self, stage: Stage) {
-        *self.stop_at.lock() = Some(stage);
+    pub(super) fn stop_at(&self, stage: Stage) -> Stop {
+        let ((reached_tx, reached), (resume, resumed)) = (bounded(1), bounded(1));
+        *self.stop.lock() = Some((stage, reached_tx, resumed));
+        Stop { reached, resume }
     }
 
-    pub(super) fn wait_until_stopped(&self) {
-        let mut stopped = self.stopped.lock();
-        while !*stopped {
-            self.changed.wait(&mut stopped);
+    fn pass(&self, stage: Stage) {
+        let stop = self.stop.lock().take_if(|(at, _, _)| *at == stage);
+        if let Some((_, reached, resumed)) = stop {
+            let _ = reached.send(());
+            let _ = resumed.recv();
         }
     }
 
-    pub(super) fn resume(&self) {
-        *self.stopped.lock() = false;
-        self.changed.notify_all();
-    }
-
-    fn pass(&self, stage: Stage) {
-        let mut stop_at = self.stop_at.lock();
-        if *stop_at != Some(stage) {
-            return;
-        }
-        *stop_at = None;
-        drop(stop_at);
-        let mut stopped = self.stopped.lock();
-        *stopped = true;
-        self.changed.notify_all();
-        while *stopped {
-            self.changed.wait(&mut stopped);
-        }
+    fn faults(&self) -> Result<Faults, LogError> {
+        let faults = self.shared.faults.lock().clone();
+        thread::sleep(faults.delay);
+        if faults.down { Err(LogError::NotApplied("down".to_owned())) } else { Ok(faults) }
     }
 }
 
 impl RecordLog for HostLog {
     fn append(&self, stream: &str, body: &str, _deadline: Instant) -> Result<Offset, LogError> {
         self.pass(Stage::BeforeAppend);
-        let faults = self.shared.faults.lock().clone();
-        thread::sleep(faults.delay);
-        if faults.down {
-            return Err(LogError::NotApplied("down".to_owned()));
-        }
-        *self.last_epoch.lock() = serde_json::from_str::<ClaimBatch>(body).unwrap().epoch;
+        let faults = self.faults()?;
+        *self.own_epoch.lock() = serde_json::from_str::<ClaimBatch>(body).unwrap().epoch;
         if faults.hold_back {
             self.shared.held_back.lock().push((stream.to_owned(), body.to_owned()));
             return Err(LogError::Unknown("held back".to_owned()));
@@ -151,12 +135,8 @@
         _deadline: Instant,
     ) -> Result<ReadReply, LogError> {
         self.pass(Stage::BeforeRead);
-        let faults = self.shared.faults.lock().clone();
-        thread::sleep(faults.delay);
-        if faults.down {
-            return Err(LogError::NotApplied("down".to_owned()));
-        }
-        let own_epoch = *self.last_epoch.lock();
+        let faults = self.faults()?;
+        let own_epoch = *self.own_epoch.lock();
         let visible = |record: &LogRecord| {
             let batch: ClaimBatch = serde_json::from_str(&record.body).unwrap();
             !faults.hide_other_epochs || batch.epoch == own_epoch
