--- /dev/null
+++ b/crates/router/src/claims/tests/random.rs
@@ -0,0 +1,137 @@
+use {
+    super::fleet::{Grants, TestFleet, TestHost},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeSet, HashMap, HashSet},
+        thread,
+        time::Duration,
+    },
+};
+
+const SEEDS: u64 = 60;
+const STEPS: usize = 80;
+
+/// Requests that were granted and not abandoned, for each key that has several.
+fn doubled(grants: &Grants, abandoned: &HashSet<String>) -> Vec<Vec<String>> {
+    let kept = |ids: &BTreeSet<String>| -> Vec<String> {
+        ids.iter().filter(|id| !abandoned.contains(*id)).cloned().collect()
+    };
+    grants.values().map(kept).filter(|ids| ids.len() > 1).collect()
+}
+
+/// Runs a random schedule and returns the doubled requests and the number of grants.
+fn run(seed: u64, hide_other_epochs: bool) -> (Vec<Vec<String>>, usize) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let fleet = TestFleet::new();
+    fleet.log.set(|faults| faults.hide_other_epochs = hide_other_epochs);
+    let mut epoch = 1;
+    let mut hosts: Vec<TestHost> = vec![fleet.host("h0", Some(epoch))];
+    let mut keys = [fleet.key(), fleet.key(), fleet.key()];
+    let mut abandoned = HashSet::new();
+    let mut last_ids = HashMap::new();
+    let mut outage_began_ms = None;
+    for step in 0..STEPS {
+        fleet.advance(rng.random_range(0..200));
+        let last = hosts.len() - 1;
+        // older owners are asked too, since an entry host may know them only
+        let asked = if rng.random_bool(0.7) { last } else { rng.random_range(0..=last) };
+        let key = keys[rng.random_range(0..keys.len())].clone();
+        match rng.random_range(0..100) {
+            0..40 => {
+                let id = format!("r{step}");
+                let _ = hosts[asked].start(&key, &id, 400);
+                last_ids.insert(key, id);
+            }
+            40..50 => {
+                // an entry host that got no answer asks again, maybe another owner
+                if let Some(id) = last_ids.get(&key).filter(|id| !abandoned.contains(*id)) {
+                    let _ = hosts[asked].start(&key, id, 400);
+                }
+            }
+            50..60 => {
+                let ids = fleet.grants.lock().get(&key).cloned().unwrap_or_default();
+                if let Some(id) = ids.into_iter().find(|id| !abandoned.contains(id)) {
+                    if rng.random_bool(0.4) {
+                        abandoned.insert(id.clone());
+                        hosts.iter().for_each(|host| host.abandon(&key, &id));
+                    } else {
+                        hosts[last].finish(&key, &id, 200, b"done");
+                    }
+                }
+            }
+            60..66 => fleet.log.set(|faults| faults.lose_answers = !faults.lose_answers),
+            66..70 => fleet.log.set(|faults| faults.hold_back = !faults.hold_back),
+            70..74 => fleet.log.release(),
+            74..82 => {
+                let index = rng.random_range(0..keys.len());
+                keys[index] = fleet.key();
+            }
+            82..88 if outage_began_ms.is_none() => {
+                epoch += 1;
+                // the old owner may still believe that it owns the range
+                if rng.random_bool(0.5) {
+                    hosts[last].authority.set(None, false);
+                }
+                hosts.push(fleet.host(&format!("h{}", hosts.len()), Some(epoch)));
+            }
+            88..94 if outage_began_ms.is_none() => {
+                outage_began_ms = Some(fleet.begin_outage());
+                thread::sleep(Duration::from_millis(rng.random_range(0..8)));
+                hosts[..last].iter().for_each(|host| host.authority.set(None, true));
+                hosts[last].authority.set(Some(epoch), rng.random_bool(0.8));
+            }
+            94..100 => {
+                if let Some(began_ms) = outage_began_ms.take() {
+                    fleet.end_outage(began_ms);
+                    let survives = rng.random_bool(0.5);
+                    hosts[last].authority.set(survives.then_some(epoch), false);
+                }
+            }
+            _ => {}
+        }
+        thread::sleep(Duration::from_micros(rng.random_range(0..3_000)));
+    }
+    thread::sleep(Duration::from_millis(100));
+    let grants = fleet.grants.lock();
+    let doubled = doubled(&grants, &abandoned);
+    if !doubled.is_empty() && !hide_other_epochs {
+        eprintln!("seed {seed}: {doubled:?}");
+    }
+    (doubled, grants.values().map(BTreeSet::len).sum())
+}
+
+/// Runs all seeds, six at a time.
+fn run_all(hide_other_epochs: bool) -> Vec<(Vec<Vec<String>>, usize)> {
+    let run_some = move |first: u64| -> Vec<_> {
+        (first..SEEDS).step_by(6).map(|seed| run(seed, hide_other_epochs)).collect()
+    };
+    let threads: Vec<_> = (0..6).map(|first| thread::spawn(move || run_some(first))).collect();
+    threads.into_iter().flat_map(|t| t.join().unwrap()).collect()
+}
+
+/// Guards against any order of takeovers, stale owners, outages, lost answers and
+/// delayed appends that grants a key to two requests.
+#[test]
+fn random_schedules_grant_each_key_once() {
+    let runs = run_all(false);
+    for (doubled, _) in &runs {
+        assert!(doubled.is_empty(), "{doubled:?}");
+    }
+    let granted: usize = runs.iter().map(|(_, granted)| granted).sum();
+    assert!(granted > SEEDS as usize * 3, "only {granted} grants: the schedules test too little");
+}
+
+/// Guards against a checker that can't see a doubled grant: owners that don't read
+/// their predecessors' records are found out.
+#[test]
+fn the_checker_rejects_owners_that_ignore_older_records() {
+    assert!(run_all(true).iter().any(|(doubled, _)| !doubled.is_empty()));
+}
+
+/// Guards against a checker that counts a grant which was given up.
+#[test]
+fn abandoned_grants_are_not_counted() {
+    let grants = Grants::from([("k".to_owned(), BTreeSet::from(["a".to_owned(), "b".to_owned()]))]);
+    assert_eq!(doubled(&grants, &HashSet::new()).len(), 1);
+    assert!(doubled(&grants, &HashSet::from(["a".to_owned()])).is_empty());
+}
