--- a/crates/router/src/callers/caller_handler.rs
+++ b/crates/router/src/callers/caller_handler.rs
@@ -10,12 +10,17 @@
     crate::{
         claims::key_issued_at_ms,
         config::{Config, ConfigStore},
-        dispatch::{ChatAnswer, ChatCall, Dispatcher, Refusal, RequestContext, ServiceRequest, now_ms},
+        dispatch::{
+            ChatAnswer, ChatCall, Dispatcher, Refusal, RequestContext, ServiceRequest, now_ms,
+        },
     },
     bytes::Bytes,
     http::{HeaderValue, Method, header::CONTENT_TYPE},
     mango_http::{Answer, AnswerBody, BodyError, CallerLink, Handler, Request},
-    mango_wire::{Reason, chat_key, digest, settings::Settings},
+    mango_wire::{
+        Reason, chat_key, digest,
+        settings::{CallerSettings, ClaimSettings, Settings},
+    },
     std::{
         sync::{
             Arc,
@@ -31,7 +36,8 @@
 
 /// Answers callers.
 pub(crate) struct CallerHandler {
-    settings: Settings,
+    caller_settings: CallerSettings,
+    claim_settings: ClaimSettings,
     config: Arc<ConfigStore>,
     dispatcher: Dispatcher,
     in_flight: InFlight,
@@ -47,13 +53,21 @@
 
 impl CallerHandler {
     pub(crate) fn new(
-        settings: Settings,
+        settings: &Settings,
         config: Arc<ConfigStore>,
         dispatcher: Dispatcher,
         in_flight: InFlight,
         metrics: CallerMetrics,
     ) -> Self {
-        Self { settings, config, dispatcher, in_flight, metrics, draining: AtomicBool::new(false) }
+        Self {
+            caller_settings: settings.callers.clone().unwrap_or_default(),
+            claim_settings: settings.claims.clone().unwrap_or_default(),
+            config,
+            dispatcher,
+            in_flight,
+            metrics,
+            draining: AtomicBool::new(false),
+        }
     }
 
     /// Refuses new requests from now on.
@@ -158,7 +172,7 @@
             bad_header(KEY, "work that is not idempotent needs an Idempotency-Key")
         })?;
         let issued_at_ms = key_issued_at_ms(key).map_err(|e| bad_header(KEY, e.to_string()))?;
-        if issued_at_ms > now_ms() + u64::from(self.settings.claims.clock_skew_ms) {
+        if issued_at_ms > now_ms() + u64::from(self.claim_settings.clock_skew_ms) {
             return Err(bad_header(KEY, "the time in the Idempotency-Key lies in the future"));
         }
         Ok(())
@@ -166,11 +180,13 @@
 
     fn enter(&self, context: &RequestContext) -> Result<InFlightGuard, Refusal> {
         let team = &context.team;
-        let max = self.settings.callers.max_in_flight;
+        let max = self.caller_settings.max_in_flight;
         self.in_flight.enter(team.key, max, team.max_in_flight).map_err(|limit| {
             let (reason, detail) = match limit {
                 LimitReached::Total => (Reason::TooManyRequests, "too many requests in progress"),
-                LimitReached::Team => (Reason::TeamLimit, "the team has too many requests in progress"),
+                LimitReached::Team => {
+                    (Reason::TeamLimit, "the team has too many requests in progress")
+                }
             };
             Refusal::not_run(reason, detail).with_retry_after(1000)
         })
--- a/crates/router/src/callers/chat_body.rs
+++ b/crates/router/src/callers/chat_body.rs
@@ -1,9 +1,4 @@
-use {
-    crate::dispatch::Refusal,
-    bytes::Bytes,
-    mango_wire::Reason,
-    serde_json::Value,
-};
+use {crate::dispatch::Refusal, bytes::Bytes, mango_wire::Reason, serde_json::Value};
 
 /// Characters of a prompt per token, by which prompt lengths are estimated.
 const CHARS_PER_TOKEN: usize = 4;
@@ -23,8 +18,8 @@
 impl ChatBody {
     /// Reads a request body. Errors name the field that is wrong.
     pub(crate) fn parse(body: &Bytes) -> Result<Self, Refusal> {
-        let mut value: Value =
-            serde_json::from_slice(body).map_err(|e| bad_field("body", format!("not JSON: {e}")))?;
+        let mut value: Value = serde_json::from_slice(body)
+            .map_err(|e| bad_field("body", format!("not JSON: {e}")))?;
         let object = value.as_object_mut().ok_or_else(|| bad_field("body", "must be an object"))?;
         let messages = object
             .get("messages")
--- a/crates/router/src/callers/mod.rs
+++ b/crates/router/src/callers/mod.rs
@@ -5,10 +5,9 @@
 mod problem_answer;
 mod request_headers;
 mod sse_source;
-#[cfg(test)]
-mod tests;
 
 pub(crate) use {
     caller_handler::CallerHandler,
+    caller_metrics::CallerMetrics,
     in_flight::{InFlight, InFlightGuard},
 };
--- a/crates/router/src/callers/problem_answer.rs
+++ b/crates/router/src/callers/problem_answer.rs
@@ -37,7 +37,8 @@
     request_id: &str,
 ) -> Answer<SseSource> {
     let mut answer = Response::new(AnswerBody::whole(body));
-    *answer.status_mut() = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    *answer.status_mut() =
+        http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_GATEWAY);
     let headers = answer.headers_mut();
     let binary = HeaderValue::from_static("application/octet-stream");
     headers.insert(CONTENT_TYPE, HeaderValue::from_str(content_type).unwrap_or(binary));
--- a/crates/router/src/callers/request_headers.rs
+++ b/crates/router/src/callers/request_headers.rs
@@ -54,7 +54,8 @@
     }
     let text = value.to_str().unwrap_or_default();
     if text.is_empty() || text.len() > MAX_ID_BYTES {
-        let detail = format!("header {name} must hold 1 to {MAX_ID_BYTES} visible ASCII characters");
+        let detail =
+            format!("header {name} must hold 1 to {MAX_ID_BYTES} visible ASCII characters");
         return Err(bad_header(name, detail));
     }
     Ok(Some(text.to_owned()))
--- a/crates/router/src/config/compiled.rs
+++ b/crates/router/src/config/compiled.rs
@@ -313,6 +313,16 @@
         self.pools.get(key)
     }
 
+    /// All teams in a fixed order.
+    pub(crate) fn teams(&self) -> impl Iterator<Item = &Arc<TeamInfo>> {
+        self.teams.iter()
+    }
+
+    /// All kinds of work in a fixed order.
+    pub(crate) fn works(&self) -> impl Iterator<Item = &Arc<WorkInfo>> {
+        self.works.iter()
+    }
+
     /// All pools in a fixed order.
     pub(crate) fn pools(&self) -> impl Iterator<Item = &Arc<PoolInfo>> {
         self.pools.iter()
--- a/crates/router/src/dispatch/chat_run.rs
+++ b/crates/router/src/dispatch/chat_run.rs
@@ -83,7 +83,8 @@
     pub(crate) fn next_item(&mut self) -> ChatItem {
         loop {
             let Some(attempt) = &self.attempt else {
-                let ended = Refusal::new(Verdict::Completed, Reason::EndpointBroken, "answer ended");
+                let ended =
+                    Refusal::new(Verdict::Completed, Reason::EndpointBroken, "answer ended");
                 return ChatItem::Failed(ended);
             };
             let event = match self.pending.take() {
--- a/crates/router/src/dispatch/claim_client.rs
+++ b/crates/router/src/dispatch/claim_client.rs
@@ -34,7 +34,11 @@
 pub(crate) enum ClaimDecision {
     Granted(ClaimTicket),
     /// The request ran before; its answer.
-    Stored { status: u16, content_type: String, body: Bytes },
+    Stored {
+        status: u16,
+        content_type: String,
+        body: Bytes,
+    },
 }
 
 enum Report {
@@ -90,8 +94,9 @@
                 }
                 _ if Instant::now() + OWNER_RETRY >= context.deadline => {
                     let detail = format!("key range {range} has no reachable owner");
-                    return Err(Refusal::not_run(Reason::OwnerUnavailable, detail)
-                        .with_retry_after(1000));
+                    return Err(
+                        Refusal::not_run(Reason::OwnerUnavailable, detail).with_retry_after(1000)
+                    );
                 }
                 _ => thread::sleep(OWNER_RETRY),
             }
@@ -168,11 +173,10 @@
                 Reason::KeyExpired,
                 "the idempotency key is older than outcomes are kept",
             ),
-            ClaimResult::Unavailable | ClaimResult::NotOwner => Err(Refusal::not_run(
-                Reason::LogUnavailable,
-                "the claim could not be recorded",
-            )
-            .with_retry_after(1000)),
+            ClaimResult::Unavailable | ClaimResult::NotOwner => {
+                Err(Refusal::not_run(Reason::LogUnavailable, "the claim could not be recorded")
+                    .with_retry_after(1000))
+            }
         }
     }
 
@@ -206,11 +210,10 @@
         };
         let Some(owner) = self.ownership.owner(&ResourceId::keys(range)) else { return false };
         if owner.host_id == self.host_id {
-            match report {
+            return match report {
                 Report::Outcome(outcome) => self.claims.outcome(outcome.clone()),
                 Report::Abandon(abandon) => self.claims.abandon(abandon.clone()),
-            }
-            return true;
+            };
         }
         let message = match report {
             Report::Outcome(outcome) => PeerMessage::OutcomeReport(outcome.clone()),
--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -18,13 +18,10 @@
         callers::InFlightGuard,
         config::{EndpointInfo, PoolInfo},
         endpoint::{CallFailure, EngineCall, EngineEvent, Service, ServiceCall, WorkerPool},
-        placement::{CandidatePlan, LoadTable, PlanRequest},
+        placement::{Candidate, LoadTable, Planner},
     },
     bytes::Bytes,
-    crossbeam::{
-        channel::RecvTimeoutError,
-        select,
-    },
+    crossbeam::{channel::RecvTimeoutError, select},
     mango_http::CallerLink,
     mango_wire::{
         EndpointKey, Reason,
@@ -45,6 +42,8 @@
 const OWNER_RETRY: Duration = Duration::from_millis(50);
 /// Interval at which a waiting request checks whether its caller has left.
 const CALLER_CHECK: Duration = Duration::from_millis(50);
+/// Steps of one placement kept for the state dump.
+const MAX_TRIES: usize = 64;
 /// Budget key for hedges, which are limited over all teams.
 const ALL_TEAMS: u32 = 0;
 
@@ -58,10 +57,20 @@
 
 /// Answer to a chat completion.
 pub(crate) enum ChatAnswer {
-    Whole { body: Bytes, endpoint_id: String },
-    Stream { stream: ChatStream, endpoint_id: String },
+    Whole {
+        body: Bytes,
+        endpoint_id: String,
+    },
+    Stream {
+        stream: ChatStream,
+        endpoint_id: String,
+    },
     /// The request ran before; its answer.
-    Stored { status: u16, content_type: String, body: Bytes },
+    Stored {
+        status: u16,
+        content_type: String,
+        body: Bytes,
+    },
 }
 
 /// A call of a plain service to run.
@@ -83,10 +92,11 @@
 /// Places requests on endpoints and sees them through.
 pub(crate) struct Dispatcher {
     settings: DispatchSettings,
-    admission_settings: AdmissionSettings,
+    long_tokens: u32,
     permits: Arc<PermitClient>,
     claims: Arc<ClaimClient>,
     endpoints: Arc<EndpointTable>,
+    planner: Arc<Planner>,
     loads: Arc<LoadTable>,
     decisions: Arc<DecisionLog>,
     workers: Arc<WorkerPool<EngineJob>>,
@@ -100,6 +110,7 @@
     pub(crate) permits: Arc<PermitClient>,
     pub(crate) claims: Arc<ClaimClient>,
     pub(crate) endpoints: Arc<EndpointTable>,
+    pub(crate) planner: Arc<Planner>,
     pub(crate) loads: Arc<LoadTable>,
     pub(crate) decisions: Arc<DecisionLog>,
     pub(crate) metrics: DispatchMetrics,
@@ -112,21 +123,31 @@
     excluded: Vec<EndpointKey>,
 }
 
+impl Trace {
+    fn add(&mut self, line: String) {
+        if self.tries.len() < MAX_TRIES {
+            self.tries.push(line);
+        }
+    }
+}
+
 impl Dispatcher {
     pub(crate) fn new(
         settings: DispatchSettings,
-        admission_settings: AdmissionSettings,
+        admission_settings: &AdmissionSettings,
         parts: DispatcherParts,
     ) -> Self {
         let retries = ShareBudget::new(settings.retry_share, 3.0);
         let hedges = ShareBudget::new(settings.hedge_share, 1.0);
-        let DispatcherParts { permits, claims, endpoints, loads, decisions, metrics } = parts;
+        let DispatcherParts { permits, claims, endpoints, planner, loads, decisions, metrics } =
+            parts;
         Self {
             settings,
-            admission_settings,
+            long_tokens: admission_settings.long_tokens,
             permits,
             claims,
             endpoints,
+            planner,
             loads,
             decisions,
             workers: Arc::new(WorkerPool::new()),
@@ -208,7 +229,7 @@
         let limits = RunLimits {
             deadline: context.deadline,
             stall: Duration::from_millis(u64::from(self.settings.stall_ms)),
-            long_tokens: self.admission_settings.long_tokens,
+            long_tokens: self.long_tokens,
             max_resumes: self.settings.max_resumes,
         };
         let (winner, event) = self.await_first(context, call, first, link, trace)?;
@@ -301,9 +322,11 @@
             match event {
                 EngineEvent::Failed(failure) => {
                     let failed_first = !from_second;
-                    trace.tries.push(format!(
+                    trace.add(format!(
                         "{}: {failure}",
-                        if failed_first { &first.endpoint.id } else {
+                        if failed_first {
+                            &first.endpoint.id
+                        } else {
                             second.as_ref().map_or("", |s| s.endpoint.id.as_str())
                         }
                     ));
@@ -409,7 +432,7 @@
                 }
                 Err(failure) => {
                     permit.set_outcome(ReleaseOutcome::Failed);
-                    trace.tries.push(format!("{}: {failure}", endpoint.id));
+                    trace.add(format!("{}: {failure}", endpoint.id));
                     trace.excluded.push(endpoint.key);
                     attempt += 1;
                     let refusal = Refusal::from(failure);
@@ -492,7 +515,6 @@
                 let detail = format!("no endpoint took the request: {}", trace.tries.join(", "));
                 return Err(Refusal::not_run(reason, detail).with_retry_after(1000));
             }
-            trace.tries.truncate(64);
             thread::sleep(OWNER_RETRY);
         }
     }
@@ -514,31 +536,33 @@
             prompt_tokens,
             deadline: context.deadline,
         };
-        let request = PlanRequest {
-            chat: context.chat,
-            has_history,
-            excluded: &trace.excluded,
-            may_queue: !hedge,
+        let Some(mut plan) = self.planner.plan(pool.key, context.chat, has_history) else {
+            return Ok(None);
         };
-        let plan = CandidatePlan::new(self.admission_settings.policy, pool, &self.loads, &request);
-        for (key, mode) in plan {
+        while let Some(Candidate { endpoint: key, mode }) = plan.next() {
+            if trace.excluded.contains(&key) || (hedge && mode == AcquireMode::Queue) {
+                continue;
+            }
             let Some(endpoint) = context.config.endpoint(key).cloned() else { continue };
             let caller_left = || link.is_closed();
             match self.permits.acquire(&ask, key, mode, &caller_left) {
                 Ok(permit) if permit.is_valid() => {
-                    trace.tries.push(format!("{}: {mode} granted", endpoint.id));
+                    trace.add(format!("{}: {mode} granted", endpoint.id));
                     return Ok(Some((endpoint, permit)));
                 }
-                Ok(_) => trace.tries.push(format!("{}: permit came too late", endpoint.id)),
+                Ok(_) => trace.add(format!("{}: permit came too late", endpoint.id)),
                 Err(NoPermit::CallerLeft) => {
                     return Err(Refusal::not_run(Reason::CallerLeft, "the caller left"));
                 }
-                Err(NoPermit::NoOwner) => trace.tries.push(format!("{}: no owner", endpoint.id)),
+                Err(NoPermit::NoOwner) => trace.add(format!("{}: no owner", endpoint.id)),
                 Err(NoPermit::Refused { reason, retry_after_ms }) => {
                     *saw_owner = true;
-                    trace.tries.push(format!("{}: {mode} {reason}", endpoint.id));
+                    trace.add(format!("{}: {mode} {reason}", endpoint.id));
                     if mode == AcquireMode::Queue {
                         refuse_finally(reason, retry_after_ms)?;
+                        if reason == PassReason::AtCap {
+                            plan.search_again();
+                        }
                     }
                 }
             }
--- a/crates/router/src/dispatch/endpoint_table.rs
+++ b/crates/router/src/dispatch/endpoint_table.rs
@@ -5,11 +5,11 @@
     },
     mango_wire::{EndpointKey, settings::DispatchSettings},
     parking_lot::Mutex,
-    std::{collections::HashMap, sync::Arc},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc},
 };
 
 struct Entry {
-    address: String,
+    address: SocketAddr,
     engine: Arc<HttpEngine>,
     service: Arc<HttpService>,
 }
@@ -42,9 +42,9 @@
     fn with_entry<T>(&self, endpoint: &EndpointInfo, get: impl FnOnce(&Entry) -> T) -> T {
         let mut entries = self.entries.lock();
         let open = || Entry {
-            address: endpoint.address.clone(),
-            engine: Arc::new(HttpEngine::open(&endpoint.address, &self.settings)),
-            service: Arc::new(HttpService::open(&endpoint.address, &self.settings)),
+            address: endpoint.address,
+            engine: Arc::new(HttpEngine::open(endpoint.address, &self.settings)),
+            service: Arc::new(HttpService::open(endpoint.address, &self.settings)),
         };
         let entry = entries.entry(endpoint.key).or_insert_with(open);
         if entry.address != endpoint.address {
--- a/crates/router/src/dispatch/engine_job.rs
+++ b/crates/router/src/dispatch/engine_job.rs
@@ -7,12 +7,29 @@
 
 /// A blocking call to an engine, run by a worker thread.
 pub(crate) enum EngineJob {
-    Generate { engine: Arc<HttpEngine>, call: EngineCall, events: Sender<EngineEvent> },
-    Resume { engine: Arc<HttpEngine>, call: EngineCall, from: u32, events: Sender<EngineEvent> },
+    Generate {
+        engine: Arc<HttpEngine>,
+        call: EngineCall,
+        events: Sender<EngineEvent>,
+    },
+    Resume {
+        engine: Arc<HttpEngine>,
+        call: EngineCall,
+        from: u32,
+        events: Sender<EngineEvent>,
+    },
     /// Holds the permit until the engine has stopped, so that the slot is not
     /// given away while the request still runs.
-    Cancel { engine: Arc<HttpEngine>, attempt_id: String, permit: Permit },
-    SetPriority { engine: Arc<HttpEngine>, attempt_id: String, priority: u16 },
+    Cancel {
+        engine: Arc<HttpEngine>,
+        attempt_id: String,
+        permit: Permit,
+    },
+    SetPriority {
+        engine: Arc<HttpEngine>,
+        attempt_id: String,
+        priority: u16,
+    },
 }
 
 impl Job for EngineJob {
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -9,22 +9,20 @@
 mod engine_job;
 mod permit;
 mod permit_client;
+mod permit_reply;
 mod refusal;
 mod request_context;
 mod share_budget;
-#[cfg(test)]
-mod tests;
 
 pub(crate) use {
     chat_stream::{ChatItem, ChatStream},
     claim_client::ClaimClient,
     decision_log::{Decision, DecisionLog, now_ms},
     dispatch_metrics::DispatchMetrics,
-    dispatcher::{
-        ChatAnswer, ChatCall, Dispatcher, DispatcherParts, ServiceReply, ServiceRequest,
-    },
+    dispatcher::{ChatAnswer, ChatCall, Dispatcher, DispatcherParts, ServiceReply, ServiceRequest},
     endpoint_table::EndpointTable,
     permit_client::PermitClient,
+    permit_reply::PermitReply,
     refusal::Refusal,
     request_context::RequestContext,
 };
--- a/crates/router/src/dispatch/permit_client.rs
+++ b/crates/router/src/dispatch/permit_client.rs
@@ -1,10 +1,10 @@
 use {
-    super::permit::Permit,
+    super::{permit::Permit, permit_reply::PermitReply},
     crate::{
         admission::AcquireResult,
-        ownership::{Owner, Ownership, ResourceId},
-        peer::PeerNet,
-        router::AdmissionOfRouter,
+        ownership::{Owner, Ownership},
+        peer::{CallError, PeerNet},
+        router::{AdmissionOfRouter, EngineResources},
     },
     crossbeam::channel::{RecvTimeoutError, bounded},
     mango_wire::{
@@ -45,7 +45,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum NoPermit {
     /// The owner's answer.
-    Refused { reason: PassReason, retry_after_ms: u32 },
+    Refused {
+        reason: PassReason,
+        retry_after_ms: u32,
+    },
     /// The endpoint has no owner, or the owner did not answer.
     NoOwner,
     CallerLeft,
@@ -66,6 +69,7 @@
 pub(crate) struct PermitReleaser {
     host_id: HostId,
     ownership: Arc<Ownership>,
+    resources: Arc<EngineResources>,
     admission: Arc<AdmissionOfRouter>,
     peers: PeerNet,
     in_use: Mutex<HashMap<(EndpointKey, u64), InUse>>,
@@ -75,7 +79,7 @@
     pub(crate) fn progress(&self, progress: Progress) {
         let Some(owner) = self.owner(progress.endpoint) else { return };
         if owner.host_id == self.host_id {
-            self.admission.progress(&self.host_id, &progress);
+            self.admission.progress(&progress);
         } else {
             self.peers.send(&owner.host_id, PeerMessage::Progress(progress));
         }
@@ -92,7 +96,7 @@
     }
 
     fn owner(&self, endpoint: EndpointKey) -> Option<Owner> {
-        self.ownership.owner(&ResourceId::engine(endpoint))
+        self.resources.with(endpoint, |resource| self.ownership.owner(resource))
     }
 
     /// Tells owners that took an endpoint over of the permits in use here.
@@ -134,12 +138,14 @@
     pub(crate) fn new(
         host_id: HostId,
         ownership: Arc<Ownership>,
+        resources: Arc<EngineResources>,
         admission: Arc<AdmissionOfRouter>,
         peers: PeerNet,
     ) -> Self {
         let releaser = PermitReleaser {
             host_id,
             ownership,
+            resources,
             admission,
             peers,
             in_use: Mutex::default(),
@@ -216,10 +222,8 @@
         caller_left: &impl Fn() -> bool,
     ) -> Result<AcquireResult, NoPermit> {
         let (sender, receiver) = bounded(1);
-        self.releaser.admission.acquire(&self.releaser.host_id, acquire, move |result| {
-            // the receiver is gone when the request no longer waits
-            let _ = sender.send(result);
-        });
+        let reply = PermitReply::Local(sender);
+        self.releaser.admission.acquire(&self.releaser.host_id, acquire, reply);
         loop {
             let now = Instant::now();
             match receiver.recv_deadline(wait_until.min(now + CALLER_CHECK)) {
@@ -240,11 +244,11 @@
         let call = self.releaser.peers.start_call(owner, PeerMessage::Acquire(acquire));
         loop {
             let now = Instant::now();
-            match call.wait(wait_until.min(now + CALLER_CHECK)) {
+            match call.poll(wait_until.min(now + CALLER_CHECK)) {
                 Ok(PeerMessage::Grant(grant)) => return Ok(AcquireResult::Granted(grant)),
                 Ok(PeerMessage::Refuse(refuse)) => return Ok(AcquireResult::Refused(refuse)),
                 Ok(_) => return Err(NoPermit::NoOwner),
-                Err(e) if e.is_timeout() => check_wait(wait_until, caller_left)?,
+                Err(CallError::Timeout) => check_wait(wait_until, caller_left)?,
                 Err(_) => return Err(NoPermit::NoOwner),
             }
         }
--- a/crates/router/src/endpoint/http_client.rs
+++ b/crates/router/src/endpoint/http_client.rs
@@ -2,7 +2,10 @@
     super::call_failure::CallFailure,
     mango_wire::{Reason, problem::Verdict, settings::DispatchSettings},
     serde::de::DeserializeOwned,
-    std::time::{Duration, Instant},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     ureq::{Agent, Body, http::Response},
 };
 
@@ -23,7 +26,7 @@
 
 impl HttpClient {
     /// Opens a client; connections are made on the first call.
-    pub(crate) fn open(address: &str, settings: &DispatchSettings) -> Self {
+    pub(crate) fn open(address: SocketAddr, settings: &DispatchSettings) -> Self {
         let agent = |idle: usize| {
             Agent::config_builder()
                 .http_status_as_error(false)
--- a/crates/router/src/endpoint/http_engine.rs
+++ b/crates/router/src/endpoint/http_engine.rs
@@ -13,7 +13,10 @@
         settings::DispatchSettings,
     },
     serde::Deserialize,
-    std::io::{BufRead, BufReader, Read},
+    std::{
+        io::{BufRead, BufReader, Read},
+        net::SocketAddr,
+    },
     ureq::{Body, http::Response},
 };
 
@@ -58,7 +61,7 @@
 
 impl HttpEngine {
     /// Opens a client; connections are made on the first call.
-    pub(crate) fn open(address: &str, settings: &DispatchSettings) -> Self {
+    pub(crate) fn open(address: SocketAddr, settings: &DispatchSettings) -> Self {
         Self { client: HttpClient::open(address, settings) }
     }
 
@@ -161,29 +164,36 @@
     let mut next_index = from;
     let mut line = Vec::new();
     loop {
-        let event = match next_event(&mut reader, &mut line, call, &mut next_index) {
-            Ok(Some(event)) => event,
-            Ok(None) => continue,
-            Err(failure) => EngineEvent::Failed(failure),
+        let events = match next_events(&mut reader, &mut line, call, &mut next_index) {
+            Ok(events) => events,
+            Err(failure) => {
+                sink(EngineEvent::Failed(failure));
+                return;
+            }
         };
-        let last = !matches!(event, EngineEvent::Token(_));
-        if last && matches!(event, EngineEvent::Done { .. }) {
-            // reads the rest, so that the connection can be used again
-            let _ = std::io::copy(&mut reader.by_ref().take(MAX_LINE_BYTES), &mut std::io::sink());
-        }
-        if !sink(event) || last {
-            return;
+        for event in events.into_iter().flatten() {
+            let done = matches!(event, EngineEvent::Done { .. });
+            if done {
+                // reads the rest, so that the connection can be used again
+                let rest = &mut reader.by_ref().take(MAX_LINE_BYTES);
+                let _ = std::io::copy(rest, &mut std::io::sink());
+            }
+            if !sink(event) || done {
+                return;
+            }
         }
     }
 }
 
-/// Reads one line; `None` for lines without an event.
-fn next_event(
+/// Events of one line: none, a token, the end, or a token and the end.
+type LineEvents = [Option<EngineEvent>; 2];
+
+fn next_events(
     reader: &mut impl BufRead,
     line: &mut Vec<u8>,
     call: &EngineCall,
     next_index: &mut u32,
-) -> Result<Option<EngineEvent>, CallFailure> {
+) -> Result<LineEvents, CallFailure> {
     line.clear();
     let bytes = reader
         .by_ref()
@@ -193,7 +203,7 @@
     if bytes == 0 || line.last() != Some(&b'\n') {
         return Err(broken("event stream ended early"));
     }
-    let Some(data) = line.strip_prefix(b"data: ") else { return Ok(None) };
+    let Some(data) = line.strip_prefix(b"data: ") else { return Ok([None, None]) };
     let data = data.trim_ascii_end();
     if data == b"[DONE]" {
         return Err(broken("event stream ended without a final chunk"));
@@ -202,31 +212,43 @@
     if chunk.id != call.attempt_id {
         return Err(crossed(&chunk.id, call));
     }
-    to_event(chunk, data, next_index).map(Some)
+    to_events(chunk, data, next_index)
 }
 
-fn to_event(
-    chunk: Chunk,
-    data: &[u8],
-    next_index: &mut u32,
-) -> Result<EngineEvent, CallFailure> {
+fn to_events(chunk: Chunk, data: &[u8], next_index: &mut u32) -> Result<LineEvents, CallFailure> {
     let choice = chunk.choices.into_iter().next();
     let finished = choice.as_ref().is_some_and(|c| c.finish_reason.is_some());
-    if finished {
-        let usage = chunk.usage.map_or_else(Usage::default, |u| Usage {
-            prompt_tokens: u.prompt_tokens,
-            completion_tokens: u.completion_tokens,
-            cached_tokens: u.cached_tokens,
-        });
-        return Ok(EngineEvent::Done { usage, chunk: Some(Bytes::copy_from_slice(data)) });
-    }
-    let index = chunk.index.ok_or_else(|| broken("chunk without index"))?;
+    let content = choice.and_then(|c| c.delta.content).filter(|content| !content.is_empty());
+    let bytes = Bytes::copy_from_slice(data);
+    let token = match content {
+        Some(content) => Some(to_token(chunk.index, content, bytes.clone(), next_index)?),
+        None => None,
+    };
+    if !finished {
+        return Ok([token.map(EngineEvent::Token), None]);
+    }
+    let usage = chunk.usage.map_or_else(Usage::default, |u| Usage {
+        prompt_tokens: u.prompt_tokens,
+        completion_tokens: u.completion_tokens,
+        cached_tokens: u.cached_tokens,
+    });
+    // the end's chunk is forwarded once, with its token if it has one
+    let chunk = token.is_none().then_some(bytes);
+    Ok([token.map(EngineEvent::Token), Some(EngineEvent::Done { usage, chunk })])
+}
+
+fn to_token(
+    index: Option<u32>,
+    content: String,
+    chunk: Bytes,
+    next_index: &mut u32,
+) -> Result<Token, CallFailure> {
+    let index = index.ok_or_else(|| broken("chunk without index"))?;
     if index != *next_index {
         return Err(broken(&format!("token {index} where {next_index} was expected")));
     }
     *next_index += 1;
-    let content = choice.and_then(|c| c.delta.content).unwrap_or_default();
-    Ok(EngineEvent::Token(Token { index, chunk: Bytes::copy_from_slice(data), content }))
+    Ok(Token { index, chunk, content })
 }
 
 fn broken(detail: &str) -> CallFailure {
--- a/crates/router/src/endpoint/http_service.rs
+++ b/crates/router/src/endpoint/http_service.rs
@@ -5,6 +5,7 @@
         service::{Service, ServiceAnswer, ServiceCall},
     },
     mango_wire::{Reason, problem::Verdict, settings::DispatchSettings},
+    std::net::SocketAddr,
     ureq::{Body, http::Response},
 };
 
@@ -18,7 +19,7 @@
 
 impl HttpService {
     /// Opens a client; connections are made on the first call.
-    pub(crate) fn open(address: &str, settings: &DispatchSettings) -> Self {
+    pub(crate) fn open(address: SocketAddr, settings: &DispatchSettings) -> Self {
         Self { client: HttpClient::open(address, settings) }
     }
 
@@ -34,9 +35,8 @@
         if let Some(key) = &call.idempotency_key {
             request = request.header("Idempotency-Key", key);
         }
-        let not_sent = |e: http::Error| {
-            CallFailure::new(Verdict::NotRun, Reason::BadHeader, e.to_string())
-        };
+        let not_sent =
+            |e: http::Error| CallFailure::new(Verdict::NotRun, Reason::BadHeader, e.to_string());
         let agent = self.client.agent(call.repeatable);
         let request = request.body(call.body.to_vec()).map_err(not_sent)?;
         let request = agent
@@ -66,12 +66,10 @@
             .and_then(|v| v.to_str().ok())
             .unwrap_or("application/octet-stream")
             .to_owned();
-        let body = response
-            .body_mut()
-            .with_config()
-            .limit(MAX_ANSWER_BYTES)
-            .read_to_vec()
-            .map_err(|e| CallFailure { verdict: Verdict::MayHaveRun, ..CallFailure::of_send(&e) })?;
+        let body =
+            response.body_mut().with_config().limit(MAX_ANSWER_BYTES).read_to_vec().map_err(
+                |e| CallFailure { verdict: Verdict::MayHaveRun, ..CallFailure::of_send(&e) },
+            )?;
         Ok(ServiceAnswer { status, content_type, body: body.into() })
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,3 +21,8 @@
 mod platform;
 mod router;
 mod settings;
+
+pub use {
+    app::run,
+    router::{Router, RouterHandle},
+};
--- a/crates/router/src/membership/member_table.rs
+++ b/crates/router/src/membership/member_table.rs
@@ -1,6 +1,6 @@
 use {
     super::{host_info::HostInfo, live_view::LiveView},
-    crate::placement::rendezvous::rendezvous_score,
+    crate::placement::name_score,
     mango_wire::{
         HostId, digest,
         peer::{Alive, Suspect},
@@ -320,12 +320,12 @@
         return false;
     }
     let key = digest(host.as_bytes());
-    let own_score = rendezvous_score(key, candidate, 1.0);
+    let own_score = name_score(key, candidate);
     let better = view
         .hosts
         .iter()
         .filter(|info| info.host_id != host)
-        .filter(|info| rendezvous_score(key, &info.host_id, 1.0) > own_score)
+        .filter(|info| name_score(key, &info.host_id) > own_score)
         .take(count)
         .count();
     better < count
--- a/crates/router/src/ownership/choices.rs
+++ b/crates/router/src/ownership/choices.rs
@@ -1,6 +1,6 @@
 use {
     super::resource_id::ResourceId,
-    crate::{membership::HostInfo, placement::rendezvous::rendezvous_rank},
+    crate::{membership::HostInfo, placement::rank_names},
     mango_wire::{HostId, digest},
 };
 
@@ -14,7 +14,7 @@
 ) -> Vec<HostId> {
     let in_region = |info: &&HostInfo| region.is_empty() || info.region == region;
     let names = hosts.iter().filter(in_region).map(|info| info.host_id.as_str());
-    rendezvous_rank(digest(resource.as_str().as_bytes()), names)
+    rank_names(digest(resource.as_str().as_bytes()), names)
         .into_iter()
         .take(count)
         .map(str::to_owned)
--- a/crates/router/src/ownership/handle.rs
+++ b/crates/router/src/ownership/handle.rs
@@ -43,7 +43,7 @@
     /// Follows the stream `fleet`, feeds the membership from it and starts to
     /// take resources once they are set. The threads end on `stop` or when the
     /// last handle is dropped.
-    pub(crate) fn spawn<L: RecordLog>(
+    pub(crate) fn spawn<L: RecordLog + Clone>(
         settings: &Settings,
         identity: &str,
         log: L,
@@ -139,9 +139,12 @@
         OwnershipMode::Lapsed
     }
 
-    /// End of the newest outage on record, in milliseconds since 1970; 0 if none.
-    pub(crate) fn newest_outage_ended_ms(&self) -> u64 {
-        self.shared.state.lock().fleet.newest_outage().map_or(0, |outage| outage.ended_ms)
+    /// Outages that a successor must allow for, as begin and end in milliseconds
+    /// since 1970: the newest on record and one of this host that is not recorded yet.
+    pub(crate) fn outages_ms(&self) -> Vec<(u64, u64)> {
+        let state = self.shared.state.lock();
+        let known = state.fleet.newest_outage().into_iter().chain(&state.unrecorded_outage);
+        known.map(|outage| (outage.began_ms, outage.ended_ms)).collect()
     }
 
     /// Gives up all resources for a planned stop and takes no more. Returns when
--- a/crates/router/src/ownership/tests.rs
+++ b/crates/router/src/ownership/tests.rs
@@ -314,7 +314,7 @@
         fleet.hosts.iter().all(|h| h.ownership.mode() == OwnershipMode::Leased)
     });
     wait_until("the outage is recorded", || {
-        fleet.hosts.iter().all(|h| h.ownership.newest_outage_ended_ms() > 0)
+        fleet.hosts.iter().all(|h| !h.ownership.outages_ms().is_empty())
     });
     assert_eq!(fleet.owners(), before);
     assert_eq!(fleet.stop_watching(), 0);
--- a/crates/router/src/peer/pending_call.rs
+++ b/crates/router/src/peer/pending_call.rs
@@ -27,6 +27,11 @@
         Self { state: State::Waiting { outbox, call, reply } }
     }
 
+    /// Waits for the reply until `wake`; may be called again after a timeout.
+    pub(crate) fn poll(&self, wake: Instant) -> Result<PeerMessage, CallError> {
+        self.receive(wake).map(|(_, message)| message)
+    }
+
     /// Waits for the reply until the deadline.
     pub(crate) fn wait(self, deadline: Instant) -> Result<PeerMessage, CallError> {
         self.wait_identified(deadline).map(|(_, message)| message)
@@ -34,6 +39,10 @@
 
     /// Waits for the reply and returns also the identity of the replying process.
     pub(crate) fn wait_identified(self, deadline: Instant) -> CallReply {
+        self.receive(deadline)
+    }
+
+    fn receive(&self, deadline: Instant) -> CallReply {
         match &self.state {
             State::Failed(error) => Err(*error),
             State::Waiting { reply, .. } => match reply.recv_deadline(deadline) {
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -33,7 +33,7 @@
     pool_spec::PoolSpec,
     pool_speed::PoolSpeed,
     pool_view::PoolView,
-    rendezvous::{rank, score},
+    rendezvous::{name_score, rank, rank_names, score},
     speed::Speed,
     survey::Survey,
     team_spec::TeamSpec,
--- a/crates/router/src/placement/rendezvous.rs
+++ b/crates/router/src/placement/rendezvous.rs
@@ -1,4 +1,4 @@
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use {mango_wire::digest, xxhash_rust::xxh3::xxh3_64_with_seed};
 
 /// Score of a member for a subject. The member with the highest score wins, and
 /// each member wins a share of subjects in proportion to its weight.
@@ -21,3 +21,17 @@
     scored.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
     scored.into_iter().map(|(_, key)| key).collect()
 }
+
+/// Score of a named member of weight 1 for a subject.
+pub(crate) fn name_score(subject: u64, name: &str) -> f64 {
+    score(subject, digest(name.as_bytes()), 1.0)
+}
+
+/// Orders names of equal weight by score for a subject, best first. Equal scores
+/// are ordered by name, so that all hosts agree.
+pub(crate) fn rank_names<'a>(subject: u64, names: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut scored: Vec<(f64, &str)> =
+        names.map(|name| (name_score(subject, name), name)).collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+    scored.into_iter().map(|(_, name)| name).collect()
+}
--- a/crates/router/src/platform/record_log.rs
+++ b/crates/router/src/platform/record_log.rs
@@ -5,7 +5,7 @@
 };
 
 /// An append-only log of several streams that share one sequence of offsets.
-pub(crate) trait RecordLog: Clone + Send + Sync + 'static {
+pub(crate) trait RecordLog: Send + Sync + 'static {
     /// Appends one record and returns its offset.
     fn append(&self, stream: &str, body: &str, deadline: Instant) -> Result<Offset, LogError>;
 
--- /dev/null
+++ b/crates/router/src/router/engine_resources.rs
@@ -0,0 +1,29 @@
+use {
+    crate::{config::Config, ownership::ResourceId},
+    arc_swap::ArcSwap,
+    mango_wire::EndpointKey,
+    std::collections::HashMap,
+};
+
+/// Names of the endpoints' resources, looked up by key on the request path.
+#[derive(Default)]
+pub(crate) struct EngineResources {
+    by_key: ArcSwap<HashMap<EndpointKey, ResourceId>>,
+}
+
+impl EngineResources {
+    /// Puts the endpoints of a new configuration in force.
+    pub(crate) fn set(&self, config: &Config) {
+        let by_key = config.endpoints().map(|e| (e.key, ResourceId::engine(&e.id))).collect();
+        self.by_key.store(std::sync::Arc::new(by_key));
+    }
+
+    /// Calls `use_resource` with the endpoint's resource, if it is configured.
+    pub(crate) fn with<T>(
+        &self,
+        endpoint: EndpointKey,
+        use_resource: impl FnOnce(&ResourceId) -> Option<T>,
+    ) -> Option<T> {
+        self.by_key.load().get(&endpoint).and_then(use_resource)
+    }
+}
--- /dev/null
+++ b/crates/router/src/router/engine_watch.rs
@@ -0,0 +1,78 @@
+use {
+    super::types::AdmissionOfRouter,
+    crate::{
+        endpoint::{Engine, HttpEngine},
+        placement::Planner,
+    },
+    crossbeam::channel::{Receiver, RecvTimeoutError},
+    mango_wire::EndpointKey,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Interval between reads of an engine's load report.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Reads of the load report per read of the cache events.
+const REPORTS_PER_CACHE_READ: u32 = 4;
+/// Silence after which an engine gets no new work until it answers again.
+const UNREACHABLE_AFTER: Duration = Duration::from_secs(1);
+
+/// Follows one engine: its load reports, its cache events and whether it leaves.
+pub(crate) struct EngineWatch {
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) id: String,
+    pub(crate) engine: Arc<HttpEngine>,
+    pub(crate) admission: Arc<AdmissionOfRouter>,
+    pub(crate) planner: Arc<Planner>,
+    /// Ends the watch when its sender is dropped.
+    pub(crate) stop: Receiver<()>,
+    /// Whether this host admits work to the engine, and so needs its cache events.
+    pub(crate) owned: bool,
+}
+
+impl EngineWatch {
+    pub(crate) fn run(self) {
+        let mut answered_at = Instant::now();
+        let mut is_draining = false;
+        let mut round = 0;
+        loop {
+            let leaving = match self.engine.load_report() {
+                Ok(report) => {
+                    answered_at = Instant::now();
+                    self.planner.set_reported(self.endpoint, report.running + report.waiting);
+                    report.leaving
+                }
+                Err(_) => answered_at.elapsed() >= UNREACHABLE_AFTER,
+            };
+            if leaving != is_draining {
+                is_draining = leaving;
+                log::info!("event=engine_draining endpoint={} draining={leaving}", self.id);
+                self.admission.set_draining(self.endpoint, leaving);
+            }
+            if self.owned && round % REPORTS_PER_CACHE_READ == 0 {
+                self.read_cache();
+            }
+            round += 1;
+            if self.stop.recv_timeout(REPORT_INTERVAL) != Err(RecvTimeoutError::Timeout) {
+                return;
+            }
+        }
+    }
+
+    fn read_cache(&self) {
+        let since = self.admission.cache_position(self.endpoint);
+        let Ok(events) = self.engine.cache_events(since) else { return };
+        if !self.admission.cache_events(self.endpoint, &events) {
+            return;
+        }
+        // events were lost or the engine is a new one
+        match self.engine.cache_listing() {
+            Ok(listing) => self.admission.cache_listing(self.endpoint, &listing),
+            Err(failure) => {
+                log::info!("event=cache_listing_failed endpoint={} error=\"{failure}\"", self.id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/router/gossiper.rs
@@ -0,0 +1,113 @@
+use {
+    super::{parts::Parts, types::AdmissionOfRouter},
+    crate::{membership::Membership, peer::PeerNet, placement::LoadTable},
+    mango_wire::{
+        EndpointKey, HostId,
+        peer::{LoadEntry, LoadGossip, PeerMessage},
+        settings::MembershipSettings,
+    },
+    parking_lot::Mutex,
+    rand::seq::IndexedRandom,
+    std::{
+        collections::HashMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Bytes of one entry and of one message's envelope, for the byte budget.
+const ENTRY_BYTES: usize = 18;
+const ENVELOPE_BYTES: usize = 24;
+
+struct News {
+    entry: LoadEntry,
+    merged_at: Instant,
+}
+
+/// Spreads the loads of engines over the region's hosts.
+pub(crate) struct Gossiper {
+    host_id: HostId,
+    region: String,
+    settings: MembershipSettings,
+    admission: Arc<AdmissionOfRouter>,
+    loads: Arc<LoadTable>,
+    membership: Arc<Membership>,
+    peers: PeerNet,
+    /// Newest entry of each engine that was not passed on yet.
+    news: Mutex<HashMap<EndpointKey, News>>,
+}
+
+impl Gossiper {
+    pub(crate) fn new(parts: &Parts, settings: MembershipSettings) -> Self {
+        Self {
+            host_id: parts.settings.host_id.clone(),
+            region: parts.settings.region.clone(),
+            settings,
+            admission: parts.admission.clone(),
+            loads: parts.loads.clone(),
+            membership: parts.membership.clone(),
+            peers: parts.peers.clone(),
+            news: Mutex::default(),
+        }
+    }
+
+    /// Takes a peer's entries; new ones are passed on with the next round.
+    pub(crate) fn merge(&self, gossip: &LoadGossip) {
+        let merged = self.loads.merge(&gossip.entries);
+        if merged.is_empty() {
+            return;
+        }
+        self.add_news(merged);
+        self.admission.loads_merged();
+    }
+
+    /// Sends one round and returns when the next one is due.
+    pub(crate) fn send_round(&self) -> Instant {
+        let now = Instant::now();
+        self.add_news(self.admission.loads());
+        let entries: Vec<LoadEntry> = std::mem::take(&mut *self.news.lock())
+            .into_values()
+            .map(|news| aged(news, now))
+            .collect();
+        let targets = self.targets();
+        let bytes = (ENVELOPE_BYTES + entries.len() * ENTRY_BYTES) * targets.len();
+        if !entries.is_empty() {
+            for target in &targets {
+                let gossip = LoadGossip { entries: entries.clone() };
+                self.peers.send(target, PeerMessage::LoadGossip(gossip));
+            }
+        }
+        now + self.interval(bytes)
+    }
+
+    fn add_news(&self, entries: Vec<LoadEntry>) {
+        let merged_at = Instant::now();
+        let mut news = self.news.lock();
+        for entry in entries {
+            news.insert(entry.endpoint, News { entry, merged_at });
+        }
+    }
+
+    /// Stretches the interval so that the bytes sent stay within the budget.
+    fn interval(&self, bytes: usize) -> Duration {
+        let shortest = Duration::from_millis(u64::from(self.settings.gossip_ms));
+        let budget = f64::from(self.settings.gossip_bytes_per_s.max(1));
+        shortest.max(Duration::from_secs_f64(bytes as f64 / budget))
+    }
+
+    fn targets(&self) -> Vec<HostId> {
+        let hosts = self.membership.live_hosts();
+        let others: Vec<&HostId> = hosts
+            .iter()
+            .filter(|host| host.region == self.region && host.host_id != self.host_id)
+            .map(|host| &host.host_id)
+            .collect();
+        let fanout = self.settings.gossip_fanout as usize;
+        others.sample(&mut rand::rng(), fanout).map(|host| (*host).clone()).collect()
+    }
+}
+
+fn aged(news: News, now: Instant) -> LoadEntry {
+    let waited_ms = now.saturating_duration_since(news.merged_at).as_millis() as u32;
+    LoadEntry { age_ms: news.entry.age_ms.saturating_add(waited_ms), ..news.entry }
+}
--- /dev/null
+++ b/crates/router/src/router/message_handler.rs
@@ -0,0 +1,96 @@
+use {
+    super::{gossiper::Gossiper, parts::Parts},
+    crate::{
+        dispatch::PermitReply,
+        peer::{PeerHandler, Replier},
+    },
+    mango_wire::{
+        HostId,
+        peer::{PeerMessage, StatusReply},
+    },
+    std::sync::Arc,
+};
+
+/// Hands the messages of peers to the modules.
+pub(crate) struct MessageHandler {
+    parts: Arc<Parts>,
+    gossiper: Arc<Gossiper>,
+}
+
+impl MessageHandler {
+    pub(crate) fn new(parts: Arc<Parts>, gossiper: Arc<Gossiper>) -> Self {
+        Self { parts, gossiper }
+    }
+}
+
+impl PeerHandler for MessageHandler {
+    fn handle(&self, from: &HostId, message: PeerMessage, replier: Replier) {
+        let parts = &self.parts;
+        match message {
+            PeerMessage::Heartbeat(_)
+            | PeerMessage::Suspect(_)
+            | PeerMessage::Alive(_)
+            | PeerMessage::Leaving(_) => {
+                parts.membership.handle(from, replier.identity(), &message);
+            }
+            PeerMessage::OutageProbe(_) | PeerMessage::TakeNotice(_) => {
+                parts.ownership.handle(from, &message, replier);
+            }
+            PeerMessage::LoadGossip(gossip) => self.gossiper.merge(&gossip),
+            PeerMessage::Acquire(acquire) => {
+                parts.admission.acquire(from, acquire, PermitReply::Remote(replier));
+            }
+            PeerMessage::CancelAcquire(cancel) => parts.admission.cancel(from, &cancel),
+            PeerMessage::Progress(progress) => {
+                parts.admission.progress(&progress);
+            }
+            PeerMessage::Release(release) => parts.admission.release(from, &release),
+            PeerMessage::Reregister(permits) => parts.admission.reregister(from, &permits),
+            PeerMessage::ClaimRequest(request) => {
+                parts.claims.claim_from(from, request, move |reply| {
+                    replier.reply(PeerMessage::ClaimReply(reply))
+                })
+            }
+            PeerMessage::OutcomeReport(report) => {
+                acknowledge(parts.claims.outcome(report), replier)
+            }
+            PeerMessage::AbandonReport(report) => {
+                acknowledge(parts.claims.abandon(report), replier)
+            }
+            PeerMessage::ConfigRequest(request) => {
+                let reply = parts.config.handle_request(&request);
+                replier.reply(PeerMessage::ConfigReply(reply));
+            }
+            PeerMessage::StatusRequest(_) => {
+                let config_version = parts.config.current().version();
+                let status = StatusReply { config_version, ready: parts.is_ready() };
+                replier.reply(PeerMessage::StatusReply(status));
+            }
+            PeerMessage::Hello(_)
+            | PeerMessage::Proof(_)
+            | PeerMessage::OutageReply(_)
+            | PeerMessage::Grant(_)
+            | PeerMessage::Refuse(_)
+            | PeerMessage::ClaimReply(_)
+            | PeerMessage::ConfigReply(_)
+            | PeerMessage::StatusReply(_)
+            | PeerMessage::Ack => {
+                log::warn!("event=unexpected_message from={from}");
+            }
+        }
+    }
+
+    // liveness is decided by heartbeats; a link also closes when it is idle
+    fn link_down(&self, _host: &HostId) {}
+
+    fn accepts(&self, host: &HostId, identity: &str) -> bool {
+        self.parts.membership.accepts(host, identity)
+    }
+}
+
+/// Acknowledges a report that was taken; a sender without an answer tries again.
+fn acknowledge(taken: bool, replier: Replier) {
+    if taken {
+        replier.reply(PeerMessage::Ack);
+    }
+}
--- /dev/null
+++ b/crates/router/src/router/parts.rs
@@ -0,0 +1,55 @@
+use {
+    super::{
+        engine_resources::EngineResources,
+        types::{AdmissionOfRouter, ClaimsOfRouter},
+    },
+    crate::{
+        callers::{CallerHandler, InFlight},
+        config::ConfigStore,
+        dispatch::{DecisionLog, EndpointTable, PermitClient},
+        membership::Membership,
+        metrics::Metrics,
+        ownership::Ownership,
+        peer::PeerNet,
+        placement::{LoadTable, Planner},
+    },
+    mango_wire::{EndpointKey, settings::Settings},
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// The parts of one router.
+pub(crate) struct Parts {
+    pub(crate) settings: Settings,
+    pub(crate) metrics: Metrics,
+    pub(crate) peers: PeerNet,
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) ownership: Arc<Ownership>,
+    pub(crate) resources: Arc<EngineResources>,
+    pub(crate) config: Arc<ConfigStore>,
+    pub(crate) loads: Arc<LoadTable>,
+    pub(crate) planner: Arc<Planner>,
+    pub(crate) admission: Arc<AdmissionOfRouter>,
+    pub(crate) claims: Arc<ClaimsOfRouter>,
+    pub(crate) permits: Arc<PermitClient>,
+    pub(crate) endpoints: Arc<EndpointTable>,
+    pub(crate) decisions: Arc<DecisionLog>,
+    pub(crate) in_flight: InFlight,
+    pub(crate) callers: Arc<CallerHandler>,
+    pub(crate) draining: AtomicBool,
+}
+
+impl Parts {
+    /// Whether this host has configuration in force and takes requests.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.config.current().version() > 0 && !self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Whether this process is the owner of an endpoint by the log.
+    pub(crate) fn owns_engine(&self, endpoint: EndpointKey) -> bool {
+        let owner = self.resources.with(endpoint, |resource| self.ownership.owner(resource));
+        owner.is_some_and(|o| o.host_id == self.settings.host_id)
+    }
+}
--- /dev/null
+++ b/crates/router/src/router/spawn.rs
@@ -0,0 +1,262 @@
+use {
+    super::{
+        authorities::{EngineRights, RangeRights},
+        config_peers::ConfigPeers,
+        engine_resources::EngineResources,
+        gossiper::Gossiper,
+        handle::RouterHandle,
+        maintenance::Maintenance,
+        message_handler::MessageHandler,
+        parts::Parts,
+        state_dump::state_dump,
+    },
+    crate::{
+        admission::Admission,
+        callers::{CallerHandler, CallerMetrics, InFlight},
+        claims::{ClaimOptions, Claims, SystemClock},
+        config::ConfigStore,
+        dispatch::{
+            ClaimClient, DecisionLog, DispatchMetrics, Dispatcher, DispatcherParts, EndpointTable,
+            PermitClient,
+        },
+        membership::Membership,
+        metrics::Metrics,
+        operators::{OperatorHooks, OperatorServer},
+        ownership::{Ownership, ResourceId},
+        peer::PeerNet,
+        placement::{LoadTable, Planner},
+        platform::LogClient,
+    },
+    anyhow::{Context, Result},
+    crossbeam::channel::{Sender, bounded},
+    mango_config::MemberVersion,
+    mango_http::{HttpServer, ServerLimits},
+    mango_wire::{
+        digest,
+        peer::{PeerMessage, StatusRequest},
+        settings::{CallerSettings, Settings},
+    },
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+    uuid::Uuid,
+};
+
+/// Longest wait for the configuration version of a member.
+const STATUS_WAIT: Duration = Duration::from_millis(500);
+
+/// Starts routers.
+pub struct Router;
+
+impl Router {
+    /// Starts a router and returns once it listens. It is ready when a
+    /// configuration is in force. Fails if an address can't be bound.
+    pub fn spawn(settings: Settings) -> Result<RouterHandle> {
+        let identity = Uuid::new_v4().simple().to_string();
+        let parts = Arc::new(build_parts(&settings, &identity)?);
+        let membership_settings = settings.membership.clone().unwrap_or_default();
+        let gossiper = Arc::new(Gossiper::new(&parts, membership_settings));
+        let handler = MessageHandler::new(parts.clone(), gossiper.clone());
+        parts.peers.start(Arc::new(handler));
+        let stop_maintenance = start_maintenance(&parts, gossiper)?;
+        let callers = bind_callers(&parts)?;
+        let (drain_sender, drain_requests) = bounded(1);
+        let operators = bind_operators(&parts, &identity, drain_sender)?;
+        log::info!(
+            "event=router_started host={} identity={identity} callers={} operators={} peers={}",
+            settings.host_id,
+            callers.address(),
+            operators.address(),
+            parts.peers.local_address()
+        );
+        Ok(RouterHandle::new(parts, callers, operators, stop_maintenance, drain_requests))
+    }
+}
+
+fn build_parts(settings: &Settings, identity: &str) -> Result<Parts> {
+    let metrics = Metrics::new();
+    let admission_settings = settings.admission.clone().unwrap_or_default();
+    let health_settings = settings.health.clone().unwrap_or_default();
+    let dispatch_settings = settings.dispatch.clone().unwrap_or_default();
+    let claim_settings = settings.claims.clone().unwrap_or_default();
+    let lease_ms = settings.ownership.clone().unwrap_or_default().lease_ms;
+    let log = LogClient::open(&settings.platform, &metrics);
+    let peers = PeerNet::bind(settings, identity, &metrics)?;
+    let membership = Membership::spawn(settings, identity, log.clone(), peers.clone(), &metrics)?;
+    let ownership = Ownership::spawn(
+        settings,
+        identity,
+        log.clone(),
+        peers.clone(),
+        membership.clone(),
+        &metrics,
+    )?;
+    let config = {
+        let ownership = ownership.clone();
+        let owns_config = move || ownership.acting_epoch(&ResourceId::config()).is_some();
+        let source = ConfigPeers::new(settings.host_id.clone(), membership.clone(), peers.clone());
+        ConfigStore::spawn(log.clone(), source, owns_config, &settings.platform, &metrics)?
+    };
+    let load_ttl = Duration::from_millis(u64::from(admission_settings.load_ttl_ms));
+    let loads = Arc::new(LoadTable::new(load_ttl, health_settings.smoothing));
+    let resources = Arc::new(EngineResources::default());
+    let admission = Arc::new(Admission::new(
+        &admission_settings,
+        &health_settings,
+        loads.clone(),
+        EngineRights::new(ownership.clone(), resources.clone()),
+        &metrics,
+    ));
+    let planner = Arc::new(Planner::new(
+        admission_settings.policy,
+        health_settings.max_degraded_share,
+        loads.clone(),
+        digest(identity.as_bytes()),
+    ));
+    let claims = Claims::spawn(
+        ClaimOptions::new(&settings.host_id, &claim_settings, &settings.platform, lease_ms),
+        Arc::new(log),
+        Arc::new(RangeRights::new(ownership.clone(), claim_settings.key_ranges)),
+        Arc::new(SystemClock),
+        &metrics,
+    )?;
+    let permits = Arc::new(PermitClient::new(
+        settings.host_id.clone(),
+        ownership.clone(),
+        resources.clone(),
+        admission.clone(),
+        peers.clone(),
+    ));
+    let endpoints = Arc::new(EndpointTable::new(dispatch_settings.clone()));
+    let decisions = Arc::new(DecisionLog::default());
+    let claim_client = ClaimClient::spawn(
+        settings.host_id.clone(),
+        claim_settings.key_ranges,
+        claims.clone(),
+        ownership.clone(),
+        peers.clone(),
+    )?;
+    let dispatcher = Dispatcher::new(
+        dispatch_settings,
+        &admission_settings,
+        DispatcherParts {
+            permits: permits.clone(),
+            claims: claim_client,
+            endpoints: endpoints.clone(),
+            planner: planner.clone(),
+            loads: loads.clone(),
+            decisions: decisions.clone(),
+            metrics: DispatchMetrics::register(&metrics),
+        },
+    );
+    let in_flight = InFlight::default();
+    let callers = Arc::new(CallerHandler::new(
+        settings,
+        config.clone(),
+        dispatcher,
+        in_flight.clone(),
+        CallerMetrics::register(&metrics),
+    ));
+    Ok(Parts {
+        settings: settings.clone(),
+        metrics,
+        peers,
+        membership,
+        ownership,
+        resources,
+        config,
+        loads,
+        planner,
+        admission,
+        claims,
+        permits,
+        endpoints,
+        decisions,
+        in_flight,
+        callers,
+        draining: AtomicBool::new(false),
+    })
+}
+
+fn start_maintenance(parts: &Arc<Parts>, gossiper: Arc<Gossiper>) -> Result<Sender<()>> {
+    let (changed, host_changes) = bounded(1);
+    parts.membership.subscribe(changed);
+    let (stop, stopped) = bounded(0);
+    let settings = &parts.settings;
+    let maintenance = Maintenance::new(
+        parts.clone(),
+        gossiper,
+        settings.admission.clone().unwrap_or_default(),
+        settings.claims.clone().unwrap_or_default().key_ranges,
+        host_changes,
+        stopped,
+    );
+    thread::Builder::new().name("maintenance".to_owned()).spawn(move || maintenance.run())?;
+    Ok(stop)
+}
+
+fn bind_callers(parts: &Arc<Parts>) -> Result<HttpServer> {
+    let settings = parts.settings.callers.clone().unwrap_or_default();
+    let address = parts.settings.caller_address.parse().context("caller_address")?;
+    HttpServer::bind(address, server_limits(&settings), parts.callers.clone())
+        .with_context(|| format!("caller_address {address}"))
+}
+
+fn server_limits(settings: &CallerSettings) -> ServerLimits {
+    ServerLimits {
+        max_connections: settings.max_connections as usize,
+        max_header_bytes: settings.max_header_bytes as usize,
+        max_body_bytes: settings.max_body_bytes as usize,
+        read_wait: Duration::from_millis(u64::from(settings.read_ms)),
+        write_wait: Duration::from_millis(u64::from(settings.write_ms)),
+    }
+}
+
+fn bind_operators(parts: &Arc<Parts>, identity: &str, drain: Sender<()>) -> Result<OperatorServer> {
+    let identity = identity.to_owned();
+    let (for_state, for_versions, for_drain, for_check) =
+        (parts.clone(), parts.clone(), parts.clone(), parts.clone());
+    let hooks = OperatorHooks {
+        config: parts.config.clone(),
+        metrics: parts.metrics.clone(),
+        state: Box::new(move || state_dump(&for_state, &identity)),
+        member_versions: Box::new(move || member_versions(&for_versions)),
+        drain: Box::new(move || {
+            for_drain.draining.store(true, Ordering::SeqCst);
+            // a request is pending already if the channel is full
+            let _ = drain.try_send(());
+        }),
+        is_draining: Box::new(move || for_check.draining.load(Ordering::SeqCst)),
+    };
+    OperatorServer::spawn(&parts.settings, hooks)
+}
+
+/// Configuration versions of all live members; none for one that does not answer.
+fn member_versions(parts: &Parts) -> Vec<MemberVersion> {
+    let own_id = &parts.settings.host_id;
+    let deadline = Instant::now() + STATUS_WAIT;
+    let hosts = parts.membership.live_hosts();
+    let calls: Vec<_> = hosts
+        .iter()
+        .filter(|host| host.host_id != *own_id)
+        .map(|host| {
+            let message = PeerMessage::StatusRequest(StatusRequest { unused: 0 });
+            (host.host_id.clone(), parts.peers.start_call(&host.host_id, message))
+        })
+        .collect();
+    let version = Some(parts.config.current().version());
+    let own = MemberVersion { host_id: own_id.clone(), version };
+    let others = calls.into_iter().map(|(host_id, call)| {
+        let version = match call.wait(deadline) {
+            Ok(PeerMessage::StatusReply(status)) => Some(status.config_version),
+            _ => None,
+        };
+        MemberVersion { host_id, version }
+    });
+    std::iter::once(own).chain(others).collect()
+}
--- /dev/null
+++ b/crates/router/src/router/state_dump.rs
@@ -0,0 +1,62 @@
+use {
+    super::parts::Parts,
+    serde_json::{Value, json},
+};
+
+/// State of the whole process. Holds no secrets.
+pub(crate) fn state_dump(parts: &Parts, identity: &str) -> Value {
+    let config = parts.config.current();
+    let hosts: Vec<Value> = parts
+        .membership
+        .live_hosts()
+        .iter()
+        .map(|h| {
+            json!({
+                "host_id": h.host_id, "identity": h.identity, "region": h.region,
+                "zone": h.zone, "peer_address": h.peer_address.to_string(),
+            })
+        })
+        .collect();
+    let endpoints: Vec<Value> = config
+        .endpoints()
+        .map(|e| {
+            let owner = parts.resources.with(e.key, |resource| parts.ownership.owner(resource));
+            let load = parts.loads.load(e.key);
+            json!({
+                "id": e.id, "kind": e.kind, "address": e.address.to_string(), "zone": e.zone,
+                "slots": e.slots, "weight": e.weight,
+                "owner": owner.as_ref().map(|o| &o.host_id),
+                "epoch": owner.as_ref().map(|o| o.epoch),
+                "in_flight": load.as_ref().map(|l| l.in_flight),
+                "queued": load.as_ref().map(|l| l.queued),
+                "weight_permille": load.as_ref().map(|l| l.weight_permille),
+            })
+        })
+        .collect();
+    let own: std::collections::BTreeMap<String, u64> = parts
+        .ownership
+        .own_resources()
+        .into_iter()
+        .map(|(resource, epoch)| (resource.to_string(), epoch))
+        .collect();
+    json!({
+        "host": {
+            "host_id": parts.settings.host_id,
+            "identity": identity,
+            "region": parts.settings.region,
+            "zone": parts.settings.zone,
+            "ready": parts.is_ready(),
+            "requests_in_progress": parts.in_flight.total(),
+        },
+        "config": parts.config.status(),
+        "members": { "live": hosts, "registered": parts.membership.registered() },
+        "ownership": {
+            "mode": format!("{:?}", parts.ownership.mode()),
+            "log_age_ms": parts.membership.log_age_ms(),
+            "resources": own,
+        },
+        "endpoints": endpoints,
+        "owned_engines": parts.admission.state(),
+        "decisions": parts.decisions.list(),
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/caller.rs
@@ -0,0 +1,272 @@
+use {
+    serde_json::{Value, json},
+    std::{
+        io::{BufRead, BufReader},
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    ureq::{Agent, Body, http::Response},
+};
+
+/// One chat completion to ask for.
+#[derive(Clone, Debug)]
+pub struct ChatTurn {
+    pub team: String,
+    pub work: String,
+    pub chat: Option<String>,
+    pub key: Option<String>,
+    /// Contents of the messages, the newest last; roles alternate.
+    pub messages: Vec<String>,
+    /// Tokens to generate, which the router does not know.
+    pub tokens: u32,
+    pub stream: bool,
+    pub deadline_ms: Option<u64>,
+}
+
+impl ChatTurn {
+    /// A streamed single-turn request.
+    pub fn new(team: &str, work: &str, message: &str, tokens: u32) -> Self {
+        Self {
+            team: team.to_owned(),
+            work: work.to_owned(),
+            chat: None,
+            key: None,
+            messages: vec![message.to_owned()],
+            tokens,
+            stream: true,
+            deadline_ms: None,
+        }
+    }
+
+    pub fn chat(mut self, chat: &str) -> Self {
+        self.chat = Some(chat.to_owned());
+        self
+    }
+
+    pub fn whole(mut self) -> Self {
+        self.stream = false;
+        self
+    }
+
+    pub fn deadline_ms(mut self, ms: u64) -> Self {
+        self.deadline_ms = Some(ms);
+        self
+    }
+
+    fn body(&self) -> Value {
+        let last = self.messages.len().saturating_sub(1);
+        let messages: Vec<Value> = self
+            .messages
+            .iter()
+            .enumerate()
+            .map(|(index, content)| {
+                let role = if (last - index).is_multiple_of(2) { "user" } else { "assistant" };
+                json!({ "role": role, "content": content })
+            })
+            .collect();
+        json!({
+            "model": "test",
+            "stream": self.stream,
+            "messages": messages,
+            "metadata": { "length": self.tokens },
+        })
+    }
+}
+
+/// Answer to a chat completion.
+#[derive(Clone, Debug, Default)]
+pub struct ChatReply {
+    /// HTTP status; 0 if the connection failed before the head of the answer.
+    pub status: u16,
+    /// Whether the answer came to its proper end.
+    pub complete: bool,
+    pub text: String,
+    pub tokens: u32,
+    pub cached_tokens: u32,
+    pub prompt_tokens: u32,
+    pub endpoint: String,
+    /// `verdict` and `reason` of a problem or of an error event.
+    pub verdict: Option<String>,
+    pub reason: Option<String>,
+    pub first_token: Option<Duration>,
+    pub total: Duration,
+}
+
+/// Answer of a plain service.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceReply {
+    pub status: u16,
+    pub body: Value,
+    pub verdict: Option<String>,
+    pub reason: Option<String>,
+    pub total: Duration,
+}
+
+/// A caller with its own connections.
+#[derive(Clone)]
+pub struct Caller {
+    agent: Agent,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new(Duration::from_secs(60))
+    }
+}
+
+impl Caller {
+    /// A caller that waits at most `wait` for a whole answer.
+    pub fn new(wait: Duration) -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(wait))
+            .build()
+            .new_agent();
+        Self { agent }
+    }
+
+    /// Asks for a chat completion at a router, or at an engine directly.
+    pub fn chat(&self, address: SocketAddr, turn: &ChatTurn) -> ChatReply {
+        let started = Instant::now();
+        let mut reply = ChatReply::default();
+        match self.send_chat(address, turn) {
+            Ok(response) => read_chat(response, turn, started, &mut reply),
+            Err(e) => reply.reason = Some(format!("connection: {e}")),
+        }
+        reply.total = started.elapsed();
+        reply
+    }
+
+    fn send_chat(
+        &self,
+        address: SocketAddr,
+        turn: &ChatTurn,
+    ) -> Result<Response<Body>, ureq::Error> {
+        let mut request = self
+            .agent
+            .post(format!("http://{address}/v1/chat/completions"))
+            .content_type("application/json")
+            .header("Mango-Team", &turn.team)
+            .header("Mango-Work", &turn.work);
+        if let Some(chat) = &turn.chat {
+            request = request.header("Mango-Chat", chat);
+        }
+        if let Some(key) = &turn.key {
+            request = request.header("Idempotency-Key", key);
+        }
+        if let Some(ms) = turn.deadline_ms {
+            request = request.header("Mango-Deadline-Ms", ms.to_string());
+        }
+        request.send(turn.body().to_string())
+    }
+
+    /// Calls a plain service through a router.
+    pub fn service(
+        &self,
+        address: SocketAddr,
+        (team, work): (&str, &str),
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> ServiceReply {
+        let started = Instant::now();
+        let mut request = self
+            .agent
+            .post(format!("http://{address}{path}"))
+            .content_type("application/json")
+            .header("Mango-Team", team)
+            .header("Mango-Work", work);
+        if let Some(key) = key {
+            request = request.header("Idempotency-Key", key);
+        }
+        let mut reply = ServiceReply::default();
+        match request.send(body) {
+            Ok(mut response) => {
+                reply.status = response.status().as_u16();
+                reply.body = read_json(&mut response);
+                reply.verdict = text_field(&reply.body, "verdict");
+                reply.reason = text_field(&reply.body, "reason");
+            }
+            Err(e) => reply.reason = Some(format!("connection: {e}")),
+        }
+        reply.total = started.elapsed();
+        reply
+    }
+}
+
+fn read_chat(
+    mut response: Response<Body>,
+    turn: &ChatTurn,
+    started: Instant,
+    reply: &mut ChatReply,
+) {
+    reply.status = response.status().as_u16();
+    let header = |name: &str| {
+        response.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+    };
+    reply.endpoint = header("mango-endpoint");
+    let is_stream = header("content-type").starts_with("text/event-stream");
+    if reply.status == 200 && is_stream {
+        return read_events(response, started, reply);
+    }
+    let body = read_json(&mut response);
+    if reply.status != 200 {
+        note_problem(reply, &body);
+        return;
+    }
+    reply.text = body["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned();
+    reply.tokens = turn.tokens;
+    read_usage(reply, &body);
+    reply.complete = body["choices"][0]["finish_reason"] == "stop";
+}
+
+/// Body as JSON; null if it broke off.
+fn read_json(response: &mut Response<Body>) -> Value {
+    let text = response.body_mut().read_to_string().unwrap_or_default();
+    serde_json::from_str(&text).unwrap_or_default()
+}
+
+fn read_events(response: Response<Body>, started: Instant, reply: &mut ChatReply) {
+    let mut is_error = false;
+    for line in BufReader::new(response.into_body().into_reader()).lines() {
+        let Ok(line) = line else { return };
+        if line == "event: error" {
+            is_error = true;
+        }
+        let Some(data) = line.strip_prefix("data: ") else { continue };
+        if data == "[DONE]" {
+            reply.complete = !is_error;
+            continue;
+        }
+        let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+        if is_error {
+            note_problem(reply, &chunk);
+            continue;
+        }
+        if let Some(content) = chunk["choices"][0]["delta"]["content"].as_str() {
+            reply.first_token.get_or_insert_with(|| started.elapsed());
+            reply.text.push_str(content);
+            reply.tokens += 1;
+        }
+        read_usage(reply, &chunk);
+    }
+}
+
+fn read_usage(reply: &mut ChatReply, body: &Value) {
+    let usage = &body["usage"];
+    if let Some(cached) = usage["cached_tokens"].as_u64() {
+        reply.cached_tokens = cached as u32;
+    }
+    if let Some(prompt) = usage["prompt_tokens"].as_u64() {
+        reply.prompt_tokens = prompt as u32;
+    }
+}
+
+fn note_problem(reply: &mut ChatReply, body: &Value) {
+    reply.verdict = text_field(body, "verdict");
+    reply.reason = text_field(body, "reason");
+}
+
+fn text_field(body: &Value, name: &str) -> Option<String> {
+    body[name].as_str().map(str::to_owned)
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,21 @@
+//! Fleets on loopback and load clients for tests, benches and the example.
+
+mod bench_result;
+mod caller;
+mod fleet;
+mod fleet_options;
+mod objects;
+mod router_process;
+mod settings;
+mod summary;
+
+pub use {
+    bench_result::BenchResult,
+    caller::{Caller, ChatReply, ChatTurn, ServiceReply},
+    fleet::{ENGINE_POOL, LocalFleet, SERVICE_POOL, operator_get, state},
+    fleet_options::FleetOptions,
+    objects::{ObjectsBuilder, engine_endpoint, service_endpoint},
+    router_process::RouterProcess,
+    settings::{OPERATOR_TOKEN, router_settings},
+    summary::Summary,
+};
--- /dev/null
+++ b/crates/testkit/src/summary.rs
@@ -0,0 +1,61 @@
+use {
+    hdrhistogram::Histogram,
+    std::{fmt, time::Duration},
+};
+
+/// Distribution of times, from 1 µs to 10 minutes with three digits.
+#[derive(Clone)]
+pub struct Summary {
+    times_us: Histogram<u64>,
+}
+
+impl Default for Summary {
+    fn default() -> Self {
+        // the bounds are constants that the library accepts
+        let times_us = Histogram::new_with_bounds(1, 600_000_000, 3).expect("valid bounds");
+        Self { times_us }
+    }
+}
+
+impl Summary {
+    pub fn add(&mut self, time: Duration) {
+        self.times_us.saturating_record((time.as_micros() as u64).max(1));
+    }
+
+    pub fn merge(&mut self, other: &Summary) {
+        // both have the same bounds
+        self.times_us.add(&other.times_us).expect("equal bounds");
+    }
+
+    pub fn len(&self) -> u64 {
+        self.times_us.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Time below which a share of the samples lies, in milliseconds.
+    pub fn quantile_ms(&self, share: f64) -> f64 {
+        self.times_us.value_at_quantile(share) as f64 / 1000.0
+    }
+
+    pub fn mean_ms(&self) -> f64 {
+        self.times_us.mean() / 1000.0
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "n={} mean={:.2} ms p50={:.2} ms p95={:.2} ms p99={:.2} ms max={:.2} ms",
+            self.len(),
+            self.mean_ms(),
+            self.quantile_ms(0.5),
+            self.quantile_ms(0.95),
+            self.quantile_ms(0.99),
+            self.quantile_ms(1.0)
+        )
+    }
+}
