Let tests of the peer port wait for the request to be accepted

h2 drops a request that ends before it was accepted, so a client that writes all and closes at once is not told apart from one that sends nothing.

--- a/crates/router/src/ownership/tests.rs
+++ b/crates/router/src/ownership/tests.rs
@@ -397,7 +397,7 @@
     let started = Instant::now();
     fleet.wait_all_acting(&fleet.hosts[1..]);
     println!("handover: {:?}", started.elapsed());
-    assert!(started.elapsed() < LEASE, "{:?}", started.elapsed());
+    assert!(started.elapsed() < LEASE, "{:?} {:#?}", started.elapsed(), fleet.log.bodies("fleet"));
     a.crash();
     let b = &fleet.hosts[1];
     wait_until("the leave is read", || b.membership.registered() == 2);
--- a/crates/router/src/peer/tests.rs
+++ b/crates/router/src/peer/tests.rs
@@ -262,9 +262,14 @@
     assert!(answered(&a, "b", 1));
 }
 
-fn send_raw(address: SocketAddr, bytes: &[u8]) {
-    let mut stream = TcpStream::connect(address).unwrap();
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    stream
+}
+
+/// Sends the rest of a connection's bytes and waits until the peer closes it.
+fn send_last(mut stream: TcpStream, bytes: &[u8]) {
     // the peer may close before all is written
     let _ = stream.write_all(bytes);
     let _ = stream.shutdown(std::net::Shutdown::Write);
@@ -272,13 +277,33 @@
     while matches!(stream.read(&mut answer), Ok(bytes) if bytes > 0) {}
 }
 
-/// A connection that is HTTP/2 up to a request, followed by a body.
-fn request_with_body(body: &[u8]) -> Vec<u8> {
+/// Opens a request, waits until the peer answers it, and sends a body. A request
+/// that ends before it was accepted is dropped inside h2.
+fn send_body(address: SocketAddr, body: &[u8]) {
+    let mut stream = connect(address);
+    stream.write_all(&request()).unwrap();
+    let mut header = [0; 9];
+    let is_headers = |header: [u8; 9]| header[3] == 1;
+    while !is_headers(header) {
+        stream.read_exact(&mut header).unwrap();
+        let length = u32::from_be_bytes([0, header[0], header[1], header[2]]);
+        stream.read_exact(&mut vec![0; length as usize]).unwrap();
+    }
+    send_last(stream, &data_frames(body));
+}
+
+/// The start of an HTTP/2 connection with one request.
+fn request() -> Vec<u8> {
     let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
     bytes.extend([0, 0, 0, 4, 0, 0, 0, 0, 0]); // SETTINGS
     let headers = [0x83, 0x86, 0x84, 0x41, 1, b'p']; // POST http / p
     bytes.extend([0, 0, headers.len() as u8, 1, 4, 0, 0, 0, 1]);
     bytes.extend(headers);
+    bytes
+}
+
+fn data_frames(body: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::new();
     for part in body.chunks(16_000) {
         let length = part.len() as u32;
         bytes.extend(&length.to_be_bytes()[1..]);
@@ -301,8 +326,11 @@
         let b = node("b");
         let mut body = length.map(|l| l.to_be_bytes().to_vec()).unwrap_or_default();
         body.extend(&garbage);
-        let bytes = if inside_http { request_with_body(&body) } else { body };
-        send_raw(b.net.local_address(), &bytes);
+        if inside_http {
+            send_body(b.net.local_address(), &body);
+        } else {
+            send_last(connect(b.net.local_address()), &body);
+        }
         prop_assert_eq!(b.handler.handled.load(Ordering::SeqCst), 0);
         let a = node("a");
         a.net.set_address(&"b".into(), b.net.local_address());
@@ -315,8 +343,7 @@
 #[test]
 fn oversize_version_and_silence_are_closed() {
     let b = node("b");
-    let oversize = request_with_body(&(MAX_MESSAGE_BYTES as u32 + 1).to_be_bytes());
-    send_raw(b.net.local_address(), &oversize);
+    send_body(b.net.local_address(), &(MAX_MESSAGE_BYTES as u32 + 1).to_be_bytes());
     let reason = "mangobridge_peer_closed_links_total{reason=\"too_large\"}";
     wait_until("the size is refused", || metric(&b, reason) == 1);
     let hello = Hello {
@@ -327,7 +354,7 @@
         nonce: vec![0; 32],
     };
     let frame = PeerFrame { call: 0, reply: false, message: hello.into() };
-    send_raw(b.net.local_address(), &request_with_body(&encode_frame(&frame).unwrap()));
+    send_body(b.net.local_address(), &encode_frame(&frame).unwrap());
     let reason = "mangobridge_peer_closed_links_total{reason=\"version\"}";
     wait_until("the version is refused", || metric(&b, reason) == 1);
     let silent = TcpStream::connect(b.net.local_address()).unwrap();
@@ -341,9 +368,9 @@
 fn messages_before_a_close_are_handled() {
     let b = node("b");
     let bad = PeerFrame { call: 0, reply: false, message: PeerMessage::Ack };
-    let bytes = request_with_body(&encode_frame(&bad).unwrap());
+    let bytes = encode_frame(&bad).unwrap();
     for _ in 0..100 {
-        send_raw(b.net.local_address(), &bytes);
+        send_body(b.net.local_address(), &bytes);
     }
     let reason = "mangobridge_peer_closed_links_total{reason=\"unexpected\"}";
     wait_until("each message was seen", || metric(&b, reason) == 100);
