--- a/crates/router/src/ownership/controller.rs
+++ b/crates/router/src/ownership/controller.rs
@@ -38,7 +38,7 @@
 // many leases, because hosts may disagree on which host is the first.
 const SECOND_CHOICE_LEASES: u32 = 3;
 // Two hosts that reach the log but not each other take each other's resources
-// over; this many leases must pass before a host takes one again.
+// over; this many leases must pass before a host takes one over again.
 const HOLD_OFF_LEASES: u32 = 5;
 
 /// Takes, activates, renews and releases resources, on a thread of its own.
@@ -65,9 +65,6 @@
     misplaced: HashMap<ResourceId, (Option<HostId>, Instant)>,
     /// Resources without a live owner, and since when.
     unowned: HashMap<ResourceId, Instant>,
-    /// Resources that this host has taken over from another, and until when it
-    /// does not do so again.
-    hold_off: HashMap<ResourceId, Instant>,
     majority_missing: bool,
     next_renewal: Instant,
     record_outage_at: Option<Instant>,
@@ -87,7 +84,6 @@
             eligible_since: None,
             misplaced: HashMap::new(),
             unowned: HashMap::new(),
-            hold_off: HashMap::new(),
             majority_missing: false,
             next_renewal: Instant::now() + renewal,
             record_outage_at: None,
@@ -343,17 +339,9 @@
         if wanted.is_empty() {
             return;
         }
-        let hold_off = now + self.shared.clock.lease() * HOLD_OFF_LEASES;
-        for seen in wanted.iter().filter(|seen| seen.epoch != 0) {
-            let resource = ResourceId::from(seen.resource.as_str());
-            self.progress.hold_off.insert(resource, hold_off);
-        }
         let count = wanted.len();
         let request_id = Uuid::new_v4().to_string();
         let result = self.append_take(&request_id, wanted, false);
-        if matches!(result, Err(LogError::NotApplied(_))) {
-            self.progress.hold_off.clear();
-        }
         info!("event=take_appended resources={count} ok={}", result.is_ok());
         self.note_outstanding(request_id, result);
     }
@@ -362,7 +350,9 @@
     fn wanted(&mut self, now: Instant) -> Vec<Seen> {
         let hosts = self.serving_hosts(now);
         let second_after = self.shared.clock.lease() * SECOND_CHOICE_LEASES;
-        let state = self.shared.state.lock();
+        let hold_off = self.shared.clock.lease() * HOLD_OFF_LEASES;
+        let mut state = self.shared.state.lock();
+        state.taken_over.retain(|_, at| now.saturating_duration_since(*at) < hold_off);
         let Some(resources) = &state.resources else {
             return Vec::new();
         };
@@ -370,7 +360,6 @@
         if unowned.len() > resources.len() {
             unowned.clear();
         }
-        self.progress.hold_off.retain(|_, until| *until > now);
         let mut wanted = Vec::new();
         for (resource, region) in resources.iter() {
             let owner = state.fleet.owner(resource);
@@ -387,7 +376,7 @@
             let considered = if first_only { 1 } else { 2 };
             let chosen =
                 choices(resource, region, &hosts, considered).contains(&self.shared.host_id);
-            let held_off = self.progress.hold_off.contains_key(resource);
+            let held_off = owner.is_some() && state.taken_over.contains_key(resource);
             if chosen && !held_off && wanted.len() < MAX_TAKES_PER_RECORD {
                 let epoch = owner.map_or(0, |owner| owner.epoch);
                 wanted.push(Seen { resource: resource.as_str().to_owned(), epoch });
--- a/crates/router/src/ownership/fleet_state.rs
+++ b/crates/router/src/ownership/fleet_state.rs
@@ -30,6 +30,8 @@
     /// Whether the owner before gave the resource up by a Release, so that the
     /// new one need not wait for its lease to end.
     pub(crate) released: bool,
+    /// Whether another process owned the resource.
+    pub(crate) had_owner: bool,
 }
 
 impl FleetState {
@@ -66,7 +68,7 @@
             .is_some_and(|entry| entry.owner.is_none() && !self.is_expired(entry, at_ms));
         let owner = owner_of(take, offset);
         self.entries.insert(resource.clone(), Entry { owner: Some(owner), epoch: offset, at_ms });
-        Some(Taken { resource, released })
+        Some(Taken { resource, released, had_owner: seen.epoch != 0 })
     }
 
     /// A renewal of a Take that this host never read also makes the renewing
--- a/crates/router/src/ownership/shared.rs
+++ b/crates/router/src/ownership/shared.rs
@@ -58,6 +58,8 @@
     pub(crate) own: HashMap<ResourceId, OwnResource>,
     pub(crate) resources: Option<Arc<Vec<(ResourceId, String)>>>,
     pub(crate) confirmed: bool,
+    /// When this host took resources over that another process owned.
+    pub(crate) taken_over: HashMap<ResourceId, Instant>,
     /// Request id of the newest own Take that was read back.
     pub(crate) newest_own_request: Option<String>,
     /// An outage of this host that is to be recorded.
@@ -98,6 +100,7 @@
                 own: HashMap::new(),
                 resources: None,
                 confirmed: false,
+                taken_over: HashMap::new(),
                 newest_own_request: None,
                 unrecorded_outage: None,
             }),
@@ -211,7 +214,7 @@
         if own {
             state.newest_own_request = Some(take.request_id.clone());
         }
-        for Taken { resource, released } in taken {
+        for Taken { resource, released, had_owner } in taken {
             if !own {
                 if state.own.remove(resource).is_some() {
                     self.metrics.lost.inc();
@@ -227,6 +230,9 @@
                 releasing: false,
             };
             self.metrics.taken.inc();
+            if *had_owner {
+                state.taken_over.insert(resource.clone(), Instant::now());
+            }
             state.own.insert(resource.clone(), resource_state);
         }
     }
--- a/crates/router/src/ownership/tests.rs
+++ b/crates/router/src/ownership/tests.rs
@@ -447,3 +447,24 @@
     assert_eq!(registered.get("a").map(String::as_str), Some("a-2"));
     assert!(!b.membership.accepts(&a.id, "a-1"));
 }
+
+// Guards against a resource that stays unowned because its successor tried to take
+// it before it had read the Release, and then holds off.
+#[test]
+fn void_take_is_followed_by_a_valid_one() {
+    let fleet = Fleet::start(&["a", "b", "c"], Timing::Scaled);
+    fleet.wait_settled();
+    let a = fleet.hosts[0].clone();
+    assert!(fleet.resources.iter().any(|r| a.acts_on(r)));
+    // the others believe that the host has left while it still owns resources, and
+    // its Release reaches the log before their Take
+    let others = &fleet.hosts[1..];
+    for host in others {
+        host.log.delay_reads(LEASE / 4);
+    }
+    a.ownership.release_all();
+    a.membership.leave();
+    let started = Instant::now();
+    fleet.wait_all_acting(others);
+    assert!(started.elapsed() < LEASE, "{:?} {:#?}", started.elapsed(), fleet.log.bodies("fleet"));
+}
--- a/crates/router/src/platform/memory_log.rs
+++ b/crates/router/src/platform/memory_log.rs
@@ -8,8 +8,9 @@
     std::{
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
+        thread,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
@@ -32,6 +33,7 @@
 struct Faults {
     cut: AtomicBool,
     lose_answer: AtomicBool,
+    read_delay_ms: AtomicU64,
 }
 
 impl MemoryLog {
@@ -57,6 +59,11 @@
         self.faults.lose_answer.store(true, Ordering::SeqCst);
     }
 
+    /// Delays the answers with records to this client's reads.
+    pub(crate) fn delay_reads(&self, delay: Duration) {
+        self.faults.read_delay_ms.store(delay.as_millis() as u64, Ordering::SeqCst);
+    }
+
     /// Whether the answer of `lose_next_answer` has been lost.
     pub(crate) fn answer_was_lost(&self) -> bool {
         !self.faults.lose_answer.load(Ordering::SeqCst)
@@ -108,6 +115,11 @@
                 .collect();
             if !found.is_empty() || Instant::now() >= until {
                 let next_offset = records.len() as u64 + 1;
+                drop(records);
+                if !found.is_empty() {
+                    let delay_ms = self.faults.read_delay_ms.load(Ordering::SeqCst);
+                    thread::sleep(Duration::from_millis(delay_ms));
+                }
                 return Ok(ReadReply { first_offset: 1, next_offset, records: found });
             }
             self.store.changed.wait_until(&mut records, until);
