Tell owners of permits in use and measured speeds

An owner frees a permit that no message confirms by twice the dispatch time, and takes a re-registered list as complete.

--- a/crates/router/src/callers/sse_source.rs
+++ b/crates/router/src/callers/sse_source.rs
@@ -21,8 +21,8 @@
 const DONE: &[u8] = b"data: [DONE]\n\n";
 
 impl SseSource {
-    pub(crate) fn streaming(request_id: &str, stream: ChatStream) -> Self {
-        Self { request_id: request_id.to_owned(), state: State::Streaming(Box::new(stream)) }
+    pub(crate) fn streaming(request_id: &str, stream: Box<ChatStream>) -> Self {
+        Self { request_id: request_id.to_owned(), state: State::Streaming(stream) }
     }
 
     pub(crate) fn stored(request_id: &str, chunk: &[u8]) -> Self {
--- a/crates/router/src/claims/tests/test_log.rs
+++ b/crates/router/src/claims/tests/test_log.rs
@@ -43,11 +43,14 @@
     pub(super) hide_other_epochs: bool,
 }
 
+/// A stage with the channels that report its arrival and let it go on.
+type PlannedStop = (Stage, Sender<()>, Receiver<()>);
+
 /// A host's view of the log. It can be stopped at one stage.
 pub(super) struct HostLog {
     shared: Arc<TestLog>,
     own_epoch: Mutex<Epoch>,
-    stop: Mutex<Option<(Stage, Sender<()>, Receiver<()>)>>,
+    stop: Mutex<Option<PlannedStop>>,
 }
 
 /// A stop of a host at one stage of its next append.
--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -18,7 +18,7 @@
         callers::InFlightGuard,
         config::{EndpointInfo, PoolInfo},
         endpoint::{CallFailure, EngineCall, EngineEvent, Service, ServiceCall, WorkerPool},
-        placement::{Candidate, LoadTable, Planner},
+        placement::{Candidate, Planner},
     },
     bytes::Bytes,
     crossbeam::{channel::RecvTimeoutError, select},
@@ -62,7 +62,7 @@
         endpoint_id: String,
     },
     Stream {
-        stream: ChatStream,
+        stream: Box<ChatStream>,
         endpoint_id: String,
     },
     /// The request ran before; its answer.
@@ -97,7 +97,6 @@
     claims: Arc<ClaimClient>,
     endpoints: Arc<EndpointTable>,
     planner: Arc<Planner>,
-    loads: Arc<LoadTable>,
     decisions: Arc<DecisionLog>,
     workers: Arc<WorkerPool<EngineJob>>,
     retries: ShareBudget,
@@ -111,7 +110,6 @@
     pub(crate) claims: Arc<ClaimClient>,
     pub(crate) endpoints: Arc<EndpointTable>,
     pub(crate) planner: Arc<Planner>,
-    pub(crate) loads: Arc<LoadTable>,
     pub(crate) decisions: Arc<DecisionLog>,
     pub(crate) metrics: DispatchMetrics,
 }
@@ -139,8 +137,7 @@
     ) -> Self {
         let retries = ShareBudget::new(settings.retry_share, 3.0);
         let hedges = ShareBudget::new(settings.hedge_share, 1.0);
-        let DispatcherParts { permits, claims, endpoints, planner, loads, decisions, metrics } =
-            parts;
+        let DispatcherParts { permits, claims, endpoints, planner, decisions, metrics } = parts;
         Self {
             settings,
             long_tokens: admission_settings.long_tokens,
@@ -148,7 +145,6 @@
             claims,
             endpoints,
             planner,
-            loads,
             decisions,
             workers: Arc::new(WorkerPool::new()),
             retries,
@@ -201,7 +197,8 @@
             };
             let endpoint_id = run.endpoint_id().to_owned();
             if call.stream {
-                return Ok(ChatAnswer::Stream { stream: ChatStream::new(run, guard), endpoint_id });
+                let stream = Box::new(ChatStream::new(run, guard));
+                return Ok(ChatAnswer::Stream { stream, endpoint_id });
             }
             match run.collect() {
                 Ok((text, usage)) => {
@@ -286,6 +283,7 @@
         trace: &mut Trace,
     ) -> Result<(Attempt, EngineEvent), Refusal> {
         let hedge_at = self.hedge_at(context, &first);
+        let mut confirm_at = Some(first.permit.confirm_at());
         let mut first = first;
         let mut second: Option<Attempt> = None;
         let mut hedged = false;
@@ -303,11 +301,16 @@
                     "the caller closed the connection",
                 ));
             }
+            if confirm_at.is_some_and(|at| now >= at) {
+                confirm_at = None;
+                first.permit.report_progress();
+            }
             if !hedged && hedge_at.is_some_and(|at| now >= at) && self.hedges.take(ALL_TEAMS) {
                 hedged = true;
                 trace.excluded.push(first.endpoint.key);
                 second = self.send_chat(context, call, 0, link, trace, true).ok();
-                if second.is_some() {
+                if let Some(second) = &second {
+                    second.permit.report_progress();
                     self.metrics.hedges.inc();
                 }
             }
@@ -418,6 +421,7 @@
             };
             self.metrics.requests.inc();
             let sent_at = Instant::now();
+            permit.report_progress();
             let result = self.endpoints.service(&endpoint).call(&call);
             permit.measure(sent_at.elapsed().as_millis().max(1) as u32, 1, 0);
             match result {
--- a/crates/router/src/dispatch/permit.rs
+++ b/crates/router/src/dispatch/permit.rs
@@ -1,7 +1,10 @@
 use {
     super::permit_client::PermitReleaser,
     mango_wire::peer::{Grant, Progress, Release, ReleaseOutcome},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Leave to run one request on an endpoint. Released when it is dropped.
@@ -35,6 +38,12 @@
         Instant::now() < self.dispatch_deadline
     }
 
+    /// When the owner is to be told that the permit is used, unless a first token
+    /// tells it. An owner frees permits that it does not hear of.
+    pub(crate) fn confirm_at(&self) -> Instant {
+        self.dispatch_deadline - Duration::from_millis(u64::from(self.grant.dispatch_within_ms) / 2)
+    }
+
     pub(crate) fn set_outcome(&mut self, outcome: ReleaseOutcome) {
         self.release.outcome = outcome;
     }
--- a/crates/router/src/dispatch/permit_client.rs
+++ b/crates/router/src/dispatch/permit_client.rs
@@ -4,6 +4,7 @@
         admission::AcquireResult,
         ownership::{Owner, Ownership},
         peer::{CallError, PeerNet},
+        placement::LoadTable,
         router::{AdmissionOfRouter, EngineResources},
     },
     crossbeam::channel::{RecvTimeoutError, bounded},
@@ -11,7 +12,7 @@
         ChatKey, EndpointKey, Epoch, HostId, PoolKey, TeamKey, WorkKey,
         peer::{
             Acquire, AcquireMode, CancelAcquire, Grant, PassReason, PeerMessage, PermitInUse,
-            Progress, Refuse, Release, Reregister,
+            Progress, Refuse, Release, ReleaseOutcome, Reregister,
         },
     },
     parking_lot::Mutex,
@@ -64,10 +65,17 @@
     told_epoch: Epoch,
 }
 
+impl InUse {
+    fn as_listed(&self, permit: u64) -> PermitInUse {
+        PermitInUse { permit, epoch: self.epoch, team: self.team, work: self.work, long: self.long }
+    }
+}
+
 /// Sends progress and releases to the owners, and remembers permits in use so
 /// that a new owner can be told of them.
 pub(crate) struct PermitReleaser {
     host_id: HostId,
+    loads: Arc<LoadTable>,
     ownership: Arc<Ownership>,
     resources: Arc<EngineResources>,
     admission: Arc<AdmissionOfRouter>,
@@ -86,6 +94,9 @@
     }
 
     pub(crate) fn release(&self, release: Release) {
+        if release.outcome == ReleaseOutcome::Completed {
+            self.loads.observe(release.endpoint, release.first_token_ms, release.gap_us);
+        }
         self.in_use.lock().remove(&(release.endpoint, release.permit));
         let Some(owner) = self.owner(release.endpoint) else { return };
         if owner.host_id == self.host_id {
@@ -99,30 +110,31 @@
         self.resources.with(endpoint, |resource| self.ownership.owner(resource))
     }
 
-    /// Tells owners that took an endpoint over of the permits in use here.
+    /// Tells owners that took an endpoint over of all permits in use on it.
     pub(crate) fn reregister(&self) {
-        let mut told: HashMap<EndpointKey, (HostId, Vec<PermitInUse>)> = HashMap::new();
-        for ((endpoint, permit), used) in self.in_use.lock().iter_mut() {
-            let Some(owner) = self.owner(*endpoint) else { continue };
-            if owner.epoch == used.told_epoch {
-                continue;
+        let mut told: HashMap<EndpointKey, (Owner, Vec<PermitInUse>)> = HashMap::new();
+        {
+            let mut in_use = self.in_use.lock();
+            for ((endpoint, _), used) in in_use.iter() {
+                if let Some(owner) = self.owner(*endpoint)
+                    && owner.epoch != used.told_epoch
+                {
+                    told.entry(*endpoint).or_insert((owner, Vec::new()));
+                }
+            }
+            // the owner takes the list of an endpoint as complete
+            for ((endpoint, permit), used) in in_use.iter_mut() {
+                let Some((owner, permits)) = told.get_mut(endpoint) else { continue };
+                used.told_epoch = owner.epoch;
+                permits.push(used.as_listed(*permit));
             }
-            used.told_epoch = owner.epoch;
-            let (_, permits) = told.entry(*endpoint).or_insert((owner.host_id, Vec::new()));
-            permits.push(PermitInUse {
-                permit: *permit,
-                epoch: used.epoch,
-                team: used.team,
-                work: used.work,
-                long: used.long,
-            });
         }
-        for (endpoint, (host, permits)) in told {
+        for (endpoint, (owner, permits)) in told {
             let reregister = Reregister { endpoint, permits };
-            if host == self.host_id {
+            if owner.host_id == self.host_id {
                 self.admission.reregister(&self.host_id, &reregister);
             } else {
-                self.peers.send(&host, PeerMessage::Reregister(reregister));
+                self.peers.send(&owner.host_id, PeerMessage::Reregister(reregister));
             }
         }
     }
@@ -141,9 +153,11 @@
         resources: Arc<EngineResources>,
         admission: Arc<AdmissionOfRouter>,
         peers: PeerNet,
+        loads: Arc<LoadTable>,
     ) -> Self {
         let releaser = PermitReleaser {
             host_id,
+            loads,
             ownership,
             resources,
             admission,
--- a/crates/router/src/router/spawn.rs
+++ b/crates/router/src/router/spawn.rs
@@ -131,6 +131,7 @@
         resources.clone(),
         admission.clone(),
         peers.clone(),
+        loads.clone(),
     ));
     let endpoints = Arc::new(EndpointTable::new(dispatch_settings.clone()));
     let decisions = Arc::new(DecisionLog::default());
@@ -149,7 +150,6 @@
             claims: claim_client,
             endpoints: endpoints.clone(),
             planner: planner.clone(),
-            loads: loads.clone(),
             decisions: decisions.clone(),
             metrics: DispatchMetrics::register(&metrics),
         },
