--- /dev/null
+++ b/crates/router/tests/callers/main.rs
@@ -0,0 +1,7 @@
+//! The callers' side over real sockets: refusals, verdicts, streams and limits.
+
+mod at_most_once;
+mod limits;
+mod refusals;
+mod streams;
+mod support;
