--- a/crates/router/src/operators/api_reply.rs
+++ b/crates/router/src/operators/api_reply.rs
@@ -1,12 +1,27 @@
 use {
-    astra::{Body, Response},
-    http::{StatusCode, header::CONTENT_TYPE},
+    http::{
+        HeaderValue, StatusCode,
+        header::{CONNECTION, CONTENT_TYPE},
+    },
     mango_config::{ApiError, Rejection},
+    mango_http::{Answer, AnswerBody, ChunkSource},
     serde::Serialize,
+    std::io,
 };
 
+/// Operators' answers are whole, so their type of streamed source has no value.
+pub(super) enum NoSource {}
+
+impl ChunkSource for NoSource {
+    fn next_chunk(&mut self) -> Option<io::Result<bytes::Bytes>> {
+        match *self {}
+    }
+}
+
+pub(super) type Reply = Answer<NoSource>;
+
 /// JSON answer.
-pub(super) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+pub(super) fn json<T: Serialize>(status: StatusCode, value: &T) -> Reply {
     match serde_json::to_string(value) {
         Ok(text) => answer(status, "application/json", text),
         Err(e) => answer(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", e.to_string()),
@@ -14,17 +29,17 @@
 }
 
 /// Text answer.
-pub(super) fn text(content_type: &'static str, text: String) -> Response {
+pub(super) fn text(content_type: &'static str, text: String) -> Reply {
     answer(StatusCode::OK, content_type, text)
 }
 
 /// Refusal with a fixed name of the reason.
-pub(super) fn refusal(status: StatusCode, reason: &str, detail: impl ToString) -> Response {
+pub(super) fn refusal(status: StatusCode, reason: &str, detail: impl ToString) -> Reply {
     error(status, reason, detail, None)
 }
 
 /// Refusal of a change that was rejected.
-pub(super) fn rejected(rejection: Rejection) -> Response {
+pub(super) fn rejected(rejection: Rejection) -> Reply {
     let detail = rejection.to_string();
     error(StatusCode::CONFLICT, "rejected", detail, Some(rejection))
 }
@@ -34,14 +49,17 @@
     reason: &str,
     detail: impl ToString,
     rejection: Option<Rejection>,
-) -> Response {
+) -> Reply {
     let (reason, detail) = (reason.to_owned(), detail.to_string());
     json(status, &ApiError { reason, detail, rejection })
 }
 
-fn answer(status: StatusCode, content_type: &'static str, text: String) -> Response {
-    let mut response = Response::new(Body::new(text));
-    *response.status_mut() = status;
-    response.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static(content_type));
-    response
+// Connections are closed after each answer, so that idle ones take no threads.
+fn answer(status: StatusCode, content_type: &'static str, text: String) -> Reply {
+    let mut reply = Reply::new(AnswerBody::whole(text));
+    *reply.status_mut() = status;
+    let headers = reply.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    reply
 }
--- a/crates/router/src/operators/operator_server.rs
+++ b/crates/router/src/operators/operator_server.rs
@@ -1,26 +1,27 @@
 use {
     super::{hooks::OperatorHooks, request_handler::RequestHandler},
-    crate::{logging::quoted, platform::RecordLog},
-    anyhow::{Context, Result, anyhow},
-    astra::Server,
-    log::error,
+    crate::platform::RecordLog,
+    anyhow::{Context, Result},
+    mango_http::{HttpServer, ServerLimits},
     mango_wire::settings::Settings,
     std::{
-        net::{SocketAddr, TcpListener},
-        panic::catch_unwind,
+        net::SocketAddr,
         sync::Arc,
-        thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
-// Requests served at once; each takes a thread.
-const MAX_WORKERS: usize = 16;
-const REBIND_PAUSE: Duration = Duration::from_millis(200);
+// Each connection takes a thread.
+const MAX_CONNECTIONS: usize = 32;
+const READ_WAIT: Duration = Duration::from_secs(5);
+const WRITE_WAIT: Duration = Duration::from_secs(10);
+// The limit of a log record, which a change must fit into, is checked with a
+// proper answer; a body above the limit of the server may end in a reset.
+const BODY_PER_RECORD: usize = 4;
 
-/// HTTP server for operators. It serves until the process ends.
+/// HTTP server for operators. It stops when it is dropped.
 pub(crate) struct OperatorServer {
-    address: SocketAddr,
+    server: HttpServer,
 }
 
 impl OperatorServer {
@@ -29,47 +30,28 @@
         settings: &Settings,
         hooks: OperatorHooks<L>,
     ) -> Result<Self> {
-        let wanted: SocketAddr = settings.operator_address.parse().context("operator_address")?;
-        let server = bind(wanted)?;
-        let address = server.local_addr().context("operator_address")?;
+        let address: SocketAddr = settings.operator_address.parse().context("operator_address")?;
+        let limits = ServerLimits {
+            max_connections: MAX_CONNECTIONS,
+            max_body_bytes: settings.platform.max_record_bytes as usize * BODY_PER_RECORD,
+            read_wait: READ_WAIT,
+            write_wait: WRITE_WAIT,
+            ..ServerLimits::default()
+        };
         let handler = Arc::new(RequestHandler::new(&settings.operator_token, hooks));
-        thread::Builder::new()
-            .name("operators".to_owned())
-            .spawn(move || serve(server, address, handler))?;
-        Ok(Self { address })
+        let server = HttpServer::bind(address, limits, handler)
+            .with_context(|| format!("operator_address {address}"))?;
+        Ok(Self { server })
     }
 
     /// Address that is served; the port is the actual one.
     pub(crate) fn address(&self) -> SocketAddr {
-        self.address
+        self.server.address()
     }
-}
 
-fn serve<L: RecordLog>(mut server: Server, address: SocketAddr, handler: Arc<RequestHandler<L>>) {
-    loop {
-        let handler = handler.clone();
-        let result = server
-            .max_workers(MAX_WORKERS)
-            .http1_keep_alive(false)
-            .http1_only()
-            .serve(move |request, _| handler.handle(request));
-        // the library ends its loop on a failed accept, for example when file
-        // descriptors ran out
-        if let Err(e) = result {
-            error!("event=operator_server_failed detail={}", quoted(e));
-        }
-        server = loop {
-            thread::sleep(REBIND_PAUSE);
-            match bind(address) {
-                Ok(server) => break server,
-                Err(e) => error!("event=operator_bind_failed detail={}", quoted(e)),
-            }
-        };
+    /// Stops accepting and lets requests in progress end. Returns whether all
+    /// ended by the deadline.
+    pub(crate) fn stop(&self, deadline: Instant) -> bool {
+        self.server.drain(deadline)
     }
 }
-
-// The library panics if it can't bind, so binding is tried beforehand.
-fn bind(address: SocketAddr) -> Result<Server> {
-    drop(TcpListener::bind(address).with_context(|| format!("operator_address {address}"))?);
-    catch_unwind(|| Server::bind(address)).map_err(|_| anyhow!("operator_address {address}"))
-}
--- a/crates/router/src/operators/request_handler.rs
+++ b/crates/router/src/operators/request_handler.rs
@@ -1,29 +1,26 @@
 use {
     super::{
-        api_reply::{json, refusal, rejected, text},
+        api_reply::{NoSource, Reply, json, refusal, rejected, text},
         hooks::OperatorHooks,
         query::Query,
         token_check::TokenCheck,
     },
     crate::{config::PublishError, logging::quoted, platform::RecordLog},
-    astra::{Request, Response},
     http::{Method, StatusCode, header::AUTHORIZATION},
     log::info,
     mango_config::{
         ChangeReply, ConfigListing, HistoryListing, MemberVersion, ObjectName, object_name,
     },
+    mango_http::{BodyError, CallerLink, Handler, Request},
     mango_wire::config::{Change, ObjectKind},
     serde_json::json as value,
     std::{
-        io::Read,
         sync::atomic::{AtomicUsize, Ordering},
         thread,
         time::{Duration, Instant},
     },
 };
 
-// A change can't be larger than a log record, whose limit is checked later.
-const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 const PUBLISH_WAIT: Duration = Duration::from_secs(10);
 const MAX_MEMBER_WAIT_MS: u64 = 60_000;
 const MEMBER_POLL: Duration = Duration::from_millis(100);
@@ -44,7 +41,7 @@
         Self { token: TokenCheck::new(token), hooks, changes: AtomicUsize::new(0) }
     }
 
-    pub(super) fn handle(&self, request: Request) -> Response {
+    fn answer(&self, request: Request) -> Reply {
         let path = request.uri().path().to_owned();
         let allowed = match path.as_str() {
             "/healthz" | "/readyz" | "/metrics" | "/state" | "/explain" | "/history" => {
@@ -71,7 +68,7 @@
             .unwrap_or_else(|detail| refusal(StatusCode::BAD_REQUEST, "bad_request", detail))
     }
 
-    fn route(&self, path: &str, request: Request) -> Result<Response, String> {
+    fn route(&self, path: &str, request: Request) -> Result<Reply, String> {
         let query = request.uri().query().unwrap_or_default().to_owned();
         match path {
             "/healthz" => Ok(text("text/plain", "ok\n".to_owned())),
@@ -86,7 +83,7 @@
         }
     }
 
-    fn ready(&self) -> Response {
+    fn ready(&self) -> Reply {
         let status = self.hooks.config.status();
         let draining = (self.hooks.is_draining)();
         let ready = status.version > 0 && !draining;
@@ -100,19 +97,19 @@
         json(code, &body)
     }
 
-    fn metrics(&self) -> Result<Response, String> {
+    fn metrics(&self) -> Result<Reply, String> {
         let encoded = self.hooks.metrics.encode().map_err(|e| e.to_string())?;
         Ok(text("application/openmetrics-text; version=1.0.0; charset=utf-8", encoded))
     }
 
-    fn explain(&self, query: &str) -> Result<Response, String> {
+    fn explain(&self, query: &str) -> Result<Reply, String> {
         let query = Query::parse(query, &["team", "work", "service"])?;
         let (team, work) = (query.require("team")?, query.require("work")?);
         let service = query.get("service").filter(|service| !service.is_empty());
         Ok(json(StatusCode::OK, &self.hooks.config.current().explain(team, work, service)))
     }
 
-    fn history(&self, query: &str) -> Result<Response, String> {
+    fn history(&self, query: &str) -> Result<Reply, String> {
         let query = Query::parse(query, &["limit"])?;
         let limit = query.number("limit")?.unwrap_or(DEFAULT_HISTORY);
         let limit = usize::try_from(limit).unwrap_or(usize::MAX);
@@ -120,7 +117,7 @@
         Ok(json(StatusCode::OK, &HistoryListing { changes }))
     }
 
-    fn config(&self, query: &str) -> Result<Response, String> {
+    fn config(&self, query: &str) -> Result<Reply, String> {
         let query = Query::parse(query, &["kind", "id"])?;
         let config = self.hooks.config.current();
         let kind = match query.get("kind") {
@@ -147,7 +144,7 @@
         Ok(json(StatusCode::OK, &ConfigListing { version: config.version(), objects }))
     }
 
-    fn change_bounded(&self, query: &str, request: Request) -> Result<Response, String> {
+    fn change_bounded(&self, query: &str, request: Request) -> Result<Reply, String> {
         let others = self.changes.fetch_add(1, Ordering::AcqRel);
         let result = if others < MAX_CHANGES {
             self.change(query, request)
@@ -159,15 +156,12 @@
         result
     }
 
-    fn change(&self, query: &str, request: Request) -> Result<Response, String> {
+    fn change(&self, query: &str, request: Request) -> Result<Reply, String> {
         let query = Query::parse(query, &["wait_ms"])?;
         let wait_ms = query.number("wait_ms")?.map(|ms| ms.min(MAX_MEMBER_WAIT_MS));
-        let body = match read_body(request)? {
-            Some(body) => body,
-            None => {
-                let detail = format!("body above {MAX_BODY_BYTES} bytes");
-                return Ok(refusal(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", detail));
-            }
+        let body = match request.into_body() {
+            Ok(body) => body,
+            Err(e) => return Ok(body_refusal(&e)),
         };
         let mut json_body = serde_json::Deserializer::from_slice(&body);
         let change: Change = serde_path_to_error::deserialize(&mut json_body)
@@ -203,14 +197,22 @@
         }
     }
 
-    fn drain(&self) -> Response {
+    fn drain(&self) -> Reply {
         info!("event=drain_requested");
         (self.hooks.drain)();
         json(StatusCode::ACCEPTED, &value!({ "draining": true }))
     }
 }
 
-fn publish_refusal(error: PublishError) -> Response {
+impl<L: RecordLog> Handler for RequestHandler<L> {
+    type Source = NoSource;
+
+    fn handle(&self, request: Request, _: &CallerLink) -> Reply {
+        self.answer(request)
+    }
+}
+
+fn publish_refusal(error: PublishError) -> Reply {
     let detail = error.to_string();
     match error {
         PublishError::Rejected(rejection) => rejected(*rejection),
@@ -225,10 +227,10 @@
     }
 }
 
-/// Reads a body; `None` if it is too large.
-fn read_body(mut request: Request) -> Result<Option<Vec<u8>>, String> {
-    let mut body = Vec::new();
-    let reader = request.body_mut().reader();
-    reader.take(MAX_BODY_BYTES + 1).read_to_end(&mut body).map_err(|e| format!("body: {e}"))?;
-    Ok((body.len() as u64 <= MAX_BODY_BYTES).then_some(body))
+fn body_refusal(error: &BodyError) -> Reply {
+    match error {
+        BodyError::TooLarge => refusal(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", error),
+        BodyError::TimedOut => refusal(StatusCode::REQUEST_TIMEOUT, "body_too_slow", error),
+        BodyError::Broken(_) => refusal(StatusCode::BAD_REQUEST, "bad_request", error),
+    }
 }
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -1,5 +1,6 @@
 use {
     flexi_logger::LogSpecification,
+    log::LevelFilter,
     mango_wire::settings::Settings,
     std::{fmt::Display, net::SocketAddr},
 };
@@ -23,10 +24,24 @@
     check_health(settings, &mut faults);
     check_dispatch(settings, &mut faults);
     check_claims(settings, &mut faults);
-    if let Err(e) = LogSpecification::parse(&settings.log_spec) {
+    check_log_spec(&settings.log_spec, &mut faults);
+    faults.0
+}
+
+fn check_log_spec(spec: &str, faults: &mut Faults) {
+    if let Err(e) = LogSpecification::parse(spec) {
         faults.add("log_spec", format!("{e}, expected for example \"info\""));
+        return;
+    }
+    // the library takes a word that is no level for a module's name, which
+    // would turn all other log lines off
+    let words = spec.split('/').next().unwrap_or_default().split(',').map(str::trim);
+    for word in words.filter(|word| !word.is_empty() && !word.contains('=')) {
+        if word.parse::<LevelFilter>().is_err() {
+            let detail = format!("{word:?}, expected a level or MODULE=LEVEL");
+            faults.add("log_spec", detail);
+        }
     }
-    faults.0
 }
 
 #[derive(Default)]
