--- a/crates/router/src/settings/load.rs
+++ b/crates/router/src/settings/load.rs
@@ -15,8 +15,13 @@
 
 pub(super) fn parse_settings(text: &str) -> Result<Settings> {
     let mut json = serde_json::Deserializer::from_str(text);
-    let settings: Settings = serde_path_to_error::deserialize(&mut json)
-        .map_err(|e| anyhow!("{}: {}", e.path(), e.inner()))?;
+    let settings: Settings = serde_path_to_error::deserialize(&mut json).map_err(|e| {
+        match e.path().to_string().as_str() {
+            // the text of the error holds the value
+            path @ ("peer_secret" | "operator_token") => anyhow!("{path}: expected a string"),
+            path => anyhow!("{path}: {}", e.inner()),
+        }
+    })?;
     json.end().context("after the settings")?;
     let faults = check_settings(&settings);
     if !faults.is_empty() {
--- a/crates/router/src/settings/tests/mod.rs
+++ b/crates/router/src/settings/tests/mod.rs
@@ -149,6 +149,12 @@
 /// Faults must name the file, and must not show secrets.
 #[test]
 fn faults_name_the_file_and_hide_secrets() {
+    check(
+        |s| s["peer_secret"] = json!(271828),
+        expect![[r#"
+        peer_secret: expected a string
+    "#]],
+    );
     let mut settings = example();
     settings["peer_secret"] = json!("hidden");
     let file = tempfile::NamedTempFile::new().expect("temporary file");
