--- a/crates/router/src/config/tests/decisions.rs
+++ b/crates/router/src/config/tests/decisions.rs
@@ -12,7 +12,7 @@
         platform::LogRecord,
     },
     proptest::{collection::vec, prelude::*},
-    std::collections::HashMap,
+    std::collections::{HashMap, VecDeque},
 };
 
 pub(super) fn object(text: &str) -> ConfigObject {
@@ -88,10 +88,13 @@
     tail: u64,
 }
 
-fn scenario(steps: &[Step], snapshot_every: usize) -> Scenario {
+/// `lag` changes are appended between the state that a snapshot shows and its
+/// records, as happens when its writer is slow.
+fn scenario(steps: &[Step], snapshot_every: usize, lag: usize) -> Scenario {
     let mut config = Config::default();
     let (mut records, mut decisions) = (Vec::new(), HashMap::new());
     let mut views = vec![0];
+    let mut written: VecDeque<(usize, Vec<String>)> = VecDeque::new();
     let mut offset = 1;
     for (index, step) in steps.iter().enumerate() {
         let based_on = views[views.len().saturating_sub(1 + step.views_back)];
@@ -105,7 +108,11 @@
         }
         offset += 2;
         if index % snapshot_every == snapshot_every - 1 {
-            for body in snapshot_records(&config, offset - 1, 900).expect("snapshot") {
+            let bodies = snapshot_records(&config, offset - 1, 900).expect("snapshot");
+            written.push_back((index + lag, bodies));
+        }
+        while let Some((_, bodies)) = written.pop_front_if(|(due, _)| *due <= index) {
+            for body in bodies {
                 records.push(LogRecord { offset, at_ms: offset, body });
                 offset += 3;
             }
@@ -164,8 +171,8 @@
 
     /// Routers that disagree on a racing change would route by different rules.
     #[test]
-    fn every_delivery_is_decided_alike(steps in steps(), seed: u64, every in 1..8usize) {
-        let scenario = scenario(&steps, every);
+    fn every_delivery_is_decided_alike(steps in steps(), seed: u64, every in 1..8usize, lag in 0..4usize) {
+        let scenario = scenario(&steps, every, lag);
         let (state, decisions) = read_disturbed(&scenario, 1, seed);
         prop_assert!(state.is_following());
         prop_assert_eq!(&decisions, &scenario.decisions);
@@ -176,9 +183,9 @@
     /// configuration as one that read them all, or with none.
     #[test]
     fn expired_log_gives_the_same_or_nothing(
-        steps in steps(), seed: u64, every in 1..8usize, cut in 0..60u64,
+        steps in steps(), seed: u64, every in 1..8usize, lag in 0..4usize, cut in 0..60u64,
     ) {
-        let scenario = scenario(&steps, every);
+        let scenario = scenario(&steps, every, lag);
         let first = 2 + cut;
         prop_assume!(scenario.records.iter().any(|record| record.offset >= first));
         let (state, decisions) = read_disturbed(&scenario, first, seed);
@@ -195,7 +202,7 @@
     /// A change updates only what depends on it, and must miss nothing.
     #[test]
     fn incremental_equals_full_compile(steps in steps()) {
-        let last = scenario(&steps, 1000).last;
+        let last = scenario(&steps, 1000, 0).last;
         let snapshot = whole_snapshot(&last, last.version());
         let full = Config::from_objects(snapshot.version, snapshot.objects, snapshot.deleted, 0)
             .expect("a configuration in force compiles");
@@ -260,6 +267,30 @@
     );
 }
 
+/// A router that lost records keeps its configuration, and takes no older or
+/// equal one from a peer or from the log.
+#[test]
+fn older_snapshot_never_replaces_a_newer_configuration() {
+    let team = |weight: f64| object(&format!(r#"{{"team":{{"id":"t","weight":{weight}}}}}"#));
+    let (mut state, _) = state_with(&[
+        (1, change("first", 0, vec![team(1.0)])),
+        (4, change("second", 1, vec![team(2.0)])),
+    ]);
+    let (old, _) = state_with(&[(1, change("first", 0, vec![team(1.0)]))]);
+    let current = state.config().clone();
+    state.confirm(state.next(), 90, 80);
+    assert!(!state.is_following(), "records 5 to 79 are unknown");
+    for config in [old.config(), &current] {
+        let snapshot = whole_snapshot(config, config.version());
+        assert_eq!(state.adopt_from_peer(snapshot), Ok(false));
+    }
+    let body = snapshot_records(old.config(), 95, 10_000).expect("snapshot").remove(0);
+    state.apply(LogRecord { offset: 96, at_ms: 0, body });
+    state.confirm(90, 97, 80);
+    assert_eq!(state.config().version(), 4);
+    assert!(!state.is_following());
+}
+
 /// Changes of different objects must not reject each other.
 #[test]
 fn unrelated_changes_are_both_accepted() {
