Tell the verdict of all sendings of a request

Cause: when a repeat of an idempotent request found no endpoint, the caller got the last placement's not_run, although the first sending may have run; and with all endpoints excluded the request waited until its deadline. Seen in crossed_answers_are_never_forwarded: owner_unavailable (not_run) after 2.96 s. Now a refusal after a sending that may have run says so, and a request whose endpoints all failed is answered at once with the newest failure.

--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -119,6 +119,10 @@
 struct Trace {
     tries: Vec<String>,
     excluded: Vec<EndpointKey>,
+    /// The newest failure of an endpoint.
+    failed: Option<Refusal>,
+    /// Whether any sending may have run.
+    may_have_run: bool,
 }
 
 impl Trace {
@@ -127,6 +131,24 @@
             self.tries.push(line);
         }
     }
+
+    /// Notes that a sending to an endpoint failed.
+    fn add_failure(&mut self, endpoint: &EndpointInfo, failure: &CallFailure) {
+        self.add(format!("{}: {failure}", endpoint.id));
+        self.excluded.push(endpoint.key);
+        self.may_have_run |= failure.verdict != Verdict::NotRun;
+        self.failed = Some(failure.clone().into());
+    }
+
+    /// A refusal after several sendings tells the verdict of all of them.
+    fn conclude<T>(&self, result: Result<T, Refusal>) -> Result<T, Refusal> {
+        result.map_err(|refusal| match refusal.verdict {
+            Verdict::NotRun if self.may_have_run => {
+                Refusal { verdict: Verdict::MayHaveRun, ..refusal }
+            }
+            _ => refusal,
+        })
+    }
 }
 
 impl Dispatcher {
@@ -170,6 +192,7 @@
         };
         let mut trace = Trace::default();
         let result = self.run_chat(context, call, ticket, guard, link, &mut trace);
+        let result = trace.conclude(result);
         self.log_decision(context, &trace, &result);
         result
     }
@@ -206,8 +229,12 @@
                     return Ok(ChatAnswer::Whole { body, endpoint_id });
                 }
                 // nothing of the answer has reached the caller yet
-                Err(refusal) if !last && self.may_retry(context, &refusal) => {}
-                Err(refusal) => return Err(refusal),
+                Err(refusal) => {
+                    trace.may_have_run |= refusal.verdict != Verdict::NotRun;
+                    if last || !self.may_retry(context, &refusal) {
+                        return Err(refusal);
+                    }
+                }
             }
         }
         Err(Refusal::not_run(Reason::NoCapacity, "no attempt was made"))
@@ -325,21 +352,16 @@
             match event {
                 EngineEvent::Failed(failure) => {
                     let failed_first = !from_second;
-                    trace.add(format!(
-                        "{}: {failure}",
-                        if failed_first {
-                            &first.endpoint.id
-                        } else {
-                            second.as_ref().map_or("", |s| s.endpoint.id.as_str())
-                        }
-                    ));
+                    let failed = if failed_first { Some(&first) } else { second.as_ref() };
+                    if let Some(failed) = failed {
+                        trace.add_failure(&failed.endpoint, &failure);
+                    }
                     match (failed_first, second.take()) {
                         (true, Some(other)) => {
                             end_failed(std::mem::replace(&mut first, other), &failure);
                         }
                         (false, Some(other)) => end_failed(other, &failure),
                         (_, None) => {
-                            trace.excluded.push(first.endpoint.key);
                             end_failed(first, &failure);
                             return Err(failure.into());
                         }
@@ -389,6 +411,7 @@
         };
         let mut trace = Trace::default();
         let result = self.run_service(context, &request, link, &mut trace);
+        let result = trace.conclude(result);
         if let Some(ticket) = ticket {
             match &result {
                 Ok(reply) => ticket.complete(reply.status, &reply.content_type, reply.body.clone()),
@@ -436,8 +459,7 @@
                 }
                 Err(failure) => {
                     permit.set_outcome(ReleaseOutcome::Failed);
-                    trace.add(format!("{}: {failure}", endpoint.id));
-                    trace.excluded.push(endpoint.key);
+                    trace.add_failure(&endpoint, &failure);
                     attempt += 1;
                     let refusal = Refusal::from(failure);
                     if attempt == MAX_ATTEMPTS || !self.may_retry(context, &refusal) {
@@ -514,6 +536,11 @@
             if hedge {
                 return Err(Refusal::not_run(Reason::NoCapacity, "no other endpoint is free"));
             }
+            let is_excluded = |endpoint: &Arc<EndpointInfo>| trace.excluded.contains(&endpoint.key);
+            let all_excluded = context.pools.iter().all(|p| p.endpoints.iter().all(is_excluded));
+            if let Some(failed) = trace.failed.as_ref().filter(|_| all_excluded) {
+                return Err(failed.clone());
+            }
             if Instant::now() + OWNER_RETRY >= context.deadline {
                 let reason = if saw_owner { Reason::NoCapacity } else { Reason::OwnerUnavailable };
                 let detail = format!("no endpoint took the request: {}", trace.tries.join(", "));
