Show in explain where a request would be placed and why

The routes and pools were explained, but not the endpoint. mangoctl explain now lists the endpoints in the order in which the router would ask their owners, the first one with room, and for a chat id its home.

--- a/crates/config/src/api.rs
+++ b/crates/config/src/api.rs
@@ -157,6 +157,26 @@
     pub routes: Vec<RouteExplanation>,
     /// Every pool that a route of this service leads to.
     pub pool_members: Vec<PoolExplanation>,
+    /// Endpoints in the order in which this router would ask their owners now.
+    #[serde(default)]
+    pub placement: Vec<PlacementStep>,
+}
+
+/// One endpoint that a router would ask for, with what it knows of its load.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PlacementStep {
+    /// Pool id.
+    pub pool: String,
+    /// Endpoint id.
+    pub endpoint: String,
+    /// When the owner is to grant: `if_warm`, `if_room` or `queue`.
+    pub mode: String,
+    /// Whether this is the first step that has room, by the loads known here.
+    pub chosen: bool,
+    /// Why the step is chosen or passed over.
+    pub because: String,
+    /// Host that admits work to the endpoint.
+    pub owner: Option<String>,
 }
 
 /// Whether a route admits the work.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,8 +12,8 @@
 pub use {
     api::{
         ApiError, ChangeReply, ConfigListing, EndpointExplanation, Explanation, HistoryEntry,
-        HistoryListing, HistoryOutcome, MemberVersion, ObjectVersion, PoolExplanation,
-        PrecedingChange, Rejection, RouteExplanation, TermExplanation,
+        HistoryListing, HistoryOutcome, MemberVersion, ObjectVersion, PlacementStep,
+        PoolExplanation, PrecedingChange, Rejection, RouteExplanation, TermExplanation,
     },
     check::{Problem, check_object, check_objects},
     files::{ConfigFile, parse_objects, read_objects},
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -126,6 +126,9 @@
         /// Service in the request path; omitted for model work.
         #[arg(long)]
         service: Option<String>,
+        /// Chat id, whose home endpoint is to be shown.
+        #[arg(long)]
+        chat: Option<String>,
     },
     /// Show the state of the router.
     State,
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -74,8 +74,11 @@
         team: &str,
         work: &str,
         service: Option<&str>,
+        chat: Option<&str>,
     ) -> Result<Explanation, Failure> {
-        self.get("explain", &[("team", Some(team)), ("work", Some(work)), ("service", service)])
+        let query =
+            [("team", Some(team)), ("work", Some(work)), ("service", service), ("chat", chat)];
+        self.get("explain", &query)
     }
 
     pub(crate) fn history(&self, limit: u32) -> Result<HistoryListing, Failure> {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -85,8 +85,8 @@
         Command::Label { kind, id, labels, change } => {
             label(&client, (*kind, id), labels, change, output)
         }
-        Command::Explain { team, work, service } => {
-            let explanation = client.explain(team, work, service.as_deref())?;
+        Command::Explain { team, work, service, chat } => {
+            let explanation = client.explain(team, work, service.as_deref(), chat.as_deref())?;
             let text = match output {
                 Output::Json => output::json(&explanation)?,
                 Output::Table => output::explanation(&explanation),
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -148,6 +148,18 @@
     }
     text.push('\n');
     text.push_str(&table(&["POOL", "ENDPOINT", "MEMBER", "BECAUSE"], rows));
+    text.push('\n');
+    let steps = explanation.placement.iter().map(|step| {
+        let chosen = if step.chosen { "yes" } else { "no" };
+        vec![
+            step.endpoint.clone(),
+            step.mode.clone(),
+            step.owner.clone().unwrap_or_default(),
+            chosen.to_owned(),
+            step.because.clone(),
+        ]
+    });
+    text.push_str(&table(&["ASKED", "MODE", "OWNER", "CHOSEN", "BECAUSE"], steps.collect()));
     text
 }
 
--- a/crates/router/src/config/explain.rs
+++ b/crates/router/src/config/explain.rs
@@ -27,6 +27,7 @@
             pools: Vec::new(),
             routes: Vec::new(),
             pool_members: Vec::new(),
+            placement: Vec::new(),
         };
         let Some(team) = self.team(team) else {
             explanation.unknown = Some(ObjectName::new(ObjectKind::Team, team).to_key());
--- a/crates/router/src/operators/hooks.rs
+++ b/crates/router/src/operators/hooks.rs
@@ -1,10 +1,14 @@
 use {
     crate::{config::ConfigStore, metrics::Metrics, platform::LogClient},
-    mango_config::MemberVersion,
+    mango_config::{Explanation, MemberVersion, PlacementStep},
     serde_json::Value,
     std::sync::Arc,
 };
 
+/// Says for explained work and an optional chat id where it would be placed.
+pub(crate) type PlacementHook =
+    Box<dyn Fn(&Explanation, Option<&str>) -> Vec<PlacementStep> + Send + Sync>;
+
 /// What the operators' server shows and calls.
 pub(crate) struct OperatorHooks<L = LogClient> {
     pub(crate) config: Arc<ConfigStore<L>>,
@@ -13,6 +17,8 @@
     pub(crate) state: Box<dyn Fn() -> Value + Send + Sync>,
     /// Configuration versions of all live members, this host included.
     pub(crate) member_versions: Box<dyn Fn() -> Vec<MemberVersion> + Send + Sync>,
+    /// Endpoints that would be asked now for explained work and a chat.
+    pub(crate) placement: PlacementHook,
     /// Starts a planned stop; must not wait for its end.
     pub(crate) drain: Box<dyn Fn() + Send + Sync>,
     /// Whether a planned stop has begun.
--- a/crates/router/src/operators/request_handler.rs
+++ b/crates/router/src/operators/request_handler.rs
@@ -103,10 +103,13 @@
     }
 
     fn explain(&self, query: &str) -> Result<Reply, String> {
-        let query = Query::parse(query, &["team", "work", "service"])?;
+        let query = Query::parse(query, &["team", "work", "service", "chat"])?;
         let (team, work) = (query.require("team")?, query.require("work")?);
         let service = query.get("service").filter(|service| !service.is_empty());
-        Ok(json(StatusCode::OK, &self.hooks.config.current().explain(team, work, service)))
+        let chat = query.get("chat").filter(|chat| !chat.is_empty());
+        let mut explanation = self.hooks.config.current().explain(team, work, service);
+        explanation.placement = (self.hooks.placement)(&explanation, chat);
+        Ok(json(StatusCode::OK, &explanation))
     }
 
     fn history(&self, query: &str) -> Result<Reply, String> {
--- a/crates/router/src/operators/tests/mod.rs
+++ b/crates/router/src/operators/tests/mod.rs
@@ -60,6 +60,7 @@
                 let behind = MemberVersion { host_id: "entry-02".to_owned(), version: Some(1) };
                 vec![MemberVersion { host_id: "entry-01".to_owned(), version }, behind]
             }),
+            placement: Box::new(|_, _| Vec::new()),
             drain: Box::new(move || drain.store(true, Ordering::Release)),
             is_draining: Box::new(move || is_draining.load(Ordering::Acquire)),
         };
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -8,6 +8,7 @@
 mod maintenance;
 mod message_handler;
 mod parts;
+mod placement_steps;
 mod spawn;
 mod state_dump;
 mod topology;
--- /dev/null
+++ b/crates/router/src/router/placement_steps.rs
@@ -0,0 +1,62 @@
+use {
+    super::parts::Parts,
+    crate::{config::PoolInfo, placement::Candidate},
+    mango_config::{Explanation, PlacementStep},
+    mango_wire::{chat_key, peer::AcquireMode, pool_key},
+    std::time::Instant,
+};
+
+/// Endpoints in the order in which this router would ask their owners now. What
+/// only an owner knows, such as which chats are warm, is not judged here.
+pub(crate) fn placement_steps(
+    parts: &Parts,
+    explanation: &Explanation,
+    chat: Option<&str>,
+) -> Vec<PlacementStep> {
+    let config = parts.config.current();
+    let chat = chat.map_or(0, |chat| chat_key(&explanation.team, chat));
+    let mut steps = Vec::new();
+    for id in &explanation.pools {
+        let Some(pool) = config.pool(pool_key(id)) else { continue };
+        let Some(plan) = parts.planner.plan(pool.key, chat, chat != 0) else { continue };
+        steps.extend(plan.filter_map(|candidate| step(parts, pool, candidate)));
+    }
+    if let Some(chosen) = steps.iter_mut().find(|step| step.chosen) {
+        chosen.because = format!("first with room: {}", chosen.because);
+        let chosen = chosen.clone();
+        for step in steps.iter_mut().filter(|step| **step != chosen) {
+            step.chosen = false;
+        }
+    }
+    steps
+}
+
+fn step(parts: &Parts, pool: &PoolInfo, candidate: Candidate) -> Option<PlacementStep> {
+    let config = parts.config.current();
+    let endpoint = config.endpoint(candidate.endpoint)?;
+    let owner = parts.resources.with(endpoint.key, |resource| parts.ownership.owner(resource));
+    let load = parts.loads.load(endpoint.key);
+    let (chosen, because) = match (&owner, load) {
+        (None, _) => (false, "no owner".to_owned()),
+        (_, None) => (true, "its load is not known here".to_owned()),
+        (_, Some(load)) => {
+            let room = load.is_free(endpoint.slots, Instant::now());
+            let text = format!(
+                "{} of {} slots in use, {} waiting, health {:.2}",
+                load.in_flight,
+                endpoint.slots,
+                load.queued,
+                f64::from(load.weight_permille) / 1000.0
+            );
+            (room || candidate.mode == AcquireMode::Queue, text)
+        }
+    };
+    Some(PlacementStep {
+        pool: pool.id.clone(),
+        endpoint: endpoint.id.clone(),
+        mode: candidate.mode.to_string(),
+        chosen,
+        because,
+        owner: owner.map(|owner| owner.host_id),
+    })
+}
--- a/crates/router/src/router/spawn.rs
+++ b/crates/router/src/router/spawn.rs
@@ -8,6 +8,7 @@
         maintenance::Maintenance,
         message_handler::MessageHandler,
         parts::Parts,
+        placement_steps::placement_steps,
         state_dump::state_dump,
     },
     crate::{
@@ -219,13 +220,16 @@
 
 fn bind_operators(parts: &Arc<Parts>, identity: &str, drain: Sender<()>) -> Result<OperatorServer> {
     let identity = identity.to_owned();
-    let (for_state, for_versions, for_drain, for_check) =
-        (parts.clone(), parts.clone(), parts.clone(), parts.clone());
+    let (for_state, for_versions, for_placement) = (parts.clone(), parts.clone(), parts.clone());
+    let (for_drain, for_check) = (parts.clone(), parts.clone());
     let hooks = OperatorHooks {
         config: parts.config.clone(),
         metrics: parts.metrics.clone(),
         state: Box::new(move || state_dump(&for_state, &identity)),
         member_versions: Box::new(move || member_versions(&for_versions)),
+        placement: Box::new(move |explanation, chat| {
+            placement_steps(&for_placement, explanation, chat)
+        }),
         drain: Box::new(move || {
             for_drain.draining.store(true, Ordering::SeqCst);
             // a request is pending already if the channel is full
