Answer may_have_run when a retry of work that ran is refused

Cause: a request's refusal carried the verdict of its last attempt only. When an attempt had failed after it may have run and the retry or hedge was not sent, the caller was told not_run.

Change: the trace of a request notes attempts that may have run, and a refusal of the whole request then says may_have_run.

--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -119,6 +119,8 @@
 struct Trace {
     tries: Vec<String>,
     excluded: Vec<EndpointKey>,
+    /// Whether an attempt failed after it may have run.
+    may_have_run: bool,
 }
 
 impl Trace {
@@ -127,6 +129,20 @@
             self.tries.push(line);
         }
     }
+
+    /// Notes how an attempt failed.
+    fn note_failure(&mut self, verdict: Verdict) {
+        self.may_have_run |= verdict != Verdict::NotRun;
+    }
+
+    /// Refusal of the whole request, whose last attempt ended in `refusal`: an
+    /// attempt that was not run does not undo an earlier one that may have run.
+    fn conclude(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run && refusal.verdict == Verdict::NotRun {
+            return Refusal { verdict: Verdict::MayHaveRun, ..refusal };
+        }
+        refusal
+    }
 }
 
 impl Dispatcher {
@@ -169,7 +185,9 @@
             }
         };
         let mut trace = Trace::default();
-        let result = self.run_chat(context, call, ticket, guard, link, &mut trace);
+        let result = self
+            .run_chat(context, call, ticket, guard, link, &mut trace)
+            .map_err(|refusal| trace.conclude(refusal));
         self.log_decision(context, &trace, &result);
         result
     }
@@ -187,8 +205,12 @@
             let last = attempt + 1 == MAX_ATTEMPTS;
             let mut run = match self.start_chat(context, &call, &mut ticket, attempt, link, trace) {
                 Ok(run) => run,
-                Err(refusal) if !last && self.may_retry(context, &refusal) => continue,
+                Err(refusal) if !last && self.may_retry(context, &refusal) => {
+                    trace.note_failure(refusal.verdict);
+                    continue;
+                }
                 Err(refusal) => {
+                    let refusal = trace.conclude(refusal);
                     if let Some(ticket) = ticket {
                         ticket.fail(&refusal, &context.request_id);
                     }
@@ -206,7 +228,9 @@
                     return Ok(ChatAnswer::Whole { body, endpoint_id });
                 }
                 // nothing of the answer has reached the caller yet
-                Err(refusal) if !last && self.may_retry(context, &refusal) => {}
+                Err(refusal) if !last && self.may_retry(context, &refusal) => {
+                    trace.note_failure(refusal.verdict);
+                }
                 Err(refusal) => return Err(refusal),
             }
         }
@@ -324,6 +348,7 @@
             };
             match event {
                 EngineEvent::Failed(failure) => {
+                    trace.note_failure(failure.verdict);
                     let failed_first = !from_second;
                     trace.add(format!(
                         "{}: {failure}",
@@ -388,7 +413,9 @@
             }
         };
         let mut trace = Trace::default();
-        let result = self.run_service(context, &request, link, &mut trace);
+        let result = self
+            .run_service(context, &request, link, &mut trace)
+            .map_err(|refusal| trace.conclude(refusal));
         if let Some(ticket) = ticket {
             match &result {
                 Ok(reply) => ticket.complete(reply.status, &reply.content_type, reply.body.clone()),
@@ -440,6 +467,7 @@
                     trace.excluded.push(endpoint.key);
                     attempt += 1;
                     let refusal = Refusal::from(failure);
+                    trace.note_failure(refusal.verdict);
                     if attempt == MAX_ATTEMPTS || !self.may_retry(context, &refusal) {
                         return Err(refusal);
                     }
