Check histories of concurrent runs under faults

The endpoints' records are compared with the callers' answers; one idempotency key is checked for linearizability. Every checker is tested with the fault that it looks for.

--- /dev/null
+++ b/crates/router/tests/histories/checker_tests.rs
@@ -0,0 +1,204 @@
+use {
+    crate::{
+        checks::{Violation, check},
+        history::{
+            Answer, Call, ConfigChange, ConfigSample, Effect, FinalConfig, History, LeftEndpoint,
+            PlannedStop, Work,
+        },
+    },
+    std::time::{Duration, Instant},
+};
+
+const STEP: Duration = Duration::from_millis(10);
+
+fn booking(start: Instant, request: &str) -> Call {
+    Call {
+        host: 0,
+        work: Work::Booking { key: "key".to_owned(), body_digest: "digest".to_owned() },
+        started: start,
+        ended: start + STEP * 2,
+        answer: Answer {
+            status: 200,
+            request_id: request.to_owned(),
+            complete: true,
+            ran_digest: "digest".to_owned(),
+            ran_id: format!("{request}-0"),
+            ..Answer::default()
+        },
+    }
+}
+
+fn chat(start: Instant, text: &str) -> Call {
+    Call {
+        work: Work::Chat { expected: "abc def ".to_owned() },
+        answer: Answer {
+            status: 200,
+            request_id: "chat".to_owned(),
+            complete: true,
+            text: text.to_owned(),
+            ..Answer::default()
+        },
+        ..booking(start, "chat")
+    }
+}
+
+fn effect(start: Instant, attempt: &str, key: Option<&str>) -> Effect {
+    let key = key.map(str::to_owned);
+    Effect { attempt_id: attempt.to_owned(), key, started: start + STEP }
+}
+
+fn sample(version: u64, content: &str) -> ConfigSample {
+    ConfigSample { process: 0, version, content: content.to_owned() }
+}
+
+/// A history without a fault, that every test breaks in one point.
+fn sound() -> History {
+    let start = Instant::now();
+    let team = "team shared".to_owned();
+    History {
+        calls: vec![booking(start, "first"), chat(start, "abc def ")],
+        effects: vec![effect(start, "first-0", Some("key")), effect(start, "chat-0", None)],
+        samples: vec![sample(1, "one"), sample(2, "two")],
+        changes: vec![
+            ConfigChange { version: 1, object: team.clone(), content: "one".to_owned() },
+            ConfigChange { version: 2, object: team.clone(), content: "two".to_owned() },
+        ],
+        accepted: vec![2],
+        finals: vec![FinalConfig {
+            process: 0,
+            version: 2,
+            objects: vec![(team, "two".to_owned())],
+        }],
+        left: vec![LeftEndpoint { left: start, grace: STEP, new_work: vec![start + STEP / 2] }],
+        stops: vec![PlannedStop { host: 0, asked: start + STEP }],
+    }
+}
+
+fn violations(history: &History) -> Vec<Violation> {
+    let mut found: Vec<_> = check(history).into_iter().map(|(violation, _)| violation).collect();
+    found.sort();
+    found.dedup();
+    found
+}
+
+// Guards against a checker that reports faults where there are none.
+#[test]
+fn sound_history_is_accepted() {
+    assert_eq!(check(&sound()), []);
+}
+
+// Guards against a checker that misses work that ran twice under one key.
+#[test]
+fn second_execution_of_a_key_is_doubled() {
+    let mut history = sound();
+    history.effects.push(effect(Instant::now(), "second-0", Some("key")));
+    assert_eq!(violations(&history), [Violation::Doubled]);
+}
+
+// Guards against a checker that misses an answer to work that never ran.
+#[test]
+fn answer_without_execution_is_lost() {
+    let mut history = sound();
+    history.effects.retain(|effect| effect.key.is_none());
+    assert_eq!(violations(&history), [Violation::Lost]);
+    let mut history = sound();
+    history.effects.retain(|effect| effect.key.is_some());
+    assert_eq!(violations(&history), [Violation::Lost]);
+}
+
+// Guards against a checker that takes a stored answer given before the work ran.
+#[test]
+fn answer_before_the_execution_is_lost() {
+    let mut history = sound();
+    let mut early = booking(history.calls[0].started, "early");
+    early.answer.ran_id = "first-0".to_owned();
+    early.ended = early.started + STEP / 2;
+    history.calls.push(early);
+    // the answer came before the stop, which is no part of this fault
+    assert_eq!(violations(&history), [Violation::Lost]);
+}
+
+// Guards against a checker that takes a whole answer with missing parts.
+#[test]
+fn complete_answer_with_missing_parts_is_lost() {
+    let mut history = sound();
+    history.calls[1].answer.text = "abc ".to_owned();
+    assert_eq!(violations(&history), [Violation::Lost]);
+}
+
+// Guards against a checker that misses an answer to another request.
+#[test]
+fn answer_of_another_request_is_crossed() {
+    let mut history = sound();
+    history.calls[0].answer.ran_digest = "other".to_owned();
+    assert_eq!(violations(&history), [Violation::Crossed]);
+    let mut history = sound();
+    history.calls[1].answer.text = "xyz ".to_owned();
+    history.calls[1].answer.complete = false;
+    history.stops.clear();
+    assert_eq!(violations(&history), [Violation::Crossed]);
+}
+
+// Guards against a checker that believes a `not_run` of work that ran.
+#[test]
+fn not_run_of_work_that_ran_is_false() {
+    for index in 0..2 {
+        let mut history = sound();
+        let answer = &mut history.calls[index].answer;
+        answer.status = 503;
+        answer.complete = false;
+        answer.verdict = Some("not_run".to_owned());
+        assert_eq!(violations(&history), [Violation::FalseNotRun]);
+    }
+}
+
+// Guards against a checker that misses a router whose configuration went back.
+#[test]
+fn older_version_is_reverted() {
+    let mut history = sound();
+    history.samples.push(sample(1, "one"));
+    assert_eq!(violations(&history), [Violation::RevertedConfig]);
+}
+
+// Guards against a checker that misses two contents of one version.
+#[test]
+fn other_content_of_a_version_is_reverted() {
+    let mut history = sound();
+    history.samples.push(sample(2, "other"));
+    assert_eq!(violations(&history), [Violation::RevertedConfig]);
+}
+
+// Guards against a checker that misses an accepted change that is not in force.
+#[test]
+fn accepted_change_without_effect_is_reverted() {
+    let mut history = sound();
+    history.finals[0].objects[0].1 = "one".to_owned();
+    assert_eq!(violations(&history), [Violation::RevertedConfig]);
+    let mut history = sound();
+    history.finals[0].version = 1;
+    assert_eq!(violations(&history), [Violation::RevertedConfig]);
+    let mut history = sound();
+    history.accepted.push(7);
+    assert_eq!(violations(&history), [Violation::RevertedConfig]);
+}
+
+// Guards against a checker that misses new work to an endpoint that left.
+#[test]
+fn late_new_work_to_a_left_endpoint_is_found() {
+    let mut history = sound();
+    let late = history.left[0].left + STEP * 2;
+    history.left[0].new_work.push(late);
+    assert_eq!(violations(&history), [Violation::WorkAfterLeave]);
+}
+
+// Guards against a checker that misses a request cut off by a planned stop.
+#[test]
+fn open_request_without_an_answer_is_cut_off() {
+    for index in 0..2 {
+        let mut history = sound();
+        let answer = &mut history.calls[index].answer;
+        answer.status = 0;
+        answer.complete = false;
+        assert_eq!(violations(&history), [Violation::CutOffAtStop]);
+    }
+}
--- /dev/null
+++ b/crates/router/tests/histories/checks.rs
@@ -0,0 +1,177 @@
+use {
+    crate::{
+        history::{Call, Effect, History, Work},
+        key_model::is_linearizable,
+    },
+    std::collections::{BTreeMap, HashMap, HashSet},
+    strum::{Display, EnumIter},
+};
+
+/// Kinds of faults that a history must not show.
+#[derive(Clone, Copy, Debug, Display, EnumIter, Eq, Ord, PartialEq, PartialOrd)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Violation {
+    Doubled,
+    Lost,
+    Crossed,
+    FalseNotRun,
+    RevertedConfig,
+    WorkAfterLeave,
+    CutOffAtStop,
+}
+
+/// All violations of a history, each with what was seen.
+pub(crate) fn check(history: &History) -> Vec<(Violation, String)> {
+    let mut found = Vec::new();
+    check_keys(history, &mut found);
+    check_answers(history, &mut found);
+    check_verdicts(history, &mut found);
+    check_config(history, &mut found);
+    check_leaves(history, &mut found);
+    check_stops(history, &mut found);
+    found
+}
+
+fn check_keys(history: &History, found: &mut Vec<(Violation, String)>) {
+    let mut calls: BTreeMap<&str, Vec<&Call>> = BTreeMap::new();
+    let mut effects: HashMap<&str, Vec<&Effect>> = HashMap::new();
+    for call in &history.calls {
+        if let Work::Booking { key, .. } = &call.work {
+            calls.entry(key).or_default().push(call);
+        }
+    }
+    for effect in &history.effects {
+        if let Some(key) = &effect.key {
+            effects.entry(key).or_default().push(effect);
+        }
+    }
+    for (key, calls) in &calls {
+        let effects = effects.get(key).map_or(&[][..], |e| &e[..]);
+        if effects.len() > 1 {
+            found.push((Violation::Doubled, format!("key {key}: {calls:?} {effects:?}")));
+        }
+        for call in calls.iter().filter(|call| call.answer.status == 200) {
+            if !effects.iter().any(|effect| effect.attempt_id == call.answer.ran_id) {
+                found.push((Violation::Lost, format!("no execution: {call:?}")));
+            }
+        }
+        if effects.len() <= 1 && !is_linearizable(calls, effects) {
+            found.push((Violation::Lost, format!("no order: {calls:?} {effects:?}")));
+        }
+    }
+}
+
+fn check_answers(history: &History, found: &mut Vec<(Violation, String)>) {
+    let ran: HashSet<&str> =
+        history.effects.iter().map(|effect| request_of(&effect.attempt_id)).collect();
+    for call in history.calls.iter().filter(|call| call.answer.status == 200) {
+        match &call.work {
+            Work::Booking { body_digest, .. } => {
+                if *body_digest != call.answer.ran_digest {
+                    found.push((Violation::Crossed, format!("{call:?}")));
+                }
+            }
+            Work::Chat { expected } => {
+                let text = &call.answer.text;
+                if !expected.starts_with(text.as_str()) {
+                    found.push((Violation::Crossed, format!("{call:?}")));
+                } else if call.answer.complete && text != expected {
+                    found.push((Violation::Lost, format!("parts missing: {call:?}")));
+                } else if call.answer.complete && !ran.contains(call.answer.request_id.as_str()) {
+                    found.push((Violation::Lost, format!("no execution: {call:?}")));
+                }
+            }
+        }
+    }
+}
+
+fn check_verdicts(history: &History, found: &mut Vec<(Violation, String)>) {
+    let ran: HashMap<&str, &Effect> =
+        history.effects.iter().map(|effect| (request_of(&effect.attempt_id), effect)).collect();
+    for call in &history.calls {
+        if call.answer.verdict.as_deref() == Some("not_run")
+            && let Some(effect) = ran.get(call.answer.request_id.as_str())
+        {
+            found.push((Violation::FalseNotRun, format!("{call:?} {effect:?}")));
+        }
+    }
+}
+
+fn check_config(history: &History, found: &mut Vec<(Violation, String)>) {
+    let mut newest: HashMap<usize, u64> = HashMap::new();
+    let mut contents: HashMap<u64, &str> = HashMap::new();
+    for sample in &history.samples {
+        let newest = newest.entry(sample.process).or_default();
+        if sample.version < *newest {
+            let detail = format!("process {} from {newest}: {sample:?}", sample.process);
+            found.push((Violation::RevertedConfig, detail));
+        }
+        *newest = sample.version.max(*newest);
+        let known = contents.entry(sample.version).or_insert(&sample.content);
+        if *known != sample.content {
+            let detail = format!("version {} is also {known}: {sample:?}", sample.version);
+            found.push((Violation::RevertedConfig, detail));
+        }
+    }
+    for version in &history.accepted {
+        if !history.changes.iter().any(|change| change.version == *version) {
+            let detail = format!("version {version} was not accepted by the log's order");
+            found.push((Violation::RevertedConfig, detail));
+        }
+    }
+    let mut in_force: HashMap<&str, (u64, &str)> = HashMap::new();
+    for change in &history.changes {
+        let newest = in_force.entry(&change.object).or_default();
+        *newest = (*newest).max((change.version, &change.content));
+    }
+    for end in &history.finals {
+        for (object, (version, content)) in &in_force {
+            let kept = end.objects.iter().any(|(name, kept)| name == object && kept == content);
+            if end.version < *version || !kept {
+                let detail = format!("{object} of {version} not in force: {end:?}");
+                found.push((Violation::RevertedConfig, detail));
+            }
+        }
+    }
+}
+
+fn check_leaves(history: &History, found: &mut Vec<(Violation, String)>) {
+    for leave in &history.left {
+        let late = leave.new_work.iter().filter(|at| **at > leave.left + leave.grace);
+        for at in late {
+            let after = at.duration_since(leave.left);
+            found.push((Violation::WorkAfterLeave, format!("new work after {after:?}")));
+        }
+    }
+}
+
+fn check_stops(history: &History, found: &mut Vec<(Violation, String)>) {
+    for stop in &history.stops {
+        let open = history.calls.iter().filter(|call| {
+            call.host == stop.host && call.started < stop.asked && call.ended > stop.asked
+        });
+        for call in open {
+            let answer = &call.answer;
+            let answered = answer.complete || answer.verdict.as_deref() == Some("not_run");
+            if !answered {
+                let related = related(history, call);
+                found.push((Violation::CutOffAtStop, format!("{call:?} related: {related:?}")));
+            }
+        }
+    }
+}
+
+/// Other calls with the same idempotency key.
+fn related<'a>(history: &'a History, call: &Call) -> Vec<&'a Call> {
+    let Work::Booking { key, .. } = &call.work else { return Vec::new() };
+    let is_other = |other: &&Call| {
+        matches!(&other.work, Work::Booking { key: other, .. } if other == key)
+            && other.answer.request_id != call.answer.request_id
+    };
+    history.calls.iter().filter(is_other).collect()
+}
+
+/// Id of the request that an attempt belongs to.
+fn request_of(attempt_id: &str) -> &str {
+    attempt_id.split_once('-').map_or(attempt_id, |(request, _)| request)
+}
--- /dev/null
+++ b/crates/router/tests/histories/key_model.rs
@@ -0,0 +1,65 @@
+use {
+    crate::history::{Call, Effect, Work},
+    std::time::{Duration, Instant},
+    todc_utils::{Action, History, Specification, WGLChecker},
+};
+
+/// What one call did to its idempotency key.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+enum KeyOperation {
+    /// It ran the work; the id is that of the execution.
+    Run(String),
+    /// It got the answer of an execution.
+    Read(String),
+    /// It neither ran the work nor learnt of an execution.
+    Unchanged,
+}
+
+/// An idempotency key is a register that is written once.
+struct KeySpecification;
+
+impl Specification for KeySpecification {
+    type Operation = KeyOperation;
+    type State = Option<String>;
+
+    fn init() -> Self::State {
+        None
+    }
+
+    fn apply(operation: &Self::Operation, state: &Self::State) -> (bool, Self::State) {
+        match operation {
+            KeyOperation::Run(id) => (state.is_none(), Some(id.clone())),
+            KeyOperation::Read(id) => (state.as_ref() == Some(id), state.clone()),
+            KeyOperation::Unchanged => (true, state.clone()),
+        }
+    }
+}
+
+/// Whether the calls with one key and its executions have an order in which the
+/// work ran at most once and every answer came after it.
+pub(crate) fn is_linearizable(calls: &[&Call], effects: &[&Effect]) -> bool {
+    let mut timed: Vec<(Instant, usize, Action<KeyOperation>)> = Vec::new();
+    let mut add = |process, from, until, operation: KeyOperation| {
+        timed.push((from, process, Action::Call(operation.clone())));
+        timed.push((until, process, Action::Response(operation)));
+    };
+    let mut process = 0;
+    for effect in effects {
+        // the effect takes place at one time, which the endpoint recorded
+        let until = effect.started + Duration::from_nanos(1);
+        add(process, effect.started, until, KeyOperation::Run(effect.attempt_id.clone()));
+        process += 1;
+    }
+    for call in calls {
+        let Work::Booking { .. } = call.work else { continue };
+        let operation = match call.answer.status {
+            200 => KeyOperation::Read(call.answer.ran_id.clone()),
+            _ => KeyOperation::Unchanged,
+        };
+        add(process, call.started, call.ended, operation);
+        process += 1;
+    }
+    timed.sort_by_key(|(at, ..)| *at);
+    let actions = timed.into_iter().map(|(_, process, action)| (process, action)).collect();
+    WGLChecker::<KeySpecification>::is_linearizable(History::from_actions(actions))
+}
--- /dev/null
+++ b/crates/router/tests/histories/run.rs
@@ -0,0 +1,420 @@
+use {
+    crate::{
+        fleet::{BOOKING, CHAT, ProcessFleet, SERVICE, TEAM, agent, get, post},
+        history::{
+            Answer, Call, ConfigChange, ConfigSample, Effect, FinalConfig, History, LeftEndpoint,
+            PlannedStop, Work,
+        },
+        plan::{Fault, PlannedFault, RunPlan},
+    },
+    anyhow::{Result, ensure},
+    mango_standins::{Outage, expected_answer},
+    mango_testkit::{Caller, ChatTurn},
+    mango_wire::config::{Change, ConfigObject, ConfigRecord, Team},
+    parking_lot::Mutex,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    serde_json::Value,
+    std::{
+        collections::HashMap,
+        sync::atomic::{AtomicBool, Ordering},
+        thread,
+        time::{Duration, Instant},
+    },
+    uuid::Uuid,
+};
+
+// 3 s of the goal, scaled as the lease is, and one interval between reads of an
+// engine's load report, which does not scale.
+const LEAVE_GRACE: Duration = Duration::from_millis(450 + 250);
+const CALLER_WAIT: Duration = Duration::from_millis(1500);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(40);
+const SETTLE_WAIT: Duration = Duration::from_secs(3);
+const STOP_WAIT: Duration = Duration::from_secs(5);
+const MAX_BOOKING_CALLS: usize = 3;
+
+/// State that the threads of a run share.
+struct Run<'a> {
+    plan: &'a RunPlan,
+    fleet: &'a ProcessFleet,
+    history: Mutex<History>,
+    ended: AtomicBool,
+}
+
+/// Makes one run and returns what happened.
+pub(crate) fn run(plan: &RunPlan) -> Result<History> {
+    let fleet = ProcessFleet::spawn(plan)?;
+    if plan.has(Fault::SplitHosts) {
+        fleet.platform.set_host_list_lag(Duration::from_millis(500));
+    }
+    let run = Run { plan, fleet: &fleet, history: Mutex::default(), ended: AtomicBool::new(false) };
+    let began = Instant::now();
+    thread::scope(|scope| {
+        let faults = scope.spawn(|| run.make_faults(began));
+        let callers: Vec<_> = (0..plan.callers)
+            .map(|index| {
+                let run = &run;
+                scope.spawn(move || run.call_routers(index, began))
+            })
+            .collect();
+        let operators: Vec<_> = (0..2)
+            .filter(|_| plan.has(Fault::RacingChanges))
+            .map(|index| {
+                let run = &run;
+                scope.spawn(move || run.change_config(index, began))
+            })
+            .collect();
+        for host in 0..plan.routers {
+            let run = &run;
+            scope.spawn(move || run.sample_config(host));
+        }
+        for caller in callers {
+            caller.join().expect("caller thread");
+        }
+        let faults = faults.join().expect("fault thread");
+        for operator in operators {
+            operator.join().expect("operator thread");
+        }
+        let settled = run.note_final_configs();
+        run.ended.store(true, Ordering::SeqCst);
+        faults.and(settled)
+    })?;
+    run.note_effects();
+    Ok(run.history.into_inner())
+}
+
+impl Run<'_> {
+    fn make_faults(&self, began: Instant) -> Result<()> {
+        let mut events: Vec<(u64, bool, &PlannedFault)> = Vec::new();
+        for planned in &self.plan.faults {
+            events.push((planned.begins_ms, true, planned));
+            events.push((planned.begins_ms + planned.lasts_ms, false, planned));
+        }
+        events.sort_by_key(|(at_ms, ..)| *at_ms);
+        for (at_ms, begins, planned) in events {
+            sleep_until(began + Duration::from_millis(at_ms));
+            if begins {
+                self.begin(planned)?;
+            } else {
+                self.end(planned)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn begin(&self, planned: &PlannedFault) -> Result<()> {
+        let fleet = self.fleet;
+        let host = planned.host;
+        match planned.fault {
+            Fault::Crash => {
+                let mut slot = fleet.slots[host].lock();
+                slot.is_up = false;
+                slot.process.kill()?;
+            }
+            Fault::Pause => fleet.slots[host].lock().process.pause()?,
+            Fault::LostAppendAnswers => {
+                fleet.platform.set_append_answer_loss(0.3, self.plan.seed);
+            }
+            Fault::LogOutage => fleet.platform.set_log_outage(Outage::Refuse),
+            Fault::LogCut => fleet.log_proxies[host].freeze(),
+            Fault::SplitHosts => {
+                fleet.platform.remove_host(&format!("host-{host}"));
+                fleet.peer_proxies[host].freeze();
+            }
+            Fault::EndpointFlap => {
+                fleet.engines[1].crash();
+                fleet.service.crash();
+            }
+            Fault::LateAnswers => fleet.endpoint_proxies.iter().for_each(|proxy| proxy.freeze()),
+            Fault::EndpointLeave => {
+                fleet.engines[0].set_leaving();
+                let left =
+                    LeftEndpoint { left: Instant::now(), grace: LEAVE_GRACE, new_work: Vec::new() };
+                self.history.lock().left.push(left);
+            }
+            Fault::PlannedStop | Fault::OperatorDrain => self.stop(planned)?,
+            Fault::RacingChanges => {}
+        }
+        Ok(())
+    }
+
+    fn stop(&self, planned: &PlannedFault) -> Result<()> {
+        let host = planned.host;
+        self.history.lock().stops.push(PlannedStop { host, asked: Instant::now() });
+        if planned.fault == Fault::PlannedStop {
+            return self.fleet.slots[host].lock().process.terminate();
+        }
+        let agent = agent(Duration::from_secs(1));
+        let (status, _) = post(&agent, self.fleet.hosts[host].operators, "/drain", "")?;
+        ensure!(status == 202, "drain was answered with {status}");
+        Ok(())
+    }
+
+    fn end(&self, planned: &PlannedFault) -> Result<()> {
+        let fleet = self.fleet;
+        let host = planned.host;
+        match planned.fault {
+            Fault::Crash => fleet.restart_host(host)?,
+            Fault::Pause => fleet.slots[host].lock().process.resume()?,
+            Fault::LostAppendAnswers => fleet.platform.set_append_answer_loss(0.0, 0),
+            Fault::LogOutage => fleet.platform.set_log_outage(Outage::None),
+            Fault::LogCut => fleet.log_proxies[host].resume(),
+            Fault::SplitHosts => fleet.peer_proxies[host].resume(),
+            Fault::EndpointFlap => {
+                fleet.engines[1].restart();
+                fleet.service.restart();
+            }
+            Fault::LateAnswers => fleet.endpoint_proxies.iter().for_each(|proxy| proxy.resume()),
+            Fault::PlannedStop | Fault::OperatorDrain => {
+                let mut slot = fleet.slots[host].lock();
+                slot.is_up = false;
+                let ended = slot.process.wait(STOP_WAIT)?;
+                ensure!(ended.is_some(), "host-{host} did not end after a planned stop");
+            }
+            Fault::EndpointLeave | Fault::RacingChanges => {}
+        }
+        Ok(())
+    }
+
+    fn call_routers(&self, index: usize, began: Instant) {
+        let mut random = SmallRng::seed_from_u64(self.plan.seed ^ ((index as u64 + 1) << 32));
+        let caller = Caller::new(CALLER_WAIT);
+        let ends = began + Duration::from_millis(self.plan.run_ms);
+        let mut number = 0;
+        while Instant::now() < ends {
+            let name = format!("{}-{index}-{number}", self.plan.seed);
+            number += 1;
+            if random.random_bool(0.6) {
+                self.book(&caller, &name, &mut random);
+            } else {
+                self.chat(&caller, &name, &mut random);
+            }
+            thread::sleep(Duration::from_millis(random.random_range(2..20)));
+        }
+    }
+
+    /// Books once, and repeats the call through other routers until it is known
+    /// whether it ran. Some calls are repeated at once or without need.
+    fn book(&self, caller: &Caller, name: &str, random: &mut SmallRng) {
+        let key = Uuid::now_v7().to_string();
+        let body = format!("{{\"booking\":\"{name}\"}}");
+        let mut host = random.random_range(0..self.plan.routers);
+        let repeats_at_once = random.random_bool(0.15);
+        let repeats_answered = random.random_bool(0.2);
+        for _ in 0..MAX_BOOKING_CALLS {
+            let other = (host + 1) % self.plan.routers;
+            let is_answered = if repeats_at_once {
+                thread::scope(|scope| {
+                    let second = scope.spawn(|| self.book_once(caller, other, &key, &body));
+                    let first = self.book_once(caller, host, &key, &body);
+                    second.join().expect("repeat thread") && first
+                })
+            } else {
+                self.book_once(caller, host, &key, &body)
+            };
+            if is_answered && !repeats_answered {
+                return;
+            }
+            host = other;
+        }
+    }
+
+    /// Returns whether the booking is known to have run.
+    fn book_once(&self, caller: &Caller, host: usize, key: &str, body: &str) -> bool {
+        let started = Instant::now();
+        let path = format!("/services/{SERVICE}/book");
+        let address = self.fleet.hosts[host].callers;
+        let reply = caller.service(address, (TEAM, BOOKING), &path, Some(key), body);
+        let text = |name: &str| reply.body[name].as_str().unwrap_or_default().to_owned();
+        let answer = Answer {
+            status: reply.status,
+            request_id: reply.request_id.clone(),
+            verdict: reply.verdict.clone(),
+            reason: reply.reason.clone(),
+            complete: reply.status == 200 && reply.body.is_object(),
+            text: String::new(),
+            ran_digest: text("body_digest"),
+            ran_id: text("request_id"),
+        };
+        let is_answered = answer.complete;
+        let body_digest = format!("{:016x}", mango_wire::digest(body.as_bytes()));
+        let work = Work::Booking { key: key.to_owned(), body_digest };
+        self.note_call(Call { host, work, started, ended: Instant::now(), answer });
+        is_answered
+    }
+
+    fn chat(&self, caller: &Caller, name: &str, random: &mut SmallRng) {
+        let host = random.random_range(0..self.plan.routers);
+        let tokens = random.random_range(2..12);
+        let mut turn = ChatTurn::new(TEAM, CHAT, name, tokens).chat(&format!("chat-{name}"));
+        turn.stream = random.random_bool(0.6);
+        let started = Instant::now();
+        let reply = caller.chat(self.fleet.hosts[host].callers, &turn);
+        let answer = Answer {
+            status: reply.status,
+            request_id: reply.request_id,
+            verdict: reply.verdict,
+            reason: reply.reason,
+            complete: reply.complete,
+            text: reply.text,
+            ..Answer::default()
+        };
+        let work = Work::Chat { expected: expected_answer(name, tokens) };
+        self.note_call(Call { host, work, started, ended: Instant::now(), answer });
+    }
+
+    fn note_call(&self, call: Call) {
+        self.history.lock().calls.push(call);
+    }
+
+    fn change_config(&self, index: usize, began: Instant) {
+        let mut random = SmallRng::seed_from_u64(self.plan.seed ^ ((index as u64 + 1) << 48));
+        let agent = agent(Duration::from_millis(800));
+        let ends = began + Duration::from_millis(self.plan.run_ms);
+        let mut number = 0;
+        while Instant::now() < ends {
+            thread::sleep(Duration::from_millis(random.random_range(10..60)));
+            let address = self.fleet.hosts[random.random_range(0..self.plan.routers)].operators;
+            let target = self.fleet.hosts[random.random_range(0..self.plan.routers)].operators;
+            let weight = f64::from(random.random_range(1..100));
+            let Ok(listing) = get(&agent, address, "/config?kind=team&id=gold") else { continue };
+            number += 1;
+            let change = Change {
+                author: format!("operator-{index}"),
+                based_on: listing["version"].as_u64().unwrap_or_default(),
+                change_id: format!("{}-{index}-{number}", self.plan.seed),
+                delete: Vec::new(),
+                made_at_ms: 0,
+                put: vec![team("shared", weight), team(&format!("own-{index}"), weight)],
+            };
+            let body = serde_json::to_string(&change).expect("changes serialise");
+            if let Ok((200, reply)) = post(&agent, target, "/config", &body) {
+                let version = reply["version"].as_u64().unwrap_or_default();
+                self.history.lock().accepted.push(version);
+            }
+        }
+    }
+
+    fn sample_config(&self, host: usize) {
+        let agent = agent(Duration::from_millis(300));
+        let number = || {
+            let slot = self.fleet.slots[host].lock();
+            slot.is_up.then_some(slot.number)
+        };
+        while !self.ended.load(Ordering::SeqCst) {
+            thread::sleep(SAMPLE_INTERVAL);
+            let before = number();
+            let Ok(listing) = get(&agent, self.fleet.hosts[host].operators, "/config") else {
+                continue;
+            };
+            let (Some(process), true) = (before, before == number()) else { continue };
+            let sample = ConfigSample {
+                process,
+                version: listing["version"].as_u64().unwrap_or_default(),
+                content: listing["objects"].to_string(),
+            };
+            self.history.lock().samples.push(sample);
+        }
+    }
+
+    /// Waits until all live routers have the newest accepted change, and notes
+    /// what they have then.
+    fn note_final_configs(&self) -> Result<()> {
+        let changes = self.recorded_changes()?;
+        let newest = changes.iter().map(|change| change.version).max().unwrap_or_default();
+        let agent = agent(Duration::from_millis(500));
+        let deadline = Instant::now() + SETTLE_WAIT;
+        for (host, slot) in self.fleet.slots.iter().enumerate() {
+            let process = {
+                let mut slot = slot.lock();
+                // a restart fails if its port was taken meanwhile
+                let has_ended = slot.process.wait(Duration::ZERO)?.is_some();
+                if !slot.is_up || has_ended {
+                    continue;
+                }
+                slot.number
+            };
+            let mut last = FinalConfig { process, version: 0, objects: Vec::new() };
+            while last.version < newest && Instant::now() < deadline {
+                if let Ok(listing) = get(&agent, self.fleet.hosts[host].operators, "/config") {
+                    last.version = listing["version"].as_u64().unwrap_or_default();
+                    last.objects = objects_of(&listing);
+                }
+                thread::sleep(Duration::from_millis(10));
+            }
+            self.history.lock().finals.push(last);
+        }
+        self.history.lock().changes = changes;
+        Ok(())
+    }
+
+    /// Accepted changes by the log, which decides them in its order.
+    fn recorded_changes(&self) -> Result<Vec<ConfigChange>> {
+        let mut versions: HashMap<String, u64> = HashMap::new();
+        let mut changes = Vec::new();
+        for record in self.fleet.platform.records("config") {
+            let ConfigRecord::Change(change) = serde_json::from_str(&record.body)? else {
+                continue;
+            };
+            let objects: Vec<_> = change.put.iter().map(named).collect();
+            let is_current = objects
+                .iter()
+                .all(|(name, _)| versions.get(name).is_none_or(|v| *v <= change.based_on));
+            if !is_current {
+                continue;
+            }
+            for (object, content) in objects {
+                versions.insert(object.clone(), record.offset);
+                changes.push(ConfigChange { version: record.offset, object, content });
+            }
+        }
+        Ok(changes)
+    }
+
+    fn note_effects(&self) {
+        let mut history = self.history.lock();
+        for execution in self.fleet.service.executions() {
+            history.effects.push(Effect {
+                attempt_id: execution.request_id,
+                key: execution.idempotency_key,
+                started: execution.started,
+            });
+        }
+        for engine in &self.fleet.engines {
+            for execution in engine.executions() {
+                history.effects.push(Effect {
+                    attempt_id: execution.request_id,
+                    key: None,
+                    started: execution.started,
+                });
+            }
+        }
+        if let Some(left) = history.left.first_mut() {
+            left.new_work = self.fleet.engines[0].refused_leaving();
+        }
+    }
+}
+
+fn team(id: &str, weight: f64) -> ConfigObject {
+    let labels = Default::default();
+    ConfigObject::Team(Team { id: id.to_owned(), labels, weight, max_in_flight: 10 })
+}
+
+/// Kind and id of an object, and its content.
+fn named(object: &ConfigObject) -> (String, String) {
+    let value = serde_json::to_value(object).unwrap_or_default();
+    (name_of(&value), value.to_string())
+}
+
+fn name_of(object: &Value) -> String {
+    let (kind, value) = object.as_object().and_then(|o| o.iter().next()).expect("one kind");
+    format!("{kind} {}", value["id"].as_str().unwrap_or_default())
+}
+
+fn objects_of(listing: &Value) -> Vec<(String, String)> {
+    let entries = listing["objects"].as_array().map_or(&[][..], |o| &o[..]);
+    entries.iter().map(|e| (name_of(&e["object"]), e["object"].to_string())).collect()
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -85,6 +85,8 @@
     pub cached_tokens: u32,
     pub prompt_tokens: u32,
     pub endpoint: String,
+    /// Id that the router gave the request; empty if no head of an answer came.
+    pub request_id: String,
     /// `verdict` and `reason` of a problem or of an error event.
     pub verdict: Option<String>,
     pub reason: Option<String>,
@@ -96,6 +98,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServiceReply {
     pub status: u16,
+    /// Id that the router gave the request; empty if no head of an answer came.
+    pub request_id: String,
     pub body: Value,
     pub verdict: Option<String>,
     pub reason: Option<String>,
@@ -183,6 +187,7 @@
         match request.send(body) {
             Ok(mut response) => {
                 reply.status = response.status().as_u16();
+                reply.request_id = header_text(&response, "mango-request-id");
                 reply.body = read_json(&mut response);
                 reply.verdict = text_field(&reply.body, "verdict");
                 reply.reason = text_field(&reply.body, "reason");
@@ -201,11 +206,9 @@
     reply: &mut ChatReply,
 ) {
     reply.status = response.status().as_u16();
-    let header = |name: &str| {
-        response.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
-    };
-    reply.endpoint = header("mango-endpoint");
-    let is_stream = header("content-type").starts_with("text/event-stream");
+    reply.endpoint = header_text(&response, "mango-endpoint");
+    reply.request_id = header_text(&response, "mango-request-id");
+    let is_stream = header_text(&response, "content-type").starts_with("text/event-stream");
     if reply.status == 200 && is_stream {
         return read_events(response, started, reply);
     }
@@ -220,6 +223,10 @@
     reply.complete = body["choices"][0]["finish_reason"] == "stop";
 }
 
+fn header_text(response: &Response<Body>, name: &str) -> String {
+    response.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+}
+
 /// Body as JSON; null if it broke off.
 fn read_json(response: &mut Response<Body>) -> Value {
     let text = response.body_mut().read_to_string().unwrap_or_default();
