Check the hold-off of takeovers per host and resource

Cause: the test counted Take records and allowed 8 within six leases.

Change: the test reads the log's times and requires five leases between two takeovers of one resource by one host, whatever the length of the run.

--- a/crates/router/src/ownership/tests.rs
+++ b/crates/router/src/ownership/tests.rs
@@ -7,7 +7,7 @@
         platform::MemoryLog,
     },
     mango_wire::{
-        HostId,
+        HostId, Offset,
         peer::PeerMessage,
         records::{FleetRecord, Join, Take},
         settings::Settings,
@@ -160,6 +160,41 @@
         };
         self.log.bodies("fleet").into_iter().filter_map(take).collect()
     }
+
+    /// Times in milliseconds at which a host took a resource over from another
+    /// owner, from the offset on. A Take that names an old epoch has no effect.
+    fn takeovers_ms(&self, from: Offset) -> HashMap<(HostId, String), Vec<u64>> {
+        let mut epochs: HashMap<String, Offset> = HashMap::new();
+        let mut takeovers: HashMap<(HostId, String), Vec<u64>> = HashMap::new();
+        for record in self.log.records("fleet") {
+            match serde_json::from_str(&record.body).unwrap() {
+                FleetRecord::Take(take) if !take.renew => {
+                    for seen in take.resources {
+                        let epoch = epochs.entry(seen.resource.clone()).or_default();
+                        if *epoch != seen.epoch {
+                            continue;
+                        }
+                        *epoch = record.offset;
+                        if seen.epoch != 0 && record.offset >= from {
+                            let key = (take.host_id.clone(), seen.resource);
+                            takeovers.entry(key).or_default().push(record.at_ms);
+                        }
+                    }
+                }
+                FleetRecord::Release(release) => {
+                    for seen in release.resources {
+                        epochs.entry(seen.resource).and_modify(|epoch| {
+                            if *epoch == seen.epoch {
+                                *epoch = 0;
+                            }
+                        });
+                    }
+                }
+                _ => {}
+            }
+        }
+        takeovers
+    }
 }
 
 impl Drop for Fleet {
@@ -240,7 +275,7 @@
     let mut fleet = Fleet::start(&["a", "b", "c"], Timing::Scaled);
     fleet.wait_settled();
     fleet.watch();
-    let takes_before = fleet.takes().len();
+    let from = fleet.log.records("fleet").len() as Offset + 1;
     let [a, b, _] = &fleet.hosts[..] else { unreachable!() };
     a.lose_sight_of(b);
     b.lose_sight_of(a);
@@ -248,8 +283,15 @@
         !a.membership.is_live(&b.id) || !b.membership.is_live(&a.id)
     });
     thread::sleep(LEASE * 6);
-    let takes = fleet.takes().len() - takes_before;
-    assert!(takes <= 8, "{takes} takeovers in six leases");
+    let takeovers = fleet.takeovers_ms(from);
+    assert!(!takeovers.is_empty(), "no takeover");
+    // the hold-off begins when the Take is read back, so appends are further apart;
+    // one millisecond may be lost to rounding
+    let hold_off_ms = (LEASE * 5).as_millis() as u64 - 1;
+    for ((host, resource), times) in takeovers {
+        let held = times.windows(2).all(|pair| pair[1] - pair[0] >= hold_off_ms);
+        assert!(held, "{host} took {resource} over at {times:?} ms");
+    }
     assert_eq!(fleet.stop_watching(), 0);
 }
 
--- a/crates/router/src/platform/memory_log.rs
+++ b/crates/router/src/platform/memory_log.rs
@@ -71,8 +71,13 @@
 
     /// Bodies of a stream's records.
     pub(crate) fn bodies(&self, stream: &str) -> Vec<String> {
+        self.records(stream).into_iter().map(|record| record.body).collect()
+    }
+
+    /// Records of a stream.
+    pub(crate) fn records(&self, stream: &str) -> Vec<LogRecord> {
         let records = self.store.records.lock();
-        records.iter().filter(|(s, _)| s == stream).map(|(_, r)| r.body.clone()).collect()
+        records.iter().filter(|(s, _)| s == stream).map(|(_, r)| r.clone()).collect()
     }
 
     fn check(&self) -> Result<(), LogError> {
