Let a successor ask the members for an outage that is not recorded yet

Cause: a process that starts after an outage knows of it by the Outage record only. Survivors append it up to a lease after the log is back, or later if their appends fail. Until then the successor of an owner that died in the outage treated unknown keys as new, although the owner may have granted them from memory: work could run twice.

Change: the answer to a TakeNotice carries the newest outage that the member knows of, one that still goes on included, and the new owner hears all live members before it acts. The peer protocol is version 2.

--- a/crates/router/src/membership/mod.rs
+++ b/crates/router/src/membership/mod.rs
@@ -6,4 +6,4 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use {handle::Membership, host_info::HostInfo};
+pub(crate) use {handle::Membership, host_info::HostInfo, registrar::unix_ms};
--- a/crates/router/src/ownership/controller.rs
+++ b/crates/router/src/ownership/controller.rs
@@ -194,12 +194,14 @@
         let calls: Vec<_> = others
             .into_iter()
             .map(|(host, identity)| {
-                (identity, self.net.start_call(host, TakeNotice { offset }.into()))
+                (host, identity, self.net.start_call(host, TakeNotice { offset }.into()))
             })
             .collect();
         let mut informed = usize::from(own);
-        for (identity, call) in calls {
-            if informed > registered.len() / 2 {
+        for (host, identity, call) in calls {
+            // Live hosts are heard even if more than half are informed, because only
+            // those that were in an outage with the owner before know of it.
+            if informed > registered.len() / 2 && !self.membership.is_live(host) {
                 break;
             }
             // another process of the host does not count, it may restart unnoticed
@@ -208,6 +210,8 @@
                 && reply.log_offset > offset
             {
                 informed += 1;
+                // told before this host acts, since the record of it may come later
+                self.shared.note_reported_outage(reply.outage_began_ms, reply.outage_ended_ms);
             }
         }
         informed > registered.len() / 2
--- a/crates/router/src/ownership/handle.rs
+++ b/crates/router/src/ownership/handle.rs
@@ -10,7 +10,7 @@
         shared::Shared,
     },
     crate::{
-        membership::Membership,
+        membership::{Membership, unix_ms},
         metrics::Metrics,
         peer::{PeerNet, Replier},
         platform::{LogTail, RecordLog},
@@ -140,11 +140,23 @@
     }
 
     /// Outages that a successor must allow for, as begin and end in milliseconds
-    /// since 1970: the newest on record and one of this host that is not recorded yet.
+    /// since 1970: the newest on record, one of this host that is not recorded yet
+    /// and the newest that other hosts told of.
     pub(crate) fn outages_ms(&self) -> Vec<(u64, u64)> {
-        let state = self.shared.state.lock();
-        let known = state.fleet.newest_outage().into_iter().chain(&state.unrecorded_outage);
-        known.map(|outage| (outage.began_ms, outage.ended_ms)).collect()
+        self.shared.outages_ms()
+    }
+
+    /// The outage that ends last of those that this host knows of. While no host is
+    /// known to have read the log within the lease, an outage goes on: this host may
+    /// have helped another one to verify it. Zeros stand for none.
+    fn newest_outage_ms(&self) -> (u64, u64) {
+        let log_age_ms = self.membership.log_age_ms();
+        let goes_on = log_age_ms != u32::MAX
+            && u128::from(log_age_ms) >= self.shared.clock.lease().as_millis();
+        let now_ms = unix_ms();
+        let present = goes_on.then(|| (now_ms.saturating_sub(log_age_ms.into()), now_ms));
+        let known = self.outages_ms().into_iter().chain(present);
+        known.max_by_key(|(_, ended_ms)| *ended_ms).unwrap_or_default()
     }
 
     /// Gives up all resources for a planned stop and takes no more. Returns when
@@ -185,9 +197,12 @@
             }
             _ => return,
         }
+        let (outage_began_ms, outage_ended_ms) = self.newest_outage_ms();
         let reply = OutageReply {
             log_offset: self.shared.known_offset(),
             log_age_ms: self.membership.log_age_ms(),
+            outage_began_ms,
+            outage_ended_ms,
         };
         replier.reply(reply.into());
     }
--- a/crates/router/src/ownership/shared.rs
+++ b/crates/router/src/ownership/shared.rs
@@ -64,6 +64,9 @@
     pub(crate) newest_own_request: Option<String>,
     /// An outage of this host that is to be recorded.
     pub(crate) unrecorded_outage: Option<Outage>,
+    /// The newest outage that another host told of, as begin and end in
+    /// milliseconds since 1970.
+    pub(crate) reported_outage: Option<(u64, u64)>,
 }
 
 #[derive(Clone, Copy)]
@@ -103,6 +106,7 @@
                 taken_over: HashMap::new(),
                 newest_own_request: None,
                 unrecorded_outage: None,
+                reported_outage: None,
             }),
             view: ArcSwap::default(),
             read_offset: AtomicU64::new(0),
@@ -180,6 +184,25 @@
         self.view.store(Arc::new(view));
     }
 
+    /// Notes the newest outage that another host knows of; an end of 0 says none.
+    pub(crate) fn note_reported_outage(&self, began_ms: u64, ended_ms: u64) {
+        let mut state = self.state.lock();
+        let known = state.reported_outage;
+        if ended_ms > 0 && known.is_none_or(|(_, known_end_ms)| ended_ms > known_end_ms) {
+            state.reported_outage = Some((began_ms, ended_ms));
+        }
+    }
+
+    /// Outages that a successor must allow for, as begin and end in milliseconds
+    /// since 1970: the newest on record, one of this host that is not recorded yet
+    /// and the newest that other hosts told of.
+    pub(crate) fn outages_ms(&self) -> Vec<(u64, u64)> {
+        let state = self.state.lock();
+        let known = state.fleet.newest_outage().into_iter().chain(&state.unrecorded_outage);
+        let known = known.map(|outage| (outage.began_ms, outage.ended_ms));
+        known.chain(state.reported_outage).collect()
+    }
+
     pub(crate) fn wake(&self) {
         // a full channel means that the controller will run anyway
         let _ = self.wake.try_send(());
--- a/crates/router/src/ownership/tests.rs
+++ b/crates/router/src/ownership/tests.rs
@@ -1,7 +1,7 @@
 use {
     super::{Ownership, OwnershipMode, ResourceId},
     crate::{
-        membership::Membership,
+        membership::{Membership, unix_ms},
         metrics::Metrics,
         peer::{PeerHandler, PeerNet, Replier},
         platform::MemoryLog,
@@ -100,7 +100,11 @@
     }
 
     fn add_host(&mut self, name: &str, timing: Timing) {
-        let host = start_host(name, &format!("{name}-1"), self.log.client(), timing);
+        self.add_process(name, &format!("{name}-1"), timing);
+    }
+
+    fn add_process(&mut self, name: &str, identity: &str, timing: Timing) {
+        let host = start_host(name, identity, self.log.client(), timing);
         let resources = self.resources.iter().map(|r| (r.clone(), "r".to_owned())).collect();
         host.ownership.set_resources(resources);
         self.hosts.push(host);
@@ -362,6 +366,38 @@
     assert_eq!(fleet.stop_watching(), 0);
 }
 
+// Guards against a successor that serves unknown keys as new, because it started after
+// an outage that nobody has recorded yet: the owner before, which died in the outage,
+// may have granted them from memory.
+#[test]
+fn successor_learns_of_an_unrecorded_outage_before_it_acts() {
+    let mut fleet = Fleet::start(&["a", "b", "c"], Timing::Scaled);
+    fleet.wait_settled();
+    let a = fleet.hosts[0].clone();
+    let owned: Vec<_> = fleet.resources.iter().filter(|r| a.acts_on(r)).cloned().collect();
+    assert!(!owned.is_empty());
+    fleet.log.set_down(true);
+    wait_until("the outage is verified", || {
+        matches!(a.ownership.mode(), OwnershipMode::VerifiedOutage { .. })
+    });
+    let in_outage_ms = unix_ms();
+    a.crash();
+    for survivor in &fleet.hosts[1..] {
+        survivor.log.set_read_only(true);
+    }
+    fleet.log.set_down(false);
+    fleet.add_process("a", "a-2", Timing::Scaled);
+    let successor = fleet.hosts[3].clone();
+    wait_until("the successor acts", || owned.iter().all(|r| successor.acts_on(r)));
+    let bodies = fleet.log.bodies("fleet");
+    assert!(!bodies.iter().any(|body| body.contains("outage")), "the outage is on record");
+    let outages = successor.ownership.outages_ms();
+    assert!(
+        outages.iter().any(|(began, ended)| (*began..=*ended).contains(&in_outage_ms)),
+        "{outages:?} without {in_outage_ms}"
+    );
+}
+
 // Guards against two sides that both act during an outage: the smaller side
 // can't know what the larger one does.
 #[test]
--- a/crates/router/src/peer/handshake.rs
+++ b/crates/router/src/peer/handshake.rs
@@ -12,7 +12,7 @@
     std::sync::Arc,
 };
 
-pub(crate) const PROTOCOL_VERSION: u32 = 1;
+pub(crate) const PROTOCOL_VERSION: u32 = 2;
 const NONCE_BYTES: usize = 32;
 
 /// What this host tells and proves about itself.
--- a/crates/router/src/peer/tests.rs
+++ b/crates/router/src/peer/tests.rs
@@ -37,7 +37,12 @@
         self.handled.fetch_add(1, Ordering::SeqCst);
         match message {
             PeerMessage::OutageProbe(probe) => {
-                let reply = OutageReply { log_offset: probe.log_offset, log_age_ms: 0 };
+                let reply = OutageReply {
+                    log_offset: probe.log_offset,
+                    log_age_ms: 0,
+                    outage_began_ms: 0,
+                    outage_ended_ms: 0,
+                };
                 replier.reply(reply.into());
             }
             PeerMessage::StatusRequest(_) => self.held.lock().push(replier),
--- a/crates/router/src/platform/memory_log.rs
+++ b/crates/router/src/platform/memory_log.rs
@@ -32,6 +32,7 @@
 #[derive(Default)]
 struct Faults {
     cut: AtomicBool,
+    read_only: AtomicBool,
     lose_answer: AtomicBool,
     read_delay_ms: AtomicU64,
 }
@@ -54,6 +55,11 @@
         self.store.changed.notify_all();
     }
 
+    /// Makes all appends of this client fail.
+    pub(crate) fn set_read_only(&self, read_only: bool) {
+        self.faults.read_only.store(read_only, Ordering::SeqCst);
+    }
+
     /// Applies this client's next append but does not answer it.
     pub(crate) fn lose_next_answer(&self) {
         self.faults.lose_answer.store(true, Ordering::SeqCst);
@@ -90,6 +96,9 @@
 impl RecordLog for MemoryLog {
     fn append(&self, stream: &str, body: &str, _deadline: Instant) -> Result<Offset, LogError> {
         self.check()?;
+        if self.faults.read_only.load(Ordering::SeqCst) {
+            return Err(LogError::NotApplied("read only".to_owned()));
+        }
         let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let mut records = self.store.records.lock();
         let offset = records.len() as u64 + 1;
