End the claim threads of a stopped router; deliver outcomes before a leave

Cause: the thread that delivers outcomes held its own queue open, and the writers of the key ranges ended only with the last handle, which the operators' server keeps for good because its library has no shutdown. A planned stop did not wait for outcomes that were not delivered yet; the owners then mark claims of the host that left as unknown.

Change: both have a stop, which the router's stop calls.

The operators' server itself still stays.

--- a/crates/router/src/claims/handle.rs
+++ b/crates/router/src/claims/handle.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Ends the writers, which refuse what is undecided. Parts of a router that
+    /// can't be stopped may hold the handle for longer.
+    pub(crate) fn stop(&self) {
+        for handle in &self.ranges {
+            handle.status.stopped.store(true, Ordering::Release);
+        }
+    }
+
     /// Waits until everything received is on the log, before a planned handover.
     /// Returns false if the deadline passes first.
     pub(crate) fn settle(&self, deadline: Instant) -> bool {
--- a/crates/router/src/claims/range_writer.rs
+++ b/crates/router/src/claims/range_writer.rs
@@ -36,6 +36,8 @@
     pub(crate) unhandled: AtomicUsize,
     /// Entries that are not confirmed on the log.
     pub(crate) pending: AtomicUsize,
+    /// Ends the writer.
+    pub(crate) stopped: AtomicBool,
 }
 
 /// The only writer of the stream of one key range while this host owns it.
@@ -57,7 +59,7 @@
     pub(crate) retry_pause: Duration,
 }
 
-/// The handle has been dropped.
+/// The handle has been stopped or dropped.
 struct Closed;
 
 impl<L: RecordLog, A: RangeAuthority, C: WallClock> RangeWriter<L, A, C> {
@@ -298,6 +300,9 @@
 
     /// Waits up to `wait` for a command and takes all that have arrived.
     fn receive(&mut self, wait: Duration) -> Result<Vec<Command>, Closed> {
+        if self.status.stopped.load(Ordering::Acquire) {
+            return Err(Closed);
+        }
         let mut commands = match self.commands.recv_timeout(wait) {
             Ok(command) => vec![command],
             Err(RecvTimeoutError::Timeout) => return Ok(Vec::new()),
--- a/crates/router/src/dispatch/claim_client.rs
+++ b/crates/router/src/dispatch/claim_client.rs
@@ -14,7 +14,10 @@
         problem::Verdict,
     },
     std::{
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -27,6 +30,10 @@
 /// Time after which a report that no owner takes is dropped. Repeats then learn
 /// `may_have_run`, which stays true.
 const REPORT_LIFETIME: Duration = Duration::from_secs(30);
+/// Interval at which the delivering thread checks whether it is to end.
+const STOP_CHECK: Duration = Duration::from_millis(200);
+/// Interval at which a planned stop checks whether all reports are delivered.
+const DELIVERY_POLL: Duration = Duration::from_millis(5);
 /// Reports waiting for their owners.
 const REPORT_QUEUE: usize = 4096;
 
@@ -59,6 +66,9 @@
     ownership: Arc<Ownership>,
     peers: PeerNet,
     reports: Sender<QueuedReport>,
+    /// Reports that were not delivered or dropped yet.
+    undelivered: AtomicUsize,
+    stopped: AtomicBool,
 }
 
 impl ClaimClient {
@@ -71,7 +81,16 @@
         peers: PeerNet,
     ) -> std::io::Result<Arc<Self>> {
         let (reports, queue) = bounded(REPORT_QUEUE);
-        let client = Arc::new(Self { host_id, key_ranges, claims, ownership, peers, reports });
+        let client = Arc::new(Self {
+            host_id,
+            key_ranges,
+            claims,
+            ownership,
+            peers,
+            reports,
+            undelivered: AtomicUsize::new(0),
+            stopped: AtomicBool::new(false),
+        });
         let delivering = client.clone();
         thread::Builder::new()
             .name("claim-reports".to_owned())
@@ -180,26 +199,50 @@
         }
     }
 
+    /// Waits until the owners have all reports, before a planned leave: they mark
+    /// claims of a host that left as unknown. Returns false if the deadline passes.
+    pub(crate) fn await_delivered(&self, deadline: Instant) -> bool {
+        while self.undelivered.load(Ordering::Acquire) > 0 {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            thread::sleep(DELIVERY_POLL);
+        }
+        true
+    }
+
+    /// Ends the thread that delivers reports.
+    pub(crate) fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+    }
+
     fn report(&self, report: Report) {
         let expires = Instant::now() + REPORT_LIFETIME;
-        if self.reports.try_send(QueuedReport { report, expires }).is_err() {
+        self.undelivered.fetch_add(1, Ordering::AcqRel);
+        self.enqueue(QueuedReport { report, expires });
+    }
+
+    fn enqueue(&self, report: QueuedReport) {
+        if self.reports.try_send(report).is_err() {
+            self.undelivered.fetch_sub(1, Ordering::AcqRel);
             log::warn!("event=claim_report_dropped reason=queue_full");
         }
     }
 
     fn deliver_reports(&self, queue: &Receiver<QueuedReport>) {
-        for queued in queue {
+        while !self.stopped.load(Ordering::Acquire) {
+            let Ok(queued) = queue.recv_timeout(STOP_CHECK) else { continue };
             if self.deliver(&queued.report) {
+                self.undelivered.fetch_sub(1, Ordering::AcqRel);
                 continue;
             }
             if Instant::now() >= queued.expires {
+                self.undelivered.fetch_sub(1, Ordering::AcqRel);
                 log::warn!("event=claim_report_dropped reason=no_owner");
                 continue;
             }
             thread::sleep(OWNER_RETRY);
-            if self.reports.try_send(queued).is_err() {
-                log::warn!("event=claim_report_dropped reason=queue_full");
-            }
+            self.enqueue(queued);
         }
     }
 
--- a/crates/router/src/router/handle.rs
+++ b/crates/router/src/router/handle.rs
@@ -74,6 +74,8 @@
         self.parts.claims.settle(deadline.min(Instant::now() + SETTLE_TIME));
         self.parts.ownership.release_all();
         let ended = self.callers.drain(deadline) && self.await_idle(deadline);
+        // repeats of what ended here are answered by the owners of the key ranges
+        self.parts.claim_client.await_delivered(deadline.min(Instant::now() + SETTLE_TIME));
         self.parts.membership.leave();
         log::info!("event=drain_ended complete={ended} left={}", self.parts.in_flight.total());
         self.stop();
@@ -94,6 +96,8 @@
     /// Stops at once, as a crash would: nothing is handed over.
     pub fn stop(&self) {
         self.callers.abort();
+        self.parts.claim_client.stop();
+        self.parts.claims.stop();
         self.parts.config.stop();
         self.parts.membership.stop();
         self.parts.ownership.stop();
--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -6,7 +6,7 @@
     crate::{
         callers::{CallerHandler, InFlight},
         config::ConfigStore,
-        dispatch::{DecisionLog, EndpointTable, PermitClient},
+        dispatch::{ClaimClient, DecisionLog, EndpointTable, PermitClient},
         membership::Membership,
         metrics::Metrics,
         ownership::Ownership,
@@ -33,6 +33,7 @@
     pub(crate) planner: Arc<Planner>,
     pub(crate) admission: Arc<AdmissionOfRouter>,
     pub(crate) claims: Arc<ClaimsOfRouter>,
+    pub(crate) claim_client: Arc<ClaimClient>,
     pub(crate) permits: Arc<PermitClient>,
     pub(crate) endpoints: Arc<EndpointTable>,
     pub(crate) decisions: Arc<DecisionLog>,
--- a/crates/router/src/router/spawn.rs
+++ b/crates/router/src/router/spawn.rs
@@ -147,7 +147,7 @@
         &admission_settings,
         DispatcherParts {
             permits: permits.clone(),
-            claims: claim_client,
+            claims: claim_client.clone(),
             endpoints: endpoints.clone(),
             planner: planner.clone(),
             decisions: decisions.clone(),
@@ -174,6 +174,7 @@
         planner,
         admission,
         claims,
+        claim_client,
         permits,
         endpoints,
         decisions,
--- a/crates/router/tests/histories/checks.rs
+++ b/crates/router/tests/histories/checks.rs
@@ -129,7 +129,10 @@
         for (object, (version, content)) in &in_force {
             let kept = end.objects.iter().any(|(name, kept)| name == object && kept == content);
             if end.version < *version || !kept {
-                let detail = format!("{object} of {version} not in force: {end:?}");
+                let detail = format!(
+                    "{object} of {version} not in force in process {}: {end:?}",
+                    end.process
+                );
                 found.push((Violation::RevertedConfig, detail));
             }
         }
