Read engine answers on the thread that forwards them

Cause: each token passed from a worker thread to the caller's thread through a channel. A time-out of the HTTP client while a body is read arrives as an error of kind Other and was taken for a broken connection; the channel's own time-out hid that.

Change: the worker waits for the first event only and hands the rest of the answer over. Time-outs of the client count as stalls.

--- /dev/null
+++ b/crates/router/benches/overhead.rs
@@ -0,0 +1,251 @@
+//! What a router adds over a direct call of the engine, and its processor time.
+//!
+//! Each client sends every request twice, directly to an engine and through a
+//! router, so that both kinds see the same load in the same seconds.
+
+use {
+    anyhow::{Result, ensure},
+    mango_standins::EngineOptions,
+    mango_testkit::{BenchResult, Caller, ChatTurn, LineFit, ProcessFleet, Summary},
+    mango_wire::config::WorkClass,
+    std::{
+        net::SocketAddr,
+        path::Path,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+const ROUTERS: usize = 2;
+const ENGINES: usize = 4;
+const SLOTS: usize = 16;
+/// Half of all slots are in use: each client has one request in progress.
+const CLIENTS: usize = ENGINES * SLOTS / 2;
+const LATENCY_TIME: Duration = Duration::from_secs(7);
+const RATE_TIME: Duration = Duration::from_secs(3);
+const POOL: &str = "engines";
+
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Routed,
+    /// Direct and routed in turn.
+    Both,
+}
+
+#[derive(Clone, Copy)]
+struct Load {
+    way: Way,
+    stream: bool,
+    tokens: u32,
+    time: Duration,
+}
+
+#[derive(Default)]
+struct Measured {
+    direct: Summary,
+    routed: Summary,
+    direct_first: Summary,
+    routed_first: Summary,
+    requests: u64,
+    tokens: u64,
+    failures: u64,
+    /// Processor time of all routers.
+    cpu: Duration,
+    elapsed: Duration,
+}
+
+impl Measured {
+    fn merge(&mut self, other: &Self) {
+        self.direct.merge(&other.direct);
+        self.routed.merge(&other.routed);
+        self.direct_first.merge(&other.direct_first);
+        self.routed_first.merge(&other.routed_first);
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+        self.failures += other.failures;
+    }
+
+    /// Processor time per second without the time that the routers use when idle.
+    fn net_cpu_s(&self, idle_cores: f64) -> f64 {
+        (self.cpu.as_secs_f64() - idle_cores * self.elapsed.as_secs_f64()).max(1e-9)
+    }
+}
+
+fn main() -> Result<()> {
+    let fleet = ProcessFleet::spawn(
+        Path::new(env!("CARGO_BIN_EXE_mangobridge")),
+        ROUTERS,
+        (0..ENGINES).map(engine).collect(),
+    )?;
+    let objects = fleet
+        .objects(POOL, 1.25)
+        .team("team", 1.0, 1000)
+        .work("chat", true, WorkClass::Normal, 16, 30_000)
+        .route("chat", POOL, None)
+        .build();
+    fleet.apply(&objects, Duration::from_secs(15))?;
+    let idle_cores = idle(&fleet)?;
+    println!("idle: {:.2}% of a core per router", idle_cores / ROUTERS as f64 * 100.0);
+    let both = Load { way: Way::Both, stream: true, tokens: 16, time: LATENCY_TIME };
+    run(&fleet, Load { time: Duration::from_secs(1), ..both })?;
+
+    let streamed = run(&fleet, both)?;
+    report("streamed, 16 tokens", &streamed);
+    let whole = run(&fleet, Load { stream: false, ..both })?;
+    report("whole, 16 tokens", &whole);
+
+    let routed = Load { way: Way::Routed, time: RATE_TIME, ..both };
+    for stream in [true, false] {
+        let kind = if stream { "streamed" } else { "whole" };
+        let points = [1, 16, 64, 256]
+            .into_iter()
+            .map(|tokens| rate(&fleet, Load { stream, tokens, ..routed }, kind, idle_cores))
+            .collect::<Result<Vec<_>>>()?;
+        let line = LineFit::new(&points);
+        println!(
+            "{kind}: {:.0} us per request + {:.1} us per token \
+             (largest residual {:.0} us per request), {:.0} requests and {:.0} tokens \
+             per core-second",
+            line.start,
+            line.slope,
+            line.residual,
+            1e6 / line.start,
+            1e6 / line.slope
+        );
+    }
+    let failures = streamed.failures + whole.failures;
+    ensure!(failures == 0, "{failures} requests failed");
+    let added = |q| {
+        added_ms(&streamed.direct, &streamed.routed, q).max(added_ms(
+            &whole.direct,
+            &whole.routed,
+            q,
+        ))
+    };
+    println!(
+        "added, larger of both: p50 {:.3} ms (goal 0.3), p99 {:.3} ms (goal 2)",
+        added(0.5),
+        added(0.99)
+    );
+    BenchResult {
+        bench: "overhead".to_owned(),
+        value: added(0.99),
+        baseline: streamed.direct.quantile_ms(0.99),
+        target: 2.0,
+        unit: "ms".to_owned(),
+    }
+    .print();
+    Ok(())
+}
+
+/// An engine whose times do not depend on its load, so that only the way differs.
+fn engine(index: usize) -> EngineOptions {
+    EngineOptions {
+        name: format!("engine-{index}"),
+        slots: SLOTS,
+        step_ms: 5.0,
+        batch_slope: 0.0,
+        seed: index as u64 + 1,
+        ..EngineOptions::default()
+    }
+}
+
+fn idle(fleet: &ProcessFleet) -> Result<f64> {
+    let (before, started) = (cpu(fleet)?, Instant::now());
+    thread::sleep(Duration::from_secs(2));
+    Ok((cpu(fleet)? - before).as_secs_f64() / started.elapsed().as_secs_f64())
+}
+
+fn cpu(fleet: &ProcessFleet) -> Result<Duration> {
+    fleet.routers.iter().map(|router| router.cpu_time()).sum()
+}
+
+fn run(fleet: &ProcessFleet, load: Load) -> Result<Measured> {
+    let routers = fleet.caller_addresses();
+    let engines: Vec<SocketAddr> = fleet.engines.iter().map(|e| e.address()).collect();
+    let (before, started) = (cpu(fleet)?, Instant::now());
+    let mut all = Measured::default();
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|index| {
+                let (router, engine) = (routers[index % ROUTERS], engines[index % ENGINES]);
+                scope.spawn(move || client(index, router, engine, load))
+            })
+            .collect();
+        for client in clients {
+            all.merge(&client.join().expect("client thread"));
+        }
+    });
+    all.cpu = cpu(fleet)? - before;
+    all.elapsed = started.elapsed();
+    Ok(all)
+}
+
+fn client(index: usize, router: SocketAddr, engine: SocketAddr, load: Load) -> Measured {
+    let caller = Caller::default();
+    let mut measured = Measured::default();
+    let end = Instant::now() + load.time;
+    let mut turn = 0;
+    while Instant::now() < end {
+        turn += 1;
+        let message = format!("client {index} turn {turn}");
+        let mut request = ChatTurn::new("team", "chat", &message, load.tokens);
+        request.stream = load.stream;
+        let routed_turn = (turn + index).is_multiple_of(2);
+        let is_routed = load.way == Way::Routed || load.way == Way::Both && routed_turn;
+        let reply = caller.chat(if is_routed { router } else { engine }, &request);
+        if !reply.complete {
+            measured.failures += 1;
+            continue;
+        }
+        let (total, first) = match is_routed {
+            true => (&mut measured.routed, &mut measured.routed_first),
+            false => (&mut measured.direct, &mut measured.direct_first),
+        };
+        total.add(reply.total);
+        if let Some(time) = reply.first_token {
+            first.add(time);
+        }
+        if is_routed {
+            measured.requests += 1;
+            measured.tokens += u64::from(load.tokens);
+        }
+    }
+    measured
+}
+
+fn report(name: &str, measured: &Measured) {
+    println!("{name}, direct: {}", measured.direct);
+    println!("{name}, routed: {}", measured.routed);
+    println!(
+        "{name}, added: p50 {:.3} ms, p99 {:.3} ms; to the first token p50 {:.3} ms, p99 {:.3} ms; \
+         {} failures",
+        added_ms(&measured.direct, &measured.routed, 0.5),
+        added_ms(&measured.direct, &measured.routed, 0.99),
+        added_ms(&measured.direct_first, &measured.routed_first, 0.5),
+        added_ms(&measured.direct_first, &measured.routed_first, 0.99),
+        measured.failures
+    );
+}
+
+fn added_ms(direct: &Summary, routed: &Summary, quantile: f64) -> f64 {
+    routed.quantile_ms(quantile) - direct.quantile_ms(quantile)
+}
+
+/// Tokens per request and processor time per request in µs.
+fn rate(fleet: &ProcessFleet, load: Load, kind: &str, idle_cores: f64) -> Result<(f64, f64)> {
+    let measured = run(fleet, load)?;
+    ensure!(measured.failures == 0, "{} requests failed", measured.failures);
+    let cpu_s = measured.net_cpu_s(idle_cores);
+    println!(
+        "{kind}, {} tokens: {:.0} requests/s and {:.0} tokens/s per router, {:.1}% of a core \
+         per router, {:.0} requests and {:.0} tokens per core-second",
+        load.tokens,
+        measured.requests as f64 / measured.elapsed.as_secs_f64() / ROUTERS as f64,
+        measured.tokens as f64 / measured.elapsed.as_secs_f64() / ROUTERS as f64,
+        cpu_s / measured.elapsed.as_secs_f64() / ROUTERS as f64 * 100.0,
+        measured.requests as f64 / cpu_s,
+        measured.tokens as f64 / cpu_s
+    );
+    Ok((f64::from(load.tokens), cpu_s * 1e6 / measured.requests as f64))
+}
--- a/crates/router/src/dispatch/attempt.rs
+++ b/crates/router/src/dispatch/attempt.rs
@@ -1,24 +1,29 @@
 use {
-    super::{engine_job::EngineJob, permit::Permit},
+    super::{
+        engine_job::{EngineJob, Started},
+        permit::Permit,
+    },
     crate::{
         config::EndpointInfo,
-        endpoint::{EngineCall, EngineEvent, HttpEngine, WorkerPool},
+        endpoint::{
+            CallFailure, Engine, EngineAnswer, EngineCall, EngineEvent, HttpEngine, WorkerPool,
+        },
     },
     crossbeam::channel::{Receiver, bounded},
-    mango_wire::peer::ReleaseOutcome,
+    mango_wire::{Reason, peer::ReleaseOutcome, problem::Verdict},
     std::{sync::Arc, time::Instant},
 };
 
-/// Events of one answer kept for a slow caller before the engine is made to wait.
-const EVENT_BUFFER: usize = 64;
-
 /// One sending of a request to an engine.
 pub(crate) struct Attempt {
     pub(crate) endpoint: Arc<EndpointInfo>,
     pub(crate) permit: Permit,
     pub(crate) call: EngineCall,
-    pub(crate) events: Receiver<EngineEvent>,
+    /// Gives the start of the answer, once.
+    pub(crate) started: Receiver<Started>,
     pub(crate) sent_at: Instant,
+    /// The answer after its first event.
+    answer: Option<EngineAnswer>,
     engine: Arc<HttpEngine>,
     workers: Arc<WorkerPool<EngineJob>>,
 }
@@ -32,19 +37,36 @@
         call: EngineCall,
         workers: Arc<WorkerPool<EngineJob>>,
     ) -> std::io::Result<Self> {
-        let (sender, events) = bounded(EVENT_BUFFER);
+        let (sender, started) = bounded(1);
         let job =
-            EngineJob::Generate { engine: engine.clone(), call: call.clone(), events: sender };
+            EngineJob::Generate { engine: engine.clone(), call: call.clone(), started: sender };
         workers.run(job)?;
-        Ok(Self { endpoint, permit, call, events, sent_at: Instant::now(), engine, workers })
+        let sent_at = Instant::now();
+        Ok(Self { endpoint, permit, call, started, sent_at, answer: None, engine, workers })
+    }
+
+    /// Takes the answer that follows the first event.
+    pub(crate) fn set_answer(&mut self, answer: Option<EngineAnswer>) {
+        self.answer = answer;
+    }
+
+    /// Blocks until the next event after the first.
+    pub(crate) fn next_event(&mut self) -> EngineEvent {
+        match &mut self.answer {
+            Some(answer) => answer.next_event(),
+            None => EngineEvent::Failed(CallFailure::new(
+                Verdict::MayHaveRun,
+                Reason::EndpointBroken,
+                "call ended early",
+            )),
+        }
     }
 
     /// Continues a broken answer from a token index on.
-    pub(crate) fn resume(&mut self, from: u32) -> std::io::Result<()> {
-        let (sender, events) = bounded(EVENT_BUFFER);
-        let (engine, call) = (self.engine.clone(), self.call.clone());
-        self.workers.run(EngineJob::Resume { engine, call, from, events: sender })?;
-        self.events = events;
+    pub(crate) fn resume(&mut self, from: u32) -> Result<(), CallFailure> {
+        // closes the old connection first, so that the engine ends its old stream
+        self.answer = None;
+        self.answer = Some(self.engine.resume(&self.call, from)?);
         Ok(())
     }
 
--- a/crates/router/src/dispatch/chat_run.rs
+++ b/crates/router/src/dispatch/chat_run.rs
@@ -5,9 +5,8 @@
     },
     crate::endpoint::{CallFailure, EngineEvent, Token, Usage},
     bytes::Bytes,
-    crossbeam::channel::RecvTimeoutError,
     mango_wire::{Reason, peer::ReleaseOutcome, problem::Verdict},
-    std::time::{Duration, Instant},
+    std::time::Instant,
 };
 
 /// Tokens between two progress reports to the owner.
@@ -19,7 +18,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunLimits {
     pub(crate) deadline: Instant,
-    pub(crate) stall: Duration,
     pub(crate) long_tokens: u32,
     pub(crate) max_resumes: u32,
 }
@@ -82,14 +80,14 @@
     /// Blocks until the next token or the end of the answer.
     pub(crate) fn next_item(&mut self) -> ChatItem {
         loop {
-            let Some(attempt) = &self.attempt else {
+            let Some(attempt) = &mut self.attempt else {
                 let ended =
                     Refusal::new(Verdict::Completed, Reason::EndpointBroken, "answer ended");
                 return ChatItem::Failed(ended);
             };
             let event = match self.pending.take() {
                 Some(event) => event,
-                None => receive(attempt, &self.limits),
+                None => attempt.next_event(),
             };
             match event {
                 EngineEvent::Token(token) => return self.on_token(token),
@@ -182,10 +180,15 @@
                 self.endpoint_id,
                 self.next_index
             );
-            if self.attempt.as_mut()?.resume(self.next_index).is_ok() {
-                return None;
+            if let Err(failure) = self.attempt.as_mut()?.resume(self.next_index) {
+                self.pending = Some(EngineEvent::Failed(failure));
             }
+            return None;
         }
+        let failure = match expired && failure.reason == Reason::EndpointStalled {
+            true => CallFailure::new(Verdict::MayHaveRun, Reason::Deadline, "deadline passed"),
+            false => failure,
+        };
         Some(ChatItem::Failed(self.fail(failure)))
     }
 
@@ -214,23 +217,6 @@
     }
 }
 
-fn receive(attempt: &Attempt, limits: &RunLimits) -> EngineEvent {
-    let stalled_at = Instant::now() + limits.stall;
-    let failure = match attempt.events.recv_deadline(stalled_at.min(limits.deadline)) {
-        Ok(event) => return event,
-        Err(RecvTimeoutError::Timeout) if Instant::now() >= limits.deadline => {
-            CallFailure::new(Verdict::MayHaveRun, Reason::Deadline, "deadline passed")
-        }
-        Err(RecvTimeoutError::Timeout) => {
-            CallFailure::new(Verdict::MayHaveRun, Reason::EndpointStalled, "no token in time")
-        }
-        Err(RecvTimeoutError::Disconnected) => {
-            CallFailure::new(Verdict::MayHaveRun, Reason::EndpointBroken, "call ended early")
-        }
-    };
-    EngineEvent::Failed(failure)
-}
-
 /// The whole answer in the form that callers get.
 pub(crate) fn whole_answer(request_id: &str, text: &str, usage: Usage) -> Bytes {
     let answer = serde_json::json!({
--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -7,7 +7,7 @@
         decision_log::{Decision, DecisionLog, now_ms},
         dispatch_metrics::DispatchMetrics,
         endpoint_table::EndpointTable,
-        engine_job::EngineJob,
+        engine_job::{EngineJob, Started},
         permit::Permit,
         permit_client::{NoPermit, PermitAsk, PermitClient},
         refusal::Refusal,
@@ -225,7 +225,6 @@
         let first = self.send_chat(context, call, attempt, link, trace, false)?;
         let limits = RunLimits {
             deadline: context.deadline,
-            stall: Duration::from_millis(u64::from(self.settings.stall_ms)),
             long_tokens: self.long_tokens,
             max_resumes: self.settings.max_resumes,
         };
@@ -318,11 +317,11 @@
             if let Some(at) = hedge_at.filter(|at| !hedged && *at > now) {
                 wake = wake.min(at);
             }
-            let (from_second, event) = match receive_either(&first, second.as_ref(), wake) {
+            let (from_second, started) = match receive_either(&first, second.as_ref(), wake) {
                 Some(received) => received,
                 None => continue,
             };
-            match event {
+            match started.first {
                 EngineEvent::Failed(failure) => {
                     let failed_first = !from_second;
                     trace.add(format!(
@@ -346,7 +345,7 @@
                     }
                 }
                 event => {
-                    let (winner, loser) = match second {
+                    let (mut winner, loser) = match second {
                         Some(second) if from_second => {
                             self.metrics.hedges_won.inc();
                             (second, Some(first))
@@ -357,6 +356,7 @@
                         self.metrics.cancels.inc();
                         loser.cancel(ReleaseOutcome::Cancelled);
                     }
+                    winner.set_answer(started.answer);
                     return Ok((winner, event));
                 }
             }
@@ -620,13 +620,14 @@
     first: &Attempt,
     second: Option<&Attempt>,
     wake: Instant,
-) -> Option<(bool, EngineEvent)> {
+) -> Option<(bool, Started)> {
     let lost = || {
         let detail = "call ended early";
-        EngineEvent::Failed(CallFailure::new(Verdict::MayHaveRun, Reason::EndpointBroken, detail))
+        let failure = CallFailure::new(Verdict::MayHaveRun, Reason::EndpointBroken, detail);
+        Started { first: EngineEvent::Failed(failure), answer: None }
     };
     let Some(second) = second else {
-        return match first.events.recv_deadline(wake) {
+        return match first.started.recv_deadline(wake) {
             Ok(event) => Some((false, event)),
             Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => Some((false, lost())),
@@ -634,8 +635,8 @@
     };
     let timer = wake.saturating_duration_since(Instant::now());
     select! {
-        recv(first.events) -> event => Some((false, event.unwrap_or_else(|_| lost()))),
-        recv(second.events) -> event => Some((true, event.unwrap_or_else(|_| lost()))),
+        recv(first.started) -> event => Some((false, event.unwrap_or_else(|_| lost()))),
+        recv(second.started) -> event => Some((true, event.unwrap_or_else(|_| lost()))),
         default(timer) => None,
     }
 }
--- a/crates/router/src/dispatch/engine_job.rs
+++ b/crates/router/src/dispatch/engine_job.rs
@@ -1,22 +1,23 @@
 use {
     super::permit::Permit,
-    crate::endpoint::{Engine, EngineCall, EngineEvent, HttpEngine, Job},
+    crate::endpoint::{Engine, EngineAnswer, EngineCall, EngineEvent, HttpEngine, Job},
     crossbeam::channel::Sender,
     std::sync::Arc,
 };
 
+/// First event of an answer, and the rest of it unless the call failed.
+pub(crate) struct Started {
+    pub(crate) first: EngineEvent,
+    pub(crate) answer: Option<EngineAnswer>,
+}
+
 /// A blocking call to an engine, run by a worker thread.
 pub(crate) enum EngineJob {
+    /// Sends a request and waits for its first event.
     Generate {
         engine: Arc<HttpEngine>,
         call: EngineCall,
-        events: Sender<EngineEvent>,
-    },
-    Resume {
-        engine: Arc<HttpEngine>,
-        call: EngineCall,
-        from: u32,
-        events: Sender<EngineEvent>,
+        started: Sender<Started>,
     },
     /// Holds the permit until the engine has stopped, so that the slot is not
     /// given away while the request still runs.
@@ -35,11 +36,13 @@
 impl Job for EngineJob {
     fn run(self) {
         match self {
-            Self::Generate { engine, call, events } => {
-                engine.generate(&call, &mut |event| events.send(event).is_ok());
-            }
-            Self::Resume { engine, call, from, events } => {
-                engine.resume(&call, from, &mut |event| events.send(event).is_ok());
+            Self::Generate { engine, call, started } => {
+                let first = match engine.generate(&call) {
+                    Ok(mut answer) => Started { first: answer.next_event(), answer: Some(answer) },
+                    Err(failure) => Started { first: EngineEvent::Failed(failure), answer: None },
+                };
+                // an attempt that was given up takes no answer
+                let _ = started.send(first);
             }
             Self::Cancel { engine, attempt_id, permit } => {
                 if let Err(failure) = engine.cancel(&attempt_id) {
--- a/crates/router/src/endpoint/call_failure.rs
+++ b/crates/router/src/endpoint/call_failure.rs
@@ -38,10 +38,11 @@
 
     /// Failure while the body of an answer was read.
     pub(crate) fn of_read(error: &io::Error) -> Self {
-        let reason = match error.kind() {
-            io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => Reason::EndpointStalled,
-            _ => Reason::EndpointBroken,
-        };
+        // ureq hands its own time-outs on as errors of kind `Other`
+        let inner = error.get_ref().and_then(|e| e.downcast_ref::<Error>());
+        let timed_out = matches!(inner, Some(Error::Timeout(_)))
+            || matches!(error.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock);
+        let reason = if timed_out { Reason::EndpointStalled } else { Reason::EndpointBroken };
         Self::new(Verdict::MayHaveRun, reason, error.to_string())
     }
 
--- a/crates/router/src/endpoint/engine.rs
+++ b/crates/router/src/endpoint/engine.rs
@@ -1,5 +1,5 @@
 use {
-    super::{call_failure::CallFailure, engine_event::EngineEvent},
+    super::{call_failure::CallFailure, engine_answer::EngineAnswer},
     bytes::Bytes,
     mango_wire::platform::{CacheEvents, CacheListing, LoadReport},
     std::time::Instant,
@@ -23,13 +23,11 @@
 
 /// A model engine.
 pub(crate) trait Engine: Send + Sync + 'static {
-    /// Runs a request and hands its events to `sink`, which returns whether it
-    /// wants more. Blocks until the answer ends, fails or is no longer wanted.
-    /// The last event is `Done` or `Failed`.
-    fn generate(&self, call: &EngineCall, sink: &mut impl FnMut(EngineEvent) -> bool);
+    /// Sends a request and returns its answer once the head has arrived.
+    fn generate(&self, call: &EngineCall) -> Result<EngineAnswer, CallFailure>;
 
     /// Continues an answer whose connection broke, from a token index on.
-    fn resume(&self, call: &EngineCall, from: u32, sink: &mut impl FnMut(EngineEvent) -> bool);
+    fn resume(&self, call: &EngineCall, from: u32) -> Result<EngineAnswer, CallFailure>;
 
     /// Stops a request and frees its slot.
     fn cancel(&self, attempt_id: &str) -> Result<(), CallFailure>;
--- a/crates/router/src/endpoint/http_engine.rs
+++ b/crates/router/src/endpoint/http_engine.rs
@@ -2,63 +2,23 @@
     super::{
         call_failure::CallFailure,
         engine::{Engine, EngineCall},
-        engine_event::{EngineEvent, Token, Usage},
+        engine_answer::{EngineAnswer, crossed},
         http_client::{HttpClient, time_left},
     },
-    bytes::Bytes,
     mango_wire::{
-        Reason,
         platform::{CacheEvents, CacheListing, LoadReport},
         problem::Verdict,
         settings::DispatchSettings,
     },
-    serde::Deserialize,
-    std::{
-        io::{BufRead, BufReader, Read},
-        net::SocketAddr,
-    },
+    std::net::SocketAddr,
     ureq::{Body, http::Response},
 };
 
-/// Longest line of an engine's event stream, in bytes.
-const MAX_LINE_BYTES: u64 = 256 * 1024;
-
 /// Model engine with an OpenAI-style HTTP interface.
 pub(crate) struct HttpEngine {
     client: HttpClient,
 }
 
-#[derive(Deserialize)]
-struct Chunk {
-    id: String,
-    index: Option<u32>,
-    #[serde(default)]
-    choices: Vec<Choice>,
-    usage: Option<ChunkUsage>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    #[serde(default)]
-    delta: Delta,
-    finish_reason: Option<String>,
-}
-
-#[derive(Default, Deserialize)]
-struct Delta {
-    content: Option<String>,
-}
-
-#[derive(Deserialize)]
-struct ChunkUsage {
-    #[serde(default)]
-    prompt_tokens: u32,
-    #[serde(default)]
-    completion_tokens: u32,
-    #[serde(default)]
-    cached_tokens: u32,
-}
-
 impl HttpEngine {
     /// Opens a client; connections are made on the first call.
     pub(crate) fn open(address: SocketAddr, settings: &DispatchSettings) -> Self {
@@ -100,24 +60,17 @@
 }
 
 impl Engine for HttpEngine {
-    fn generate(&self, call: &EngineCall, sink: &mut impl FnMut(EngineEvent) -> bool) {
-        match self.send(call).and_then(|response| check_head(response, call)) {
-            Ok(response) => read_stream(response, call, 0, sink),
-            Err(failure) => {
-                sink(EngineEvent::Failed(failure));
-            }
-        }
+    fn generate(&self, call: &EngineCall) -> Result<EngineAnswer, CallFailure> {
+        let response = self.send(call).and_then(|response| check_head(response, call))?;
+        Ok(EngineAnswer::new(response.into_body(), &call.attempt_id, 0))
     }
 
-    fn resume(&self, call: &EngineCall, from: u32, sink: &mut impl FnMut(EngineEvent) -> bool) {
-        match self.send_resume(call, from).and_then(|response| check_head(response, call)) {
-            Ok(response) => read_stream(response, call, from, sink),
-            Err(failure) => {
-                // the request itself was sent earlier, whatever became of the resume
-                let failure = CallFailure { verdict: Verdict::MayHaveRun, ..failure };
-                sink(EngineEvent::Failed(failure));
-            }
-        }
+    fn resume(&self, call: &EngineCall, from: u32) -> Result<EngineAnswer, CallFailure> {
+        let head = self.send_resume(call, from).and_then(|response| check_head(response, call));
+        // the request itself was sent earlier, whatever became of the resume
+        let response =
+            head.map_err(|failure| CallFailure { verdict: Verdict::MayHaveRun, ..failure })?;
+        Ok(EngineAnswer::new(response.into_body(), &call.attempt_id, from))
     }
 
     fn cancel(&self, attempt_id: &str) -> Result<(), CallFailure> {
@@ -149,113 +102,7 @@
     }
     let id = response.headers().get("X-Request-Id").and_then(|v| v.to_str().ok());
     if id != Some(call.attempt_id.as_str()) {
-        return Err(crossed(id.unwrap_or("none"), call));
+        return Err(crossed(id.unwrap_or("none"), &call.attempt_id));
     }
     Ok(response)
 }
-
-fn read_stream(
-    response: Response<Body>,
-    call: &EngineCall,
-    from: u32,
-    sink: &mut impl FnMut(EngineEvent) -> bool,
-) {
-    let mut reader = BufReader::new(response.into_body().into_reader());
-    let mut next_index = from;
-    let mut line = Vec::new();
-    loop {
-        let events = match next_events(&mut reader, &mut line, call, &mut next_index) {
-            Ok(events) => events,
-            Err(failure) => {
-                sink(EngineEvent::Failed(failure));
-                return;
-            }
-        };
-        for event in events.into_iter().flatten() {
-            let done = matches!(event, EngineEvent::Done { .. });
-            if done {
-                // reads the rest, so that the connection can be used again
-                let rest = &mut reader.by_ref().take(MAX_LINE_BYTES);
-                let _ = std::io::copy(rest, &mut std::io::sink());
-            }
-            if !sink(event) || done {
-                return;
-            }
-        }
-    }
-}
-
-/// Events of one line: none, a token, the end, or a token and the end.
-type LineEvents = [Option<EngineEvent>; 2];
-
-fn next_events(
-    reader: &mut impl BufRead,
-    line: &mut Vec<u8>,
-    call: &EngineCall,
-    next_index: &mut u32,
-) -> Result<LineEvents, CallFailure> {
-    line.clear();
-    let bytes = reader
-        .by_ref()
-        .take(MAX_LINE_BYTES)
-        .read_until(b'\n', line)
-        .map_err(|e| CallFailure::of_read(&e))?;
-    if bytes == 0 || line.last() != Some(&b'\n') {
-        return Err(broken("event stream ended early"));
-    }
-    let Some(data) = line.strip_prefix(b"data: ") else { return Ok([None, None]) };
-    let data = data.trim_ascii_end();
-    if data == b"[DONE]" {
-        return Err(broken("event stream ended without a final chunk"));
-    }
-    let chunk: Chunk = serde_json::from_slice(data).map_err(|e| broken(&e.to_string()))?;
-    if chunk.id != call.attempt_id {
-        return Err(crossed(&chunk.id, call));
-    }
-    to_events(chunk, data, next_index)
-}
-
-fn to_events(chunk: Chunk, data: &[u8], next_index: &mut u32) -> Result<LineEvents, CallFailure> {
-    let choice = chunk.choices.into_iter().next();
-    let finished = choice.as_ref().is_some_and(|c| c.finish_reason.is_some());
-    let content = choice.and_then(|c| c.delta.content).filter(|content| !content.is_empty());
-    let bytes = Bytes::copy_from_slice(data);
-    let token = match content {
-        Some(content) => Some(to_token(chunk.index, content, bytes.clone(), next_index)?),
-        None => None,
-    };
-    if !finished {
-        return Ok([token.map(EngineEvent::Token), None]);
-    }
-    let usage = chunk.usage.map_or_else(Usage::default, |u| Usage {
-        prompt_tokens: u.prompt_tokens,
-        completion_tokens: u.completion_tokens,
-        cached_tokens: u.cached_tokens,
-    });
-    // the end's chunk is forwarded once, with its token if it has one
-    let chunk = token.is_none().then_some(bytes);
-    Ok([token.map(EngineEvent::Token), Some(EngineEvent::Done { usage, chunk })])
-}
-
-fn to_token(
-    index: Option<u32>,
-    content: String,
-    chunk: Bytes,
-    next_index: &mut u32,
-) -> Result<Token, CallFailure> {
-    let index = index.ok_or_else(|| broken("chunk without index"))?;
-    if index != *next_index {
-        return Err(broken(&format!("token {index} where {next_index} was expected")));
-    }
-    *next_index += 1;
-    Ok(Token { index, chunk, content })
-}
-
-fn broken(detail: &str) -> CallFailure {
-    CallFailure::new(Verdict::MayHaveRun, Reason::EndpointBroken, detail)
-}
-
-fn crossed(id: &str, call: &EngineCall) -> CallFailure {
-    let detail = format!("answer carries request id {id} instead of {}", call.attempt_id);
-    CallFailure::new(Verdict::MayHaveRun, Reason::CrossedAnswer, detail)
-}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,7 +4,9 @@
 mod caller;
 mod fleet;
 mod fleet_options;
+mod line_fit;
 mod objects;
+mod process_fleet;
 mod router_process;
 mod settings;
 mod summary;
@@ -14,7 +16,9 @@
     caller::{Caller, ChatReply, ChatTurn, ServiceReply},
     fleet::{ENGINE_POOL, LocalFleet, SERVICE_POOL, operator_get, state},
     fleet_options::FleetOptions,
+    line_fit::LineFit,
     objects::{ObjectsBuilder, engine_endpoint, service_endpoint},
+    process_fleet::ProcessFleet,
     router_process::RouterProcess,
     settings::{OPERATOR_TOKEN, router_settings},
     summary::Summary,
--- /dev/null
+++ b/crates/testkit/src/process_fleet.rs
@@ -0,0 +1,107 @@
+use {
+    crate::{
+        fleet::state,
+        objects::{ObjectsBuilder, engine_endpoint},
+        router_process::RouterProcess,
+        settings::{OPERATOR_TOKEN, router_settings},
+    },
+    anyhow::{Context, Result, bail, ensure},
+    mango_standins::{EngineOptions, EngineStandin, PlatformStandin},
+    mango_wire::config::ConfigObject,
+    std::{
+        io::Write,
+        net::SocketAddr,
+        path::Path,
+        thread,
+        time::{Duration, Instant},
+    },
+    tempfile::NamedTempFile,
+};
+
+/// Routers in processes of their own, with platform and engines in this process.
+pub struct ProcessFleet {
+    /// First, because fields are dropped in order: routers end before their platform.
+    pub routers: Vec<RouterProcess>,
+    pub engines: Vec<EngineStandin>,
+    pub platform: PlatformStandin,
+    engine_options: Vec<EngineOptions>,
+}
+
+impl ProcessFleet {
+    /// Starts all parts. The routers have no configuration yet.
+    pub fn spawn(
+        binary: &Path,
+        routers: usize,
+        engine_options: Vec<EngineOptions>,
+    ) -> Result<Self> {
+        let platform = PlatformStandin::spawn();
+        let engines = engine_options.iter().cloned().map(EngineStandin::spawn).collect();
+        let routers = (0..routers)
+            .map(|index| {
+                let zone = format!("zone-{}", index % 2);
+                let settings = router_settings(&platform, &format!("host-{index}"), &zone);
+                RouterProcess::spawn(binary, settings)
+            })
+            .collect::<Result<Vec<_>>>()?;
+        for router in &routers {
+            router.await_started(Duration::from_secs(10))?;
+        }
+        Ok(Self { platform, engines, routers, engine_options })
+    }
+
+    /// Endpoints and the pool of the engines.
+    pub fn objects(&self, pool: &str, cap_multiple: f64) -> ObjectsBuilder {
+        let objects = ObjectsBuilder::default().pool(pool, cap_multiple);
+        self.engines.iter().zip(&self.engine_options).fold(objects, |objects, (engine, options)| {
+            let slots = options.slots as u32;
+            objects.endpoint(engine_endpoint(&options.name, engine.address(), pool, slots))
+        })
+    }
+
+    /// Applies objects by `mangoctl apply --wait` and waits until all engines have owners.
+    pub fn apply(&self, objects: &[ConfigObject], wait: Duration) -> Result<()> {
+        let mut file = NamedTempFile::with_suffix(".json").context("objects file")?;
+        file.write_all(&serde_json::to_vec(objects)?)?;
+        let mut token = NamedTempFile::new().context("token file")?;
+        write!(token, "{OPERATOR_TOKEN}").context("token file")?;
+        let router = self.routers.first().context("no router")?;
+        let url = format!("http://{}", router.operator_address());
+        let (file, token) = (file.path().to_string_lossy(), token.path().to_string_lossy());
+        let line =
+            ["mangoctl", "--router", &url, "--token-file", &token, "apply", "-f", &file, "--wait"];
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let code = mangoctl::run(line, &mut out, &mut err);
+        ensure!(code == 0, "apply exited {code}: {}", String::from_utf8_lossy(&err));
+        self.await_owners(wait)
+    }
+
+    fn await_owners(&self, wait: Duration) -> Result<()> {
+        let deadline = Instant::now() + wait;
+        loop {
+            let mut owned = 0;
+            let mut all_live = true;
+            for router in &self.routers {
+                // an unanswered query counts as not ready
+                let state = state(router.operator_address()).unwrap_or_default();
+                let live = state["members"]["live"].as_array().map_or(0, Vec::len);
+                all_live &= live == self.routers.len();
+                owned += state["owned_engines"].as_array().map_or(0, Vec::len);
+            }
+            if all_live && owned >= self.engines.len() {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                bail!(
+                    "{owned} of {} engines have owners, all hosts live: {all_live}",
+                    self.engines.len()
+                );
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    /// Addresses for callers.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(RouterProcess::caller_address).collect()
+    }
+}
--- a/crates/testkit/src/router_process.rs
+++ b/crates/testkit/src/router_process.rs
@@ -4,6 +4,7 @@
     mango_wire::settings::Settings,
     nix::{
         sys::signal::{Signal, kill},
+        time::clock_getcpuclockid,
         unistd::Pid,
     },
     std::{
@@ -65,6 +66,20 @@
         parse(&self.settings.operator_address)
     }
 
+    /// User and system time that the process has used.
+    pub fn cpu_time(&self) -> Result<Duration> {
+        let clock = clock_getcpuclockid(Pid::from_raw(self.child.id() as i32)).context("clock")?;
+        Ok(clock.now().context("processor time")?.into())
+    }
+
+    /// Resident memory of the process, in bytes.
+    pub fn resident_bytes(&self) -> Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        Ok(kib.context("VmRSS")? * 1024)
+    }
+
     /// Waits until the router answers `/healthz`.
     pub fn await_started(&self, wait: Duration) -> Result<()> {
         let deadline = Instant::now() + wait;
