--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -10,7 +10,10 @@
 mod parts;
 mod placement_steps;
 mod spawn;
+mod spread_group;
 mod state_dump;
+#[cfg(test)]
+mod tests;
 mod topology;
 mod types;
 
