Reserve router ports outside the system's range

Cause: a router process got a port that had been free a moment before; with other tests running, listeners and outgoing connections took it meanwhile, and callers reached routers of other fleets.

--- a/crates/testkit/src/router_process.rs
+++ b/crates/testkit/src/router_process.rs
@@ -9,15 +9,23 @@
     },
     std::{
         io::Write,
-        net::{SocketAddr, TcpListener},
+        net::{Ipv4Addr, SocketAddr, TcpListener},
+        ops::Range,
         path::Path,
         process::{Child, Command, ExitStatus, Stdio},
+        sync::{
+            LazyLock,
+            atomic::{AtomicU32, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
     tempfile::NamedTempFile,
 };
 
+/// Ports of routers, below those that the system hands out by itself.
+const PORTS: Range<u16> = 10_000..32_000;
+
 /// A router in a process of its own, for kills and pauses. Killed when dropped.
 pub struct RouterProcess {
     child: Child,
@@ -28,20 +36,15 @@
 impl RouterProcess {
     /// Starts the binary with these settings. Addresses with port 0 get a free port.
     pub fn spawn(binary: &Path, mut settings: Settings) -> Result<Self> {
-        // all ports are held until the last one is chosen, so that they differ
-        let mut held = Vec::new();
         for address in [
             &mut settings.caller_address,
             &mut settings.operator_address,
             &mut settings.peer_address,
         ] {
             if address.ends_with(":0") {
-                let listener = TcpListener::bind("127.0.0.1:0")?;
-                *address = listener.local_addr()?.to_string();
-                held.push(listener);
+                *address = reserve_address()?.to_string();
             }
         }
-        drop(held);
         let mut file = NamedTempFile::with_suffix(".json").context("settings file")?;
         file.write_all(&serde_json::to_vec_pretty(&settings)?)?;
         let child = Command::new(binary)
@@ -146,6 +149,23 @@
     }
 }
 
+/// An address whose port nothing else takes before the process binds it. The
+/// system hands out ports above this range, so that neither outgoing connections
+/// nor listeners with port 0 use one meanwhile; a counter keeps this process's
+/// choices apart and a random start those of others.
+fn reserve_address() -> Result<SocketAddr> {
+    static NEXT: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(rand::random()));
+    for _ in 0..PORTS.len() {
+        let index = NEXT.fetch_add(1, Ordering::Relaxed) as usize % PORTS.len();
+        let port = PORTS.start + index as u16;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    bail!("no free port in {PORTS:?}")
+}
+
 fn parse(address: &str) -> SocketAddr {
     address.parse().expect("addresses were checked when the router started")
 }
