--- a/crates/router/src/dispatch/claim_client.rs
+++ b/crates/router/src/dispatch/claim_client.rs
@@ -112,6 +112,13 @@
                     return self.decide(range, context, key, reply);
                 }
                 _ if Instant::now() + OWNER_RETRY >= context.deadline => {
+                    // an unanswered claim may have been recorded
+                    self.report(Report::Abandon(AbandonReport {
+                        range,
+                        team: context.team.id.clone(),
+                        key: key.to_owned(),
+                        request_id: context.request_id.clone(),
+                    }));
                     let detail = format!("key range {range} has no reachable owner");
                     return Err(
                         Refusal::not_run(Reason::OwnerUnavailable, detail).with_retry_after(1000)
