Connect orders to engines and KV moves

Cause: OrderSender and LoadPacer existed, but no running router used them. Labels of an engine had no effect, loads had no pace, and a planned leave threw away the caches of all returning chats.

Change: the owner of an engine compares its labels (role, load.model, load.adapter, load.version) with what the engine confirmed and sends the missing orders on a thread of its own, with doubling, jittered pauses. A new epoch or a restarted engine gets the whole state again; an engine without fencing only after takeover_wait. Loads need a ticket from the owner of the new resource `weights` (LoadTicketRequest, LoadTicketReply, LoadTicketRelease). /state shows desired, loaded and last error. When an engine leaves, its owner asks the owners of the chats' next choices to take the caches over (KvMoveRequest); they export under the leaving engine's epoch and import under their own, which is checked right before sending. The new setting orders.kv_move_chats bounds the chats. The engine stand-in can read a weight store.

--- a/crates/router/src/admission/handle.rs
+++ b/crates/router/src/admission/handle.rs
@@ -11,7 +11,7 @@
     },
     arc_swap::ArcSwap,
     mango_wire::{
-        EndpointKey, HostId, PoolKey, digest,
+        ChatKey, EndpointKey, HostId, PoolKey, digest,
         peer::{
             Acquire, CancelAcquire, LoadEntry, PassReason, Progress, Refuse, Release, Reregister,
         },
@@ -267,6 +267,18 @@
         self.with(endpoint, |core, _, _| core.warm.next_sequence()).unwrap_or(0)
     }
 
+    /// Warm chats of an engine, the most recently used first.
+    pub(crate) fn warm_chats(&self, endpoint: EndpointKey, max: usize) -> Vec<ChatKey> {
+        self.with(endpoint, |core, _, _| core.warm.recent().take(max).collect()).unwrap_or_default()
+    }
+
+    /// Whether the KV cache of a chat may be imported: the engine does not leave and the
+    /// chat is not warm there, as an import would replace a newer cache.
+    pub(crate) fn takes_import(&self, endpoint: EndpointKey, chat: ChatKey) -> bool {
+        let takes = |core: &mut EngineCore<R>| !core.is_draining && !core.warm.contains(chat);
+        self.with(endpoint, |core, _, _| takes(core)).unwrap_or(false)
+    }
+
     fn with<T>(
         &self,
         endpoint: EndpointKey,
--- a/crates/router/src/admission/warm_chats.rs
+++ b/crates/router/src/admission/warm_chats.rs
@@ -31,6 +31,16 @@
         chat != 0 && self.chats.promote(&chat)
     }
 
+    /// Whether the chat is warm, without a use.
+    pub(crate) fn contains(&self, chat: ChatKey) -> bool {
+        self.chats.contains(&chat)
+    }
+
+    /// Warm chats, the most recently used first.
+    pub(crate) fn recent(&self) -> impl Iterator<Item = ChatKey> {
+        self.chats.iter().map(|(chat, ())| *chat)
+    }
+
     pub(crate) fn insert(&mut self, chat: ChatKey) {
         if chat != 0 {
             self.chats.put(chat, ());
--- a/crates/router/src/dispatch/chat_run.rs
+++ b/crates/router/src/dispatch/chat_run.rs
@@ -3,11 +3,17 @@
         attempt::Attempt, chat_stream::ChatItem, claim_client::ClaimTicket,
         dispatch_metrics::DispatchMetrics, refusal::Refusal,
     },
-    crate::endpoint::{CallFailure, EngineEvent, Token, Usage},
+    crate::{
+        endpoint::{CallFailure, EngineEvent, Token, Usage},
+        orders::KvCost,
+    },
     bytes::Bytes,
     crossbeam::channel::RecvTimeoutError,
     mango_wire::{Reason, peer::ReleaseOutcome, problem::Verdict},
-    std::time::{Duration, Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Tokens between two progress reports to the owner.
@@ -32,6 +38,7 @@
     limits: RunLimits,
     metrics: DispatchMetrics,
     claim: Option<ClaimTicket>,
+    kv_cost: Arc<KvCost>,
     /// Answer so far; kept only where it is needed as a whole.
     text: Option<String>,
     next_index: u32,
@@ -49,6 +56,7 @@
         limits: RunLimits,
         metrics: DispatchMetrics,
         claim: Option<ClaimTicket>,
+        kv_cost: Arc<KvCost>,
     ) -> Self {
         let text = claim.is_some().then(String::new);
         let endpoint_id = attempt.endpoint.id.clone();
@@ -60,6 +68,7 @@
             limits,
             metrics,
             claim,
+            kv_cost,
             text,
             next_index: 0,
             first_token_at: None,
@@ -159,6 +168,7 @@
 
     fn on_done(&mut self, usage: Usage, chunk: Option<Bytes>) -> ChatItem {
         self.update_measures();
+        self.observe_prefill(usage);
         if let Some(mut attempt) = self.attempt.take() {
             attempt.permit.set_outcome(ReleaseOutcome::Completed);
         }
@@ -201,6 +211,16 @@
         refusal
     }
 
+    fn observe_prefill(&self, usage: Usage) {
+        let (Some(attempt), Some(first_at)) = (&self.attempt, self.first_token_at) else { return };
+        if self.resumes > 0 {
+            return;
+        }
+        let gap = first_at.elapsed() / self.next_index.saturating_sub(1).max(1);
+        let uncached = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+        self.kv_cost.observe_prefill(first_at.duration_since(attempt.sent_at), gap, uncached);
+    }
+
     fn update_measures(&mut self) {
         let Some(attempt) = &mut self.attempt else { return };
         let Some(first_at) = self.first_token_at else { return };
--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -18,6 +18,7 @@
         callers::InFlightGuard,
         config::{EndpointInfo, PoolInfo},
         endpoint::{CallFailure, EngineCall, EngineEvent, Service, ServiceCall, WorkerPool},
+        orders::KvCost,
         placement::{Candidate, Planner},
     },
     bytes::Bytes,
@@ -101,6 +102,7 @@
     workers: Arc<WorkerPool<EngineJob>>,
     retries: ShareBudget,
     hedges: ShareBudget,
+    kv_cost: Arc<KvCost>,
     metrics: DispatchMetrics,
 }
 
@@ -111,6 +113,7 @@
     pub(crate) endpoints: Arc<EndpointTable>,
     pub(crate) planner: Arc<Planner>,
     pub(crate) decisions: Arc<DecisionLog>,
+    pub(crate) kv_cost: Arc<KvCost>,
     pub(crate) metrics: DispatchMetrics,
 }
 
@@ -159,7 +162,8 @@
     ) -> Self {
         let retries = ShareBudget::new(settings.retry_share, 3.0);
         let hedges = ShareBudget::new(settings.hedge_share, 1.0);
-        let DispatcherParts { permits, claims, endpoints, planner, decisions, metrics } = parts;
+        let DispatcherParts { permits, claims, endpoints, planner, decisions, kv_cost, metrics } =
+            parts;
         Self {
             settings,
             long_tokens: admission_settings.long_tokens,
@@ -171,6 +175,7 @@
             workers: Arc::new(WorkerPool::new()),
             retries,
             hedges,
+            kv_cost,
             metrics,
         }
     }
@@ -264,6 +269,7 @@
             limits,
             self.metrics.clone(),
             ticket.take(),
+            self.kv_cost.clone(),
         ))
     }
 
--- a/crates/router/src/orders/load_pacer.rs
+++ b/crates/router/src/orders/load_pacer.rs
@@ -44,19 +44,25 @@
         }
     }
 
-    /// Gives a ticket under the acting epoch of `weights`. The first call of an epoch
-    /// starts the wait for a predecessor's tickets.
-    pub(crate) fn acquire(&self, epoch: Epoch, now: Instant) -> Result<LoadTicket, LoadRefusal> {
+    /// Starts the wait for a predecessor's tickets, if the epoch is new.
+    pub(crate) fn start_epoch(&self, epoch: Epoch, now: Instant) {
         let mut state = self.state.lock();
-        if epoch < state.epoch {
-            return Err(LoadRefusal { retry_after: self.lifetime });
-        }
         if epoch > state.epoch {
             state.epoch = epoch;
             // 10% cover clocks that run at different speeds
             state.gives_from = now + self.lifetime + self.lifetime / 10;
             state.tickets.clear();
         }
+    }
+
+    /// Gives a ticket under the acting epoch of `weights`. An epoch that is new here
+    /// starts first.
+    pub(crate) fn acquire(&self, epoch: Epoch, now: Instant) -> Result<LoadTicket, LoadRefusal> {
+        self.start_epoch(epoch, now);
+        let mut state = self.state.lock();
+        if epoch < state.epoch {
+            return Err(LoadRefusal { retry_after: self.lifetime });
+        }
         if now < state.gives_from {
             return Err(LoadRefusal { retry_after: state.gives_from - now });
         }
@@ -72,10 +78,10 @@
     }
 
     /// Takes a ticket back whose load has ended.
-    pub(crate) fn release(&self, ticket: &LoadTicket) {
+    pub(crate) fn release(&self, epoch: Epoch, number: u64) {
         let mut state = self.state.lock();
-        if ticket.epoch == state.epoch {
-            state.tickets.remove(&ticket.number);
+        if epoch == state.epoch {
+            state.tickets.remove(&number);
         }
     }
 }
--- a/crates/router/src/orders/order_error.rs
+++ b/crates/router/src/orders/order_error.rs
@@ -17,6 +17,20 @@
     Unknown(String),
 }
 
+impl OrderError {
+    /// Name in metrics.
+    pub(crate) fn result(&self) -> &'static str {
+        match self {
+            Self::NotOwner => "not_owner",
+            Self::DeadlinePassed => "deadline",
+            Self::NeedsFencing => "needs_fencing",
+            Self::Fenced(_) => "fenced",
+            Self::Refused(_) => "refused",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 impl fmt::Display for OrderError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/router/src/orders/order_sender.rs
+++ b/crates/router/src/orders/order_sender.rs
@@ -18,6 +18,15 @@
 // largest. Several may be moved at once within the 256 MB of a host.
 const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
+/// Epoch under which a request is sent.
+#[derive(Clone, Copy)]
+enum Right {
+    /// Sent only while this host may act under it.
+    Checked(Epoch),
+    /// Sent for whichever host owns the engine.
+    OfAnyHost(Epoch),
+}
+
 /// Sends orders and KV cache moves to engines under the epoch of their ownership, which
 /// is the fencing number.
 ///
@@ -44,6 +53,11 @@
         Self { agent, authority, order: Duration::from_millis(settings.order_ms.into()) }
     }
 
+    /// Longest time of one order.
+    pub(crate) fn order_limit(&self) -> Duration {
+        self.order
+    }
+
     /// Time after a takeover at which the desired state is to be sent again to engines
     /// that ignore fencing numbers.
     pub(crate) fn takeover_wait(&self) -> Duration {
@@ -73,7 +87,9 @@
         self.send_order(target, epoch, OrderKind::SetRole, role, deadline)
     }
 
-    /// Exports the KV cache of a chat.
+    /// Exports the KV cache of a chat under the epoch of the engine's owner, which may
+    /// be another host. That host's right is not checked again here, because an export
+    /// changes nothing; an engine that checks fencing numbers refuses an old epoch.
     pub(crate) fn export_kv(
         &self,
         target: &OrderTarget,
@@ -82,7 +98,8 @@
         deadline: Instant,
     ) -> Result<KvBlob, OrderError> {
         let request = KvExport { chat: chat.to_owned(), fencing: epoch };
-        let text = self.post(target, epoch, "/v1/kv/export", &request, deadline)?;
+        let right = Right::OfAnyHost(epoch);
+        let text = self.post(target, right, "/v1/kv/export", &request, deadline)?;
         parse(&text)
     }
 
@@ -98,7 +115,7 @@
             return Err(OrderError::NeedsFencing);
         }
         let blob = KvBlob { fencing: epoch, ..blob };
-        self.post(target, epoch, "/v1/kv/import", &blob, deadline).map(drop)
+        self.post(target, Right::Checked(epoch), "/v1/kv/import", &blob, deadline).map(drop)
     }
 
     fn send_order(
@@ -111,8 +128,9 @@
     ) -> Result<OrderReply, OrderError> {
         let order_id = Uuid::new_v4().to_string();
         let order = Order { order_id, fencing: epoch, kind, name: name.to_owned() };
+        let right = Right::Checked(epoch);
         let reply: OrderReply =
-            parse(&self.post(target, epoch, "/v1/orders", &order, deadline)?)?;
+            parse(&self.post(target, right, "/v1/orders", &order, deadline)?)?;
         if reply.accepted {
             return Ok(reply);
         }
@@ -122,12 +140,11 @@
         Err(OrderError::Refused("not accepted".to_owned()))
     }
 
-    /// Posts a request unless the epoch no longer acts or the deadline has passed.
-    /// A 409 answer is returned like a 200 answer if it is an order's reply.
+    /// Posts a request unless the right has ended or the deadline has passed. A 409 answer is returned like a 200 answer if it is an order's reply.
     fn post<T: Serialize>(
         &self,
         target: &OrderTarget,
-        epoch: Epoch,
+        right: Right,
         path: &str,
         request: &T,
         deadline: Instant,
@@ -140,9 +157,12 @@
         if left.is_zero() {
             return Err(OrderError::DeadlinePassed);
         }
-        if self.authority.acting_epoch(&target.engine) != Some(epoch) {
-            return Err(OrderError::NotOwner);
-        }
+        let epoch = match right {
+            Right::Checked(epoch) if self.authority.acting_epoch(&target.engine) != Some(epoch) => {
+                return Err(OrderError::NotOwner);
+            }
+            Right::Checked(epoch) | Right::OfAnyHost(epoch) => epoch,
+        };
         let mut response = self
             .agent
             .post(url)
--- a/crates/router/src/orders/order_target.rs
+++ b/crates/router/src/orders/order_target.rs
@@ -1,3 +1,5 @@
+use crate::config::EndpointInfo;
+
 /// An engine that orders are sent to.
 #[derive(Clone, Debug)]
 pub(crate) struct OrderTarget {
@@ -8,3 +10,13 @@
     /// Whether the engine refuses orders with an old fencing number.
     pub(crate) checks_fencing: bool,
 }
+
+impl OrderTarget {
+    pub(crate) fn of(endpoint: &EndpointInfo) -> Self {
+        Self {
+            engine: endpoint.id.clone(),
+            base_url: format!("http://{}", endpoint.address),
+            checks_fencing: endpoint.checks_fencing,
+        }
+    }
+}
--- a/crates/router/src/orders/tests.rs
+++ b/crates/router/src/orders/tests.rs
@@ -1,7 +1,9 @@
 use {
     super::{
-        EngineAuthority, LoadPacer, LoadRefusal, LoadTicket, OrderError, OrderSender, OrderTarget,
+        EngineAuthority, KvCost, LoadPacer, LoadRefusal, LoadTicket, OrderError, OrderSender,
+        OrderTarget,
     },
+    mango_standins::{EngineOptions, EngineStandin},
     mango_wire::{
         Epoch,
         platform::{KvBlob, OrderKind, OrderReply},
@@ -51,7 +53,11 @@
 }
 
 fn settings(weight_loads: u32) -> OrderSettings {
-    OrderSettings { weight_loads, order_ms: LIFETIME.as_millis() as u32 }
+    OrderSettings {
+        weight_loads,
+        order_ms: LIFETIME.as_millis() as u32,
+        ..OrderSettings::default()
+    }
 }
 
 fn sender(epoch: Option<Epoch>) -> OrderSender<TestAuthority> {
@@ -112,6 +118,41 @@
     assert!(sender.takeover_wait() > LIFETIME);
 }
 
+/// Guards against an engine that carries out an order of a host which still believes
+/// that it is the owner.
+#[test]
+fn a_stale_owner_is_refused_by_a_fencing_engine() {
+    let engine = EngineStandin::spawn(EngineOptions::default());
+    let base_url = format!("http://{}", engine.address());
+    let target = OrderTarget { engine: "e1".to_owned(), base_url, checks_fencing: true };
+    let later = Instant::now() + LIFETIME;
+    sender(Some(9)).set_role(&target, 9, "decode", later).unwrap();
+    let refused = sender(Some(7)).set_role(&target, 7, "prefill", later).unwrap_err();
+    assert_eq!(refused, OrderError::Fenced(9));
+    let export = sender(Some(7)).export_kv(&target, 7, "c", later).unwrap_err();
+    assert_eq!(export, OrderError::Fenced(9));
+    let accepted: Vec<bool> = engine.orders().iter().map(|order| order.accepted).collect();
+    assert_eq!(accepted, [true, false]);
+}
+
+/// Guards against moves that cost more than the prefill they save, and against moves
+/// on a guess.
+#[test]
+fn only_cheaper_moves_are_made() {
+    let cost = KvCost::default();
+    assert!(!cost.is_move_cheaper(10_000));
+    cost.observe_prefill(Duration::from_millis(110), Duration::from_millis(10), 1_000);
+    assert!(cost.is_move_cheaper(10_000));
+    // 100 µs a token of prefill against 40 ms for a move of up to 1,000 tokens
+    cost.observe_transfer(Duration::from_millis(40), 1_000);
+    assert!(cost.is_move_cheaper(1_000) && cost.is_move_cheaper(500));
+    assert!(!cost.is_move_cheaper(300));
+    let slow = KvCost::default();
+    slow.observe_prefill(Duration::from_millis(110), Duration::from_millis(10), 1_000);
+    slow.observe_transfer(Duration::from_millis(400), 1_000);
+    assert!(!slow.is_move_cheaper(100_000));
+}
+
 /// Guards against an answer that came after the effect and is taken for a refusal.
 #[test]
 fn a_failure_after_sending_is_unknown() {
@@ -135,7 +176,7 @@
     pacer.acquire(5, now + LIFETIME / 2).unwrap();
     let refusal = pacer.acquire(5, now + LIFETIME / 2).unwrap_err();
     assert_eq!(refusal, LoadRefusal { retry_after: LIFETIME / 2 });
-    pacer.release(&first);
+    pacer.release(first.epoch, first.number);
     pacer.acquire(5, now + LIFETIME / 2).unwrap();
     assert!(pacer.acquire(5, now + LIFETIME).is_err());
     pacer.acquire(5, now + LIFETIME * 3 / 2).unwrap();
@@ -152,9 +193,9 @@
     assert!(pacer.acquire(6, now + LIFETIME).is_err());
     let new = pacer.acquire(6, now + LIFETIME * 2).unwrap();
     assert!(old.deadline < now + LIFETIME * 2);
-    pacer.release(&old);
+    pacer.release(old.epoch, old.number);
     assert!(pacer.acquire(6, now + LIFETIME * 2).is_err());
     assert!(pacer.acquire(5, now + LIFETIME * 9).is_err());
-    pacer.release(&new);
+    pacer.release(new.epoch, new.number);
     assert!(pacer.acquire(6, now + LIFETIME * 2).is_ok());
 }
--- a/crates/router/src/ownership/resource_id.rs
+++ b/crates/router/src/ownership/resource_id.rs
@@ -1,7 +1,8 @@
 use std::{borrow::Borrow, fmt, sync::Arc};
 
 /// Name of something that one host at a time may act on: the admission to an
-/// engine, a key range, or the writing of configuration snapshots.
+/// engine, a key range, the writing of configuration snapshots, or the pace of loads from
+/// the weight store.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(crate) struct ResourceId(Arc<str>);
 
@@ -21,6 +22,11 @@
         Self("config".into())
     }
 
+    /// The giving of tickets for loads from the weight store.
+    pub(crate) fn weights() -> Self {
+        Self("weights".into())
+    }
+
     pub(crate) fn as_str(&self) -> &str {
         &self.0
     }
--- a/crates/router/src/peer/message_kind.rs
+++ b/crates/router/src/peer/message_kind.rs
@@ -33,6 +33,10 @@
     StatusRequest,
     StatusReply,
     Ack,
+    LoadTicketRequest,
+    LoadTicketReply,
+    LoadTicketRelease,
+    KvMoveRequest,
 }
 
 impl From<&PeerMessage> for MessageKind {
@@ -64,6 +68,10 @@
             PeerMessage::StatusRequest(_) => Self::StatusRequest,
             PeerMessage::StatusReply(_) => Self::StatusReply,
             PeerMessage::Ack => Self::Ack,
+            PeerMessage::LoadTicketRequest(_) => Self::LoadTicketRequest,
+            PeerMessage::LoadTicketReply(_) => Self::LoadTicketReply,
+            PeerMessage::LoadTicketRelease(_) => Self::LoadTicketRelease,
+            PeerMessage::KvMoveRequest(_) => Self::KvMoveRequest,
         }
     }
 }
--- a/crates/router/src/router/engine_watch.rs
+++ b/crates/router/src/router/engine_watch.rs
@@ -1,5 +1,8 @@
 use {
-    super::types::AdmissionOfRouter,
+    super::{
+        kv_mover::KvMover,
+        types::{AdmissionOfRouter, OrdersOfRouter},
+    },
     crate::{
         endpoint::{Engine, HttpEngine},
         placement::Planner,
@@ -26,6 +29,8 @@
     pub(crate) engine: Arc<HttpEngine>,
     pub(crate) admission: Arc<AdmissionOfRouter>,
     pub(crate) planner: Arc<Planner>,
+    pub(crate) orders: Arc<OrdersOfRouter>,
+    pub(crate) kv_mover: Arc<KvMover>,
     /// Ends the watch when its sender is dropped.
     pub(crate) stop: Receiver<()>,
     /// Whether this host admits work to the engine, and so needs its cache events.
@@ -36,12 +41,18 @@
     pub(crate) fn run(self) {
         let mut answered_at = Instant::now();
         let mut is_draining = false;
+        let mut is_leaving = false;
+        let mut has_offered = false;
         let mut round = 0;
         loop {
             let leaving = match self.engine.load_report() {
                 Ok(report) => {
                     answered_at = Instant::now();
                     self.planner.set_reported(self.endpoint, report.running + report.waiting);
+                    if self.owned {
+                        self.orders.set_identity(self.endpoint, &report.identity);
+                    }
+                    is_leaving = report.leaving;
                     report.leaving
                 }
                 Err(_) => answered_at.elapsed() >= UNREACHABLE_AFTER,
@@ -51,6 +62,11 @@
                 log::info!("event=engine_draining endpoint={} draining={leaving}", self.id);
                 self.admission.set_draining(self.endpoint, leaving);
             }
+            if self.owned {
+                // an offer fails until this host may act on the engine
+                let offer = || self.kv_mover.offer(self.endpoint, &self.engine);
+                has_offered = is_leaving && (has_offered || offer());
+            }
             if self.owned && round % REPORTS_PER_CACHE_READ == 0 {
                 self.read_cache();
             }
--- a/crates/router/src/router/engine_watches.rs
+++ b/crates/router/src/router/engine_watches.rs
@@ -55,6 +55,8 @@
             engine: parts.endpoints.engine(endpoint),
             admission: parts.admission.clone(),
             planner: parts.planner.clone(),
+            orders: parts.orders.clone(),
+            kv_mover: parts.kv_mover.clone(),
             stop: stopped,
             owned,
         };
--- /dev/null
+++ b/crates/router/src/router/kv_mover.rs
@@ -0,0 +1,229 @@
+use {
+    super::types::{AdmissionOfRouter, OrdersOfRouter},
+    crate::{
+        config::{Config, ConfigStore, EndpointInfo},
+        endpoint::{Engine, HttpEngine},
+        orders::{KvCost, OrderError, OrderTarget},
+        ownership::{Ownership, ResourceId},
+        peer::PeerNet,
+        placement::rank,
+    },
+    mango_wire::{
+        ChatKey, EndpointKey, Epoch, HostId,
+        peer::{KvMoveRequest, PeerMessage},
+    },
+    std::{
+        collections::{HashMap, HashSet},
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Longest time for the moves of one leaving engine.
+const MOVE_TIME: Duration = Duration::from_secs(10);
+/// A request of more chats could exceed the 64 KiB of a message.
+const MAX_CHATS: usize = 4_000;
+/// Requests of peers worked off at once. One cache of up to 16 MB is held for each.
+const MAX_REQUESTS: usize = 4;
+
+pub(crate) struct KvMoverParts {
+    pub(crate) host_id: HostId,
+    /// Chats moved from one leaving engine; 0 turns moves off.
+    pub(crate) max_chats: usize,
+    pub(crate) config: Arc<ConfigStore>,
+    pub(crate) ownership: Arc<Ownership>,
+    pub(crate) admission: Arc<AdmissionOfRouter>,
+    pub(crate) orders: Arc<OrdersOfRouter>,
+    pub(crate) peers: PeerNet,
+    pub(crate) cost: Arc<KvCost>,
+}
+
+/// Moves the KV caches of the most recently used chats from an engine that leaves.
+///
+/// The owner of the leaving engine chooses the chats and asks the owners of their next
+/// choices by rank. These export and import, so that an import runs under the epoch of
+/// the importing engine's owner, which is checked right before sending. A lost request
+/// or a failed move costs only the reuse of that cache.
+pub(crate) struct KvMover {
+    parts: KvMoverParts,
+    running: AtomicUsize,
+}
+
+impl KvMover {
+    pub(crate) fn new(mut parts: KvMoverParts) -> Self {
+        parts.max_chats = parts.max_chats.min(MAX_CHATS);
+        Self { parts, running: AtomicUsize::new(0) }
+    }
+
+    /// Asks the owners of the next choices to take over the chats of an owned engine.
+    /// Returns whether there is nothing left to ask for.
+    pub(crate) fn offer(self: &Arc<Self>, source: EndpointKey, engine: &HttpEngine) -> bool {
+        let config = self.parts.config.current();
+        let Some(info) = config.endpoint(source).filter(|_| self.parts.max_chats > 0) else {
+            return true;
+        };
+        let resource = ResourceId::engine(&info.id);
+        let Some(source_epoch) = self.parts.ownership.acting_epoch(&resource) else {
+            return false;
+        };
+        let chats = match self.hottest(source, engine) {
+            Ok(chats) => chats,
+            Err(e) => {
+                log::warn!("event=kv_move_not_started endpoint={} error=\"{e}\"", info.id);
+                return false;
+            }
+        };
+        log::info!("event=kv_move_started endpoint={} chats={}", info.id, chats.len());
+        for (destination, chats) in by_destination(&config, info, chats) {
+            let (chats, tokens) = chats.into_iter().unzip();
+            self.request(KvMoveRequest {
+                source,
+                source_epoch,
+                destination,
+                remaining_ms: MOVE_TIME.as_millis() as u32,
+                chats,
+                tokens,
+            });
+        }
+        true
+    }
+
+    /// Cached chats with their tokens, most recently used first; chats that the owner
+    /// did not grant itself come last.
+    fn hottest(
+        &self,
+        source: EndpointKey,
+        engine: &HttpEngine,
+    ) -> Result<Vec<(ChatKey, u32)>, crate::endpoint::CallFailure> {
+        let listing = engine.cache_listing()?.chats;
+        let cached = listing.iter().filter_map(|event| {
+            let chat = ChatKey::from_str_radix(&event.chat, 16).ok()?;
+            (event.cached_tokens > 0).then_some((chat, event.cached_tokens))
+        });
+        let mut cached: HashMap<ChatKey, u32> = cached.collect();
+        let recent = self.parts.admission.warm_chats(source, self.parts.max_chats);
+        let mut chats: Vec<_> =
+            recent.iter().filter_map(|chat| cached.remove_entry(chat)).collect();
+        chats.extend(cached);
+        chats.truncate(self.parts.max_chats);
+        Ok(chats)
+    }
+
+    fn request(self: &Arc<Self>, request: KvMoveRequest) {
+        let config = self.parts.config.current();
+        let Some(destination) = config.endpoint(request.destination) else { return };
+        match self.parts.ownership.owner(&ResourceId::engine(&destination.id)) {
+            Some(owner) if owner.host_id == self.parts.host_id => self.take_over(request),
+            Some(owner) => {
+                self.parts.peers.send(&owner.host_id, PeerMessage::KvMoveRequest(request));
+            }
+            None => {}
+        }
+    }
+
+    /// Starts the moves that the owner of a leaving engine asked for.
+    pub(crate) fn take_over(self: &Arc<Self>, request: KvMoveRequest) {
+        if self.running.fetch_add(1, Ordering::SeqCst) >= MAX_REQUESTS {
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            log::warn!("event=kv_move_refused chats={}", request.chats.len());
+            return;
+        }
+        let mover = self.clone();
+        let spawned = thread::Builder::new().name("kv-move".to_owned()).spawn(move || {
+            mover.run(&request);
+            mover.running.fetch_sub(1, Ordering::SeqCst);
+        });
+        if let Err(e) = spawned {
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            log::warn!("event=kv_move_not_started error={e:?}");
+        }
+    }
+
+    fn run(&self, request: &KvMoveRequest) {
+        let deadline = Instant::now() + Duration::from_millis(u64::from(request.remaining_ms));
+        let config = self.parts.config.current();
+        let (Some(source), Some(destination)) =
+            (config.endpoint(request.source), config.endpoint(request.destination))
+        else {
+            return;
+        };
+        let resource = ResourceId::engine(&destination.id);
+        let Some(epoch) = self.parts.ownership.acting_epoch(&resource) else { return };
+        let (from, to) = (OrderTarget::of(source), OrderTarget::of(destination));
+        let mut seen = HashSet::new();
+        let mut moved = 0;
+        for (chat, tokens) in request.chats.iter().zip(&request.tokens) {
+            if Instant::now() >= deadline {
+                break;
+            }
+            if !seen.insert(*chat) || !self.parts.admission.takes_import(request.destination, *chat)
+            {
+                continue;
+            }
+            if !self.parts.cost.is_move_cheaper(*tokens) {
+                self.parts.orders.metrics.kv_move("not_cheaper");
+                continue;
+            }
+            let sender = (request.source_epoch, &from);
+            let result = self.move_chat(sender, (epoch, &to), request, *chat, deadline);
+            moved += u32::from(result.is_ok());
+            self.parts.orders.metrics.kv_move(result.map_or_else(|e| e.result(), |()| "done"));
+        }
+        log::info!(
+            "event=kv_move_ended from={} to={} chats={} moved={moved}",
+            source.id,
+            destination.id,
+            request.chats.len()
+        );
+    }
+
+    fn move_chat(
+        &self,
+        (source_epoch, from): (Epoch, &OrderTarget),
+        (epoch, to): (Epoch, &OrderTarget),
+        request: &KvMoveRequest,
+        chat: ChatKey,
+        deadline: Instant,
+    ) -> Result<(), OrderError> {
+        let sender = &self.parts.orders.sender;
+        let started = Instant::now();
+        let blob = sender.export_kv(from, source_epoch, &format!("{chat:016x}"), deadline)?;
+        let tokens = blob.tokens;
+        // the chat may have returned meanwhile, and its newer cache is longer
+        if !self.parts.admission.takes_import(request.destination, chat) {
+            return Err(OrderError::Refused("the chat is warm already".to_owned()));
+        }
+        sender.import_kv(to, epoch, blob, deadline)?;
+        self.parts.cost.observe_transfer(started.elapsed(), tokens);
+        self.parts.orders.metrics.kv_moved_tokens.inc_by(u64::from(tokens));
+        Ok(())
+    }
+}
+
+/// Chats by their next choice. The pool of a chat is not known to the owner, so the
+/// largest pool of the engine is taken. Engines that ignore fencing numbers get none,
+/// because a late import of an old owner could replace a longer cache.
+fn by_destination(
+    config: &Config,
+    source: &EndpointInfo,
+    chats: Vec<(ChatKey, u32)>,
+) -> HashMap<EndpointKey, Vec<(ChatKey, u32)>> {
+    let pools = config.pools().filter(|p| p.endpoints.iter().any(|e| e.key == source.key));
+    let Some(pool) = pools.max_by_key(|pool| pool.endpoints.len()) else {
+        return HashMap::new();
+    };
+    let others: Vec<_> = pool.endpoints.iter().filter(|e| e.key != source.key).collect();
+    let mut by_destination: HashMap<EndpointKey, Vec<_>> = HashMap::new();
+    for (chat, tokens) in chats {
+        let next = rank(chat, others.iter().map(|e| (e.key, e.weight))).first().copied();
+        let next = next.and_then(|key| others.iter().find(|e| e.key == key));
+        if let Some(next) = next.filter(|e| e.checks_fencing) {
+            by_destination.entry(next.key).or_default().push((chat, tokens));
+        }
+    }
+    by_destination
+}
--- a/crates/router/src/router/maintenance.rs
+++ b/crates/router/src/router/maintenance.rs
@@ -93,6 +93,7 @@
         let any_region = String::new;
         resources.extend((0..self.key_ranges).map(|r| (ResourceId::keys(r), any_region())));
         resources.push((ResourceId::config(), any_region()));
+        resources.push((ResourceId::weights(), any_region()));
         parts.ownership.set_resources(resources);
         parts.membership.set_config_version(self.config_version);
         log::info!("event=config_in_force version={}", self.config_version);
--- a/crates/router/src/router/message_handler.rs
+++ b/crates/router/src/router/message_handler.rs
@@ -66,6 +66,13 @@
                 let status = StatusReply { config_version, ready: parts.is_ready() };
                 replier.reply(PeerMessage::StatusReply(status));
             }
+            PeerMessage::LoadTicketRequest(_) => {
+                replier.reply(PeerMessage::LoadTicketReply(parts.load_tickets.give()));
+            }
+            PeerMessage::LoadTicketRelease(release) => {
+                parts.orders.release_ticket(release.epoch, release.number);
+            }
+            PeerMessage::KvMoveRequest(request) => parts.kv_mover.take_over(request),
             PeerMessage::Hello(_)
             | PeerMessage::Proof(_)
             | PeerMessage::OutageReply(_)
@@ -74,6 +81,7 @@
             | PeerMessage::ClaimReply(_)
             | PeerMessage::ConfigReply(_)
             | PeerMessage::StatusReply(_)
+            | PeerMessage::LoadTicketReply(_)
             | PeerMessage::Ack => {
                 log::warn!("event=unexpected_message from={from}");
             }
--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -1,7 +1,9 @@
 use {
     super::{
         engine_resources::EngineResources,
-        types::{AdmissionOfRouter, ClaimsOfRouter},
+        kv_mover::KvMover,
+        load_tickets::LoadTickets,
+        types::{AdmissionOfRouter, ClaimsOfRouter, OrdersOfRouter},
     },
     crate::{
         callers::{CallerHandler, InFlight},
@@ -33,6 +35,9 @@
     pub(crate) planner: Arc<Planner>,
     pub(crate) admission: Arc<AdmissionOfRouter>,
     pub(crate) claims: Arc<ClaimsOfRouter>,
+    pub(crate) orders: Arc<OrdersOfRouter>,
+    pub(crate) load_tickets: LoadTickets,
+    pub(crate) kv_mover: Arc<KvMover>,
     pub(crate) permits: Arc<PermitClient>,
     pub(crate) endpoints: Arc<EndpointTable>,
     pub(crate) decisions: Arc<DecisionLog>,
--- a/crates/router/src/router/spawn.rs
+++ b/crates/router/src/router/spawn.rs
@@ -5,8 +5,11 @@
         engine_resources::EngineResources,
         gossiper::Gossiper,
         handle::RouterHandle,
+        kv_mover::{KvMover, KvMoverParts},
+        load_tickets::LoadTickets,
         maintenance::Maintenance,
         message_handler::MessageHandler,
+        order_worker::OrderWorker,
         parts::Parts,
         state_dump::state_dump,
     },
@@ -22,6 +25,7 @@
         membership::Membership,
         metrics::Metrics,
         operators::{OperatorHooks, OperatorServer},
+        orders::{KvCost, Orders},
         ownership::{Ownership, ResourceId},
         peer::PeerNet,
         placement::{LoadTable, Planner},
@@ -125,6 +129,26 @@
         Arc::new(SystemClock),
         &metrics,
     )?;
+    let order_settings = settings.orders.clone().unwrap_or_default();
+    let engine_rights = Arc::new(EngineRights::new(ownership.clone(), resources.clone()));
+    let orders = Arc::new(Orders::new(&order_settings, engine_rights, &metrics));
+    let load_tickets = LoadTickets::new(
+        settings.host_id.clone(),
+        ownership.clone(),
+        peers.clone(),
+        orders.clone(),
+    );
+    let kv_cost = Arc::new(KvCost::default());
+    let kv_mover = Arc::new(KvMover::new(KvMoverParts {
+        host_id: settings.host_id.clone(),
+        max_chats: order_settings.kv_move_chats as usize,
+        config: config.clone(),
+        ownership: ownership.clone(),
+        admission: admission.clone(),
+        orders: orders.clone(),
+        peers: peers.clone(),
+        cost: kv_cost.clone(),
+    }));
     let permits = Arc::new(PermitClient::new(
         settings.host_id.clone(),
         ownership.clone(),
@@ -151,6 +175,7 @@
             endpoints: endpoints.clone(),
             planner: planner.clone(),
             decisions: decisions.clone(),
+            kv_cost,
             metrics: DispatchMetrics::register(&metrics),
         },
     );
@@ -174,6 +199,9 @@
         planner,
         admission,
         claims,
+        orders,
+        load_tickets,
+        kv_mover,
         permits,
         endpoints,
         decisions,
@@ -187,6 +215,8 @@
     let (changed, host_changes) = bounded(1);
     parts.membership.subscribe(changed);
     let (stop, stopped) = bounded(0);
+    let worker = OrderWorker::new(parts.clone(), stopped.clone());
+    thread::Builder::new().name("orders".to_owned()).spawn(move || worker.run())?;
     let settings = &parts.settings;
     let maintenance = Maintenance::new(
         parts.clone(),
--- a/crates/router/src/router/state_dump.rs
+++ b/crates/router/src/router/state_dump.rs
@@ -39,6 +39,10 @@
         .into_iter()
         .map(|(resource, epoch)| (resource.to_string(), epoch))
         .collect();
+    let orders: serde_json::Map<String, Value> = config
+        .endpoints()
+        .filter_map(|e| parts.orders.state(e.key).map(|state| (e.id.clone(), state)))
+        .collect();
     json!({
         "host": {
             "host_id": parts.settings.host_id,
@@ -57,6 +61,7 @@
         },
         "endpoints": endpoints,
         "owned_engines": parts.admission.state(),
+        "orders": orders,
         "decisions": parts.decisions.list(),
     })
 }
--- /dev/null
+++ b/crates/router/tests/orders/support.rs
@@ -0,0 +1,101 @@
+use {
+    mango_standins::{EngineOptions, OrderReceipt},
+    mango_testkit::{ENGINE_POOL, FleetOptions, LocalFleet, state},
+    mango_wire::{
+        config::{ConfigObject, WorkClass},
+        platform::OrderKind,
+        settings::{OrderSettings, Settings},
+    },
+    serde_json::Value,
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+pub(crate) const TEAM: &str = "dispatch";
+pub(crate) const WORK: &str = "question";
+const ORDER_MS: u32 = 1_000;
+
+/// Options of engines `engine-0` and so on.
+pub(crate) fn engines(count: usize) -> Vec<EngineOptions> {
+    let options = |index| EngineOptions {
+        name: format!("engine-{index}"),
+        step_ms: 5.0,
+        prefill_us_per_token: 10.0,
+        ..EngineOptions::default()
+    };
+    (0..count).map(options).collect()
+}
+
+pub(crate) fn with_orders(settings: &mut Settings, weight_loads: u32, kv_move_chats: u32) {
+    settings.orders = Some(OrderSettings { weight_loads, order_ms: ORDER_MS, kv_move_chats });
+}
+
+/// A ready fleet whose engines have no labels for orders.
+pub(crate) fn fleet(
+    routers: usize,
+    engines: Vec<EngineOptions>,
+    adjust: fn(&mut Settings),
+) -> LocalFleet {
+    let options = FleetOptions { routers, zones: 2, engines, services: Vec::new(), adjust };
+    let fleet = LocalFleet::spawn(options).unwrap();
+    label(&fleet, |_| Vec::new());
+    fleet.await_ready(Duration::from_secs(20)).unwrap();
+    fleet
+}
+
+/// Gives each engine the labels that `labels` returns for its index.
+pub(crate) fn label(
+    fleet: &LocalFleet,
+    labels: impl Fn(usize) -> Vec<(&'static str, &'static str)>,
+) {
+    let mut objects = fleet
+        .objects(1.25)
+        .team(TEAM, 1.0, 64)
+        .work(WORK, true, WorkClass::Normal, 16, 10_000)
+        .route(WORK, ENGINE_POOL, None)
+        .build();
+    let endpoints = objects.iter_mut().filter_map(|object| match object {
+        ConfigObject::Endpoint(endpoint) => Some(endpoint),
+        _ => None,
+    });
+    for (index, endpoint) in endpoints.enumerate() {
+        // an engine that ignores fencing numbers is named by a label of the test
+        for (key, value) in labels(index) {
+            endpoint.checks_fencing &= key != "ignores-fencing";
+            endpoint.labels.insert(key.to_owned(), value.to_owned());
+        }
+    }
+    fleet.apply(&objects).unwrap();
+}
+
+/// Waits until `is_done` holds.
+pub(crate) fn wait_until(what: &str, wait: Duration, mut is_done: impl FnMut() -> bool) {
+    let deadline = Instant::now() + wait;
+    while !is_done() {
+        assert!(Instant::now() < deadline, "{what} not seen within {wait:?}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Orders that an engine carried out, as kind and name.
+pub(crate) fn carried_out(orders: &[OrderReceipt]) -> Vec<(OrderKind, String)> {
+    let done = orders.iter().filter(|receipt| receipt.accepted);
+    done.map(|receipt| (receipt.order.kind, receipt.order.name.clone())).collect()
+}
+
+/// State of an engine's orders at its owner.
+pub(crate) fn order_state(fleet: &LocalFleet, engine: &str) -> Value {
+    let states = fleet.routers.iter().filter_map(|r| state(r.operator_address()).ok());
+    states.map(|s| s["orders"][engine].clone()).find(|s| !s.is_null()).unwrap_or_default()
+}
+
+/// Index of the router that owns an engine.
+pub(crate) fn owner(fleet: &LocalFleet, engine: &str) -> usize {
+    let state = state(fleet.routers[0].operator_address()).unwrap();
+    let endpoints = state["endpoints"].as_array().unwrap();
+    let endpoint = endpoints.iter().find(|e| e["id"] == engine).unwrap();
+    let owner = endpoint["owner"].as_str().unwrap();
+    owner.strip_prefix("host-").unwrap().parse().unwrap()
+}
--- a/crates/standins/src/engine/engine_handler.rs
+++ b/crates/standins/src/engine/engine_handler.rs
@@ -12,7 +12,9 @@
     base64::{Engine, prelude::BASE64_STANDARD},
     http::{HeaderMap, HeaderValue, Method, StatusCode},
     mango_http::{AnswerBody, BodyError, CallerLink, Handler, Request},
-    mango_wire::platform::{CacheEvents, CacheListing, KvBlob, KvExport, LoadReport, Order},
+    mango_wire::platform::{
+        CacheEvents, CacheListing, KvBlob, KvExport, LoadReport, Order, OrderKind,
+    },
     serde::{Deserialize, de::DeserializeOwned},
     std::{sync::Arc, thread, time::Duration},
 };
@@ -22,6 +24,8 @@
 // How often a whole answer checks whether its caller is still there.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+const WEIGHTS_WAIT: Duration = Duration::from_secs(5);
+
 #[derive(Deserialize)]
 struct PriorityChange {
     priority: i64,
@@ -197,6 +201,9 @@
         if accepted && !self.work(self.core.options.order_ms) {
             return BrokenAnswer::answer();
         }
+        if accepted && order.kind != OrderKind::SetRole && !self.read_weights(&order.name) {
+            return status_answer(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let reply = self.core.change(|state, _| {
             if accepted {
                 state.orders.apply(&order);
@@ -244,6 +251,13 @@
         json_answer(fenced_status(accepted), &reply)
     }
 
+    /// Reads weights from the weight store, if the engine has one.
+    fn read_weights(&self, name: &str) -> bool {
+        let Some(url) = self.core.read().weight_store_url.clone() else { return true };
+        let request = ureq::get(format!("{url}/weights/{name}"));
+        request.config().timeout_global(Some(WEIGHTS_WAIT)).build().call().is_ok()
+    }
+
     fn move_kv(&self, tokens: u32) -> bool {
         self.work(f64::from(tokens) * self.core.options.kv_us_per_token / 1e3)
     }
--- a/crates/standins/src/engine/engine_standin.rs
+++ b/crates/standins/src/engine/engine_standin.rs
@@ -55,6 +55,11 @@
         });
     }
 
+    /// Makes loads read from a weight store and fail with 503 while it is down.
+    pub fn set_weight_store(&self, url: String) {
+        self.core.change(|state, _| state.weight_store_url = Some(url));
+    }
+
     /// Multiplies all engine times, also of work in progress.
     ///
     /// Panics if the factor is not positive.
--- a/crates/standins/src/engine/engine_state.rs
+++ b/crates/standins/src/engine/engine_state.rs
@@ -65,6 +65,7 @@
     pub(crate) executions: Vec<Execution>,
     pub(crate) refused_leaving: Vec<Instant>,
     pub(crate) refused_full: u64,
+    pub(crate) weight_store_url: Option<String>,
 }
 
 impl EngineState {
@@ -95,6 +96,7 @@
             executions: Vec::new(),
             refused_leaving: Vec::new(),
             refused_full: 0,
+            weight_store_url: None,
             options,
         };
         state.record_load(Instant::now());
