Read at once whether a taken engine leaves

Cause: a new owner started to read its engine's load report only at the next review of ownership, up to 100 ms later, and admitted work meanwhile to an engine that its predecessor knew to be leaving.

The window is narrowed, not closed: work is admitted until the first report has been read.

--- a/crates/router/src/ownership/handle.rs
+++ b/crates/router/src/ownership/handle.rs
@@ -121,6 +121,11 @@
         self.shared.clock.acting_until()
     }
 
+    /// A number that rises when owners change.
+    pub(crate) fn changes(&self) -> u64 {
+        self.shared.views()
+    }
+
     /// Resources that this process owns, whether it may act on them or not.
     pub(crate) fn own_resources(&self) -> HashMap<ResourceId, Epoch> {
         let state = self.shared.state.lock();
--- a/crates/router/src/ownership/shared.rs
+++ b/crates/router/src/ownership/shared.rs
@@ -31,6 +31,8 @@
     pub(crate) clock: LeaseClock,
     pub(crate) state: Mutex<State>,
     view: ArcSwap<HashMap<ResourceId, ViewEntry>>,
+    /// Counts the published views.
+    views: AtomicU64,
     /// Offset after the newest fleet record that was read.
     read_offset: AtomicU64,
     /// The same, or the offset after a Take that a peer told of.
@@ -109,6 +111,7 @@
                 reported_outage: None,
             }),
             view: ArcSwap::default(),
+            views: AtomicU64::new(0),
             read_offset: AtomicU64::new(0),
             known_offset: AtomicU64::new(0),
             draining: AtomicBool::new(false),
@@ -182,6 +185,12 @@
             })
             .collect();
         self.view.store(Arc::new(view));
+        self.views.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Number of published views, to notice changes at no cost.
+    pub(crate) fn views(&self) -> u64 {
+        self.views.load(Ordering::Acquire)
     }
 
     /// Notes the newest outage that another host knows of; an end of 0 says none.
--- a/crates/router/src/router/maintenance.rs
+++ b/crates/router/src/router/maintenance.rs
@@ -27,6 +27,7 @@
     config_version: u64,
     live_hosts: HashSet<HostId>,
     owned: HashSet<EndpointKey>,
+    ownership_changes: u64,
     review_at: Instant,
     gossip_at: Instant,
 }
@@ -52,6 +53,7 @@
             config_version: 0,
             live_hosts: HashSet::new(),
             owned: HashSet::new(),
+            ownership_changes: 0,
             review_at: now,
             gossip_at: now,
         }
@@ -65,7 +67,10 @@
                 self.review_hosts();
             }
             let now = Instant::now();
-            if now >= self.review_at {
+            // a new owner reads at once whether its engine leaves
+            let changes = self.parts.ownership.changes();
+            if now >= self.review_at || changes != self.ownership_changes {
+                self.ownership_changes = changes;
                 self.review_at = now + REVIEW_INTERVAL;
                 self.review_ownership();
             }
--- a/crates/router/tests/histories/fleet.rs
+++ b/crates/router/tests/histories/fleet.rs
@@ -144,7 +144,8 @@
                 .sum();
             let wanted = self.endpoint_proxies.len();
             // the endpoints, the key ranges and the configuration
-            if acting >= wanted && ranges > wanted + KEY_RANGES as usize {
+            let all_up = states.iter().all(Result::is_ok);
+            if all_up && acting >= wanted && ranges > wanted + KEY_RANGES as usize {
                 return Ok(());
             }
             for index in 0..self.slots.len() {
