--- a/crates/router/benches/recovery.rs
+++ b/crates/router/benches/recovery.rs
@@ -92,21 +92,23 @@
         let change_id = "initial".to_owned();
         let record = ConfigRecord::Change(change(change_id, 0, put));
         platform.append("config", &serde_json::to_string(&record)?);
-        let routers = (0..ROUTERS)
-            .map(|index| {
-                let settings = router_settings(&platform, &format!("host-{index}"), "zone-a");
-                RouterProcess::spawn(binary(), settings)
-            })
-            .collect::<Result<Vec<_>>>()?;
-        let fleet = Self { platform, engines, service, routers };
+        let routers =
+            (0..ROUTERS).map(|index| start_router(&platform, index)).collect::<Result<Vec<_>>>()?;
+        let mut fleet = Self { platform, engines, service, routers };
         fleet.await_acting()?;
         Ok(fleet)
     }
 
     /// Waits until all routers are live and every resource serves.
-    fn await_acting(&self) -> Result<()> {
+    fn await_acting(&mut self) -> Result<()> {
         let deadline = Instant::now() + READY_WAIT;
         while !self.is_acting() {
+            for index in 0..ROUTERS {
+                // its port was taken by another process
+                if self.routers[index].wait(Duration::ZERO)?.is_some() {
+                    self.routers[index] = start_router(&self.platform, index)?;
+                }
+            }
             if Instant::now() >= deadline {
                 bail!("fleet is not ready in time");
             }
@@ -146,6 +148,11 @@
     }
 }
 
+fn start_router(platform: &PlatformStandin, index: usize) -> Result<RouterProcess> {
+    let settings = router_settings(platform, &format!("host-{index}"), "zone-a");
+    RouterProcess::spawn(binary(), settings)
+}
+
 fn binary() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_mangobridge"))
 }
@@ -181,8 +188,7 @@
         println!("crash of host-{victim}: {} resources, {worst:.2?}", owned.len());
         times.push(worst.as_secs_f64());
         if crash + 1 < CRASHES {
-            let settings = fleet.routers[victim].settings().clone();
-            fleet.routers[victim] = RouterProcess::spawn(binary(), settings)?;
+            fleet.routers[victim] = start_router(&fleet.platform, victim)?;
             fleet.await_acting()?;
         }
     }
