--- a/crates/router/src/router/handle.rs
+++ b/crates/router/src/router/handle.rs
@@ -96,6 +96,8 @@
     /// Stops at once, as a crash would: nothing is handed over.
     pub fn stop(&self) {
         self.callers.abort();
+        // a deadline that has passed cuts all connections off
+        self.operators.stop(Instant::now());
         self.parts.claim_client.stop();
         self.parts.claims.stop();
         self.parts.config.stop();
