--- a/crates/router/src/admission/mod.rs
+++ b/crates/router/src/admission/mod.rs
@@ -33,4 +33,5 @@
     acquire_result::AcquireResult, authority::Authority, demoted::Demoted,
     engine_owner::EngineOwner, engine_state::EngineState, fair_queue::FairQueue, handle::Admission,
     health_model::HealthModel, length_model::LengthModel, permit::Permit, reply::Reply,
+    warm_chats::WarmChats,
 };
--- a/crates/router/src/endpoint/http_client.rs
+++ b/crates/router/src/endpoint/http_client.rs
@@ -15,6 +15,9 @@
 /// Longest wait for a control answer.
 const CONTROL_WAIT: Duration = Duration::from_millis(1000);
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
+/// Buffer of each direction of a connection. ureq's 128 KiB made a request in flight
+/// take 377 KB, 162 MB at the 430 requests of a host at its peak.
+const BUFFER_BYTES: usize = 16 * 1024;
 
 /// HTTP connections to one endpoint.
 #[derive(Clone)]
@@ -32,6 +35,8 @@
                 .http_status_as_error(false)
                 .timeout_connect(Some(millis(settings.connect_ms)))
                 .timeout_per_read(Some(millis(settings.stall_ms)))
+                .input_buffer_size(BUFFER_BYTES)
+                .output_buffer_size(BUFFER_BYTES)
                 .max_idle_connections(idle)
                 .max_idle_connections_per_host(idle)
                 .build()
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod app;
+pub mod bench_support;
 mod callers;
 mod claims;
 mod config;
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -18,6 +18,7 @@
 
 pub(crate) use {
     engine_resources::EngineResources,
+    topology::topology,
     types::{AdmissionOfRouter, ClaimsOfRouter},
 };
 pub use {handle::RouterHandle, spawn::Router};
--- a/crates/testkit/src/process_fleet.rs
+++ b/crates/testkit/src/process_fleet.rs
@@ -18,6 +18,10 @@
     tempfile::NamedTempFile,
 };
 
+/// Exit code of `mangoctl` without an answer. The operators' server leaves a request
+/// unanswered now and then on a busy machine (`docs/MEASUREMENTS.md`).
+const UNREACHABLE: u8 = 3;
+
 /// Routers in processes of their own, with platform and engines in this process.
 pub struct ProcessFleet {
     /// First, because fields are dropped in order: routers end before their platform.
@@ -73,7 +77,10 @@
         let line =
             ["mangoctl", "--router", &url, "--token-file", &token, "apply", "-f", &file, "--wait"];
         let (mut out, mut err) = (Vec::new(), Vec::new());
-        let code = mangoctl::run(line, &mut out, &mut err);
+        let mut code = mangoctl::run(line, &mut out, &mut err);
+        if code == UNREACHABLE {
+            code = mangoctl::run(line, &mut out, &mut err);
+        }
         ensure!(code == 0, "apply exited {code}: {}", String::from_utf8_lossy(&err));
         self.await_owners(wait)
     }
