--- a/crates/router/src/admission/engine_grants.rs
+++ b/crates/router/src/admission/engine_grants.rs
@@ -22,6 +22,9 @@
 const DEFAULT_RETRY: Duration = Duration::from_millis(1000);
 /// A shorter pause would come back before anything has changed.
 const MIN_RETRY: Duration = Duration::from_millis(50);
+/// Largest share of a request's time that is kept for its answer. Work whose estimate
+/// exceeds its deadline may still be queued for a short while.
+const MAX_RUN_SHARE: f64 = 0.9;
 
 impl<R> EngineCore<R> {
     pub(super) fn acquire<A: Authority>(
@@ -58,7 +61,7 @@
         &mut self,
         ctx: &Context<A>,
         now: Instant,
-        queued: Queued<R>,
+        mut queued: Queued<R>,
         reason: PassReason,
         out: &mut Outbox<R>,
     ) {
@@ -68,8 +71,13 @@
         if queued.mode != AcquireMode::Queue || reason == PassReason::UnknownEndpoint {
             return self.refuse(ctx, now, queued, reason, Duration::ZERO, out);
         }
-        let wait = self.predict_wait(ctx, &queued);
-        let left = queued.deadline.saturating_duration_since(now);
+        queued.start_by = self.start_by(&queued, now);
+        queued.predicted_wait = self.predict_wait(ctx, &queued);
+        // the turn of a team without a backlog does not depend on later requests
+        let has_backlog = self.queue.has_backlog(queued.team);
+        let correct = |wait| if has_backlog { self.waits.correct(wait) } else { wait };
+        let wait = queued.predicted_wait.map(correct);
+        let left = queued.start_by.saturating_duration_since(now);
         if let Some(wait) = wait.filter(|wait| *wait > left) {
             let retry = (wait - left).max(MIN_RETRY);
             return self.refuse(ctx, now, queued, PassReason::Deadline, retry, out);
@@ -83,6 +91,15 @@
         }
     }
 
+    /// Latest start at which the answer still ends by the deadline.
+    fn start_by(&self, queued: &Queued<R>, now: Instant) -> Instant {
+        let speed = self.health.speed(now);
+        let run_ms = speed.first_token_ms + f64::from(queued.longest_tokens) * speed.gap_us / 1e3;
+        let left = queued.deadline.saturating_duration_since(now);
+        let run = Duration::from_secs_f64(run_ms / 1e3).min(left.mul_f64(MAX_RUN_SHARE));
+        queued.deadline - run
+    }
+
     /// Predicted wait of a request that would be queued now.
     fn predict_wait<A: Authority>(&self, ctx: &Context<A>, queued: &Queued<R>) -> Option<Duration> {
         let ahead = self.queue.ahead_of(queued, ctx.limits.may_wait_share);
@@ -103,7 +120,7 @@
         while !self.queue.is_empty() && !self.is_draining {
             let Some(epoch) = self.acting(ctx, now) else { return };
             let Some(queued) = self.pop_eligible(ctx, now) else { return };
-            if queued.deadline <= now {
+            if queued.start_by <= now {
                 let retry = DEFAULT_RETRY;
                 self.refuse(ctx, now, queued, PassReason::Deadline, retry, out);
                 continue;
@@ -111,6 +128,7 @@
             let warm = self.warm.touch(queued.chat);
             let waited = now.saturating_duration_since(queued.arrived_at);
             ctx.metrics.wait.observe(waited.as_secs_f64());
+            self.waits.observe_wait(queued.predicted_wait, waited);
             let cap = self.room(ctx, queued.pool, queued.long, now).unwrap_or(0);
             self.grant(ctx, now, queued, warm, (epoch, cap), out);
         }
--- a/crates/router/src/admission/engine_permits.rs
+++ b/crates/router/src/admission/engine_permits.rs
@@ -222,6 +222,8 @@
             return;
         }
         for queued in self.queue.expire(now) {
+            let waited = now.saturating_duration_since(queued.arrived_at);
+            self.waits.observe_wait(queued.predicted_wait, waited);
             self.refuse(ctx, now, queued, PassReason::Deadline, Duration::ZERO, out);
         }
         for permit in self.permits.free_due(now) {
--- a/crates/router/src/admission/fair_queue.rs
+++ b/crates/router/src/admission/fair_queue.rs
@@ -64,9 +64,9 @@
         self.regular.pop(eligible).or_else(|| self.may_wait.pop(eligible))
     }
 
-    /// Removes the requests whose deadline has passed.
+    /// Removes the requests that would not end in time any more.
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<Queued<R>> {
-        self.extract(|queued| queued.deadline <= now)
+        self.extract(|queued| queued.start_by <= now)
     }
 
     /// Removes what `select` selects.
@@ -86,6 +86,11 @@
         (self.regular.len() as f64 + ahead).min(by_share)
     }
 
+    /// Whether a team has requests waiting.
+    pub(crate) fn has_backlog(&self, team: TeamKey) -> bool {
+        self.regular.has_backlog(team) || self.may_wait.has_backlog(team)
+    }
+
     /// Waiting requests by team.
     pub(crate) fn team_lens(&self) -> BTreeMap<TeamKey, usize> {
         let mut lens = BTreeMap::new();
--- a/crates/router/src/admission/handle.rs
+++ b/crates/router/src/admission/handle.rs
@@ -143,6 +143,7 @@
     ) -> Queued<R> {
         let work = roster.work(request.work);
         let length = self.ctx.length.length(request.team, request.work, work.expected_tokens);
+        let deadline = now + Duration::from_millis(u64::from(request.remaining_ms));
         Queued {
             reply,
             origin: host_key(origin),
@@ -156,7 +157,10 @@
             chat: request.chat,
             long: length.upper_tokens() > self.ctx.limits.long_tokens,
             expected_tokens: length.mean_tokens(),
-            deadline: now + Duration::from_millis(u64::from(request.remaining_ms)),
+            longest_tokens: length.longest_tokens(),
+            deadline,
+            start_by: deadline,
+            predicted_wait: None,
             arrived_at: now,
         }
     }
--- a/crates/router/src/admission/length_stats.rs
+++ b/crates/router/src/admission/length_stats.rs
@@ -26,6 +26,12 @@
         self.mean_tokens as u32
     }
 
+    /// Length that few requests exceed: with lengths spread evenly between half and one
+    /// and a half of the mean, mean plus two deviations is the longest one.
+    pub(crate) fn longest_tokens(&self) -> u32 {
+        (self.mean_tokens + 2.5 * self.deviation_tokens) as u32
+    }
+
     /// Mean plus deviation.
     pub(crate) fn upper_tokens(&self) -> u32 {
         (self.mean_tokens + self.deviation_tokens) as u32
--- a/crates/router/src/admission/queued.rs
+++ b/crates/router/src/admission/queued.rs
@@ -1,7 +1,7 @@
 use {
     super::permit::Permit,
     mango_wire::{ChatKey, PoolKey, TeamKey, WorkKey, config::WorkClass, peer::AcquireMode},
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 /// A request that asks for a permit or waits for one.
@@ -21,7 +21,13 @@
     pub(crate) long: bool,
     /// Expected length, the cost in the fair queue.
     pub(crate) expected_tokens: u32,
+    /// Length by which the time of the answer is estimated.
+    pub(crate) longest_tokens: u32,
     pub(crate) deadline: Instant,
+    /// When it must have a slot at the latest, so that its answer ends in time.
+    pub(crate) start_by: Instant,
+    /// Wait that was predicted when it was queued, without correction.
+    pub(crate) predicted_wait: Option<Duration>,
     pub(crate) arrived_at: Instant,
 }
 
--- a/crates/router/src/admission/team_queue.rs
+++ b/crates/router/src/admission/team_queue.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Cost of the request that is due first.
+    pub(crate) fn next_cost(&self) -> f64 {
+        self.head(&|_| true).map_or(f64::from(MIN_COST_TOKENS), |(_, _, cost)| cost)
+    }
+
     /// Requests ahead of one with this class and deadline.
     pub(crate) fn ahead_of(&self, class: WorkClass, deadline: Instant) -> usize {
         let end = (class, deadline, u64::MAX);
@@ -84,6 +89,7 @@
     }
 }
 
-fn cost<R>(queued: &Queued<R>) -> f64 {
+/// Cost of a request in tokens.
+pub(crate) fn cost<R>(queued: &Queued<R>) -> f64 {
     f64::from(queued.expected_tokens.max(MIN_COST_TOKENS))
 }
--- a/crates/router/src/admission/team_round.rs
+++ b/crates/router/src/admission/team_round.rs
@@ -1,11 +1,17 @@
 use {
-    super::{queued::Queued, team_queue::TeamQueue},
+    super::{
+        queued::Queued,
+        team_queue::{TeamQueue, cost},
+    },
     mango_wire::TeamKey,
     std::collections::{HashMap, VecDeque},
 };
 
-/// Tokens that a team of weight 1 may take in one round.
-const QUANTUM_TOKENS: f64 = 64.0;
+/// Tokens that a team of weight 1 may take in one round; the cost of the shortest
+/// request. With 64, each team ran several short requests in a row, and a team with a
+/// single request waited for all of them. Rounds are credited at once, so that many
+/// small ones cost no time.
+const QUANTUM_TOKENS: f64 = 16.0;
 /// A weight of 0 would need endless rounds.
 const MIN_WEIGHT: f64 = 0.01;
 
@@ -31,6 +37,10 @@
         self.teams.iter().map(|(key, team)| (*key, team.len()))
     }
 
+    pub(crate) fn has_backlog(&self, team: TeamKey) -> bool {
+        self.teams.contains_key(&team)
+    }
+
     pub(crate) fn push(&mut self, number: u64, queued: Queued<R>) {
         let weight = queued.team_weight.max(MIN_WEIGHT);
         let team = self.teams.entry(queued.team).or_insert_with(|| {
@@ -118,16 +128,21 @@
         out
     }
 
-    /// Requests that run before a new one: its own team's, times the inverse of the
-    /// team's share, but never more than all.
+    /// Requests that run before a new one: its own team's, and those that the other
+    /// teams may take in the rounds that its own team needs.
     pub(crate) fn ahead_of(&self, queued: &Queued<R>) -> f64 {
-        let weight = queued.team_weight.max(MIN_WEIGHT);
-        let others: f64 =
-            self.teams.iter().filter(|(k, _)| **k != queued.team).map(|(_, t)| t.weight).sum();
         let own = self.teams.get(&queued.team);
-        let own = own.map_or(0, |team| team.ahead_of(queued.class, queued.deadline)) as f64;
-        let all = self.len as f64;
-        (own + (own + 1.0) * others / weight).min(all)
+        let ahead = own.map_or(0, |team| team.ahead_of(queued.class, queued.deadline)) as f64;
+        let deficit = own.map_or(0.0, |team| team.deficit);
+        let needed = (ahead + 1.0) * cost(queued) - deficit;
+        let quantum_of_own = QUANTUM_TOKENS * queued.team_weight.max(MIN_WEIGHT);
+        let rounds = (needed / quantum_of_own).ceil().max(0.0);
+        let taken = |team: &TeamQueue<R>| {
+            let credit = team.deficit + rounds * quantum(team);
+            (credit / team.next_cost()).ceil().clamp(0.0, team.len() as f64)
+        };
+        let others = self.teams.iter().filter(|(key, _)| **key != queued.team);
+        ahead + others.map(|(_, team)| taken(team)).sum::<f64>()
     }
 
     fn remove_team(&mut self, key: TeamKey) {
--- a/crates/router/src/dispatch/chat_run.rs
+++ b/crates/router/src/dispatch/chat_run.rs
@@ -172,6 +172,11 @@
     /// Resumes the answer, or ends it; `None` if it goes on.
     fn on_failure(&mut self, failure: CallFailure) -> Option<ChatItem> {
         let expired = Instant::now() >= self.limits.deadline;
+        // the call's own time limit ends it as a broken stream
+        let failure = match expired {
+            true => CallFailure::new(failure.verdict, Reason::Deadline, "deadline passed"),
+            false => failure,
+        };
         let resumable = matches!(failure.reason, Reason::EndpointBroken | Reason::EndpointStalled);
         if resumable && !expired && self.resumes < self.limits.max_resumes {
             self.resumes += 1;
--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -543,6 +543,7 @@
         let Some(mut plan) = self.planner.plan(pool.key, context.chat, has_history) else {
             return Ok(None);
         };
+        let mut refusal = None;
         while let Some(Candidate { endpoint: key, mode }) = plan.next() {
             if trace.excluded.contains(&key) || (hedge && mode == AcquireMode::Queue) {
                 continue;
@@ -563,7 +564,8 @@
                     *saw_owner = true;
                     trace.add(format!("{}: {mode} {reason}", endpoint.id));
                     if mode == AcquireMode::Queue {
-                        refuse_finally(reason, retry_after_ms)?;
+                        // another queue may be shorter
+                        refusal = final_refusal(reason, retry_after_ms).or(refusal);
                         if reason == PassReason::AtCap {
                             plan.search_again();
                         }
@@ -571,7 +573,7 @@
                 }
             }
         }
-        Ok(None)
+        refusal.map_or(Ok(None), Err)
     }
 
     fn log_decision<T>(
@@ -606,14 +608,14 @@
     }
 }
 
-/// Refusals of a queue that no other endpoint would answer better.
-fn refuse_finally(reason: PassReason, retry_after_ms: u32) -> Result<(), Refusal> {
+/// Refusal of a queue that is not tried again.
+fn final_refusal(reason: PassReason, retry_after_ms: u32) -> Option<Refusal> {
     let (reason, detail) = match reason {
         PassReason::QueueFull => (Reason::QueueFull, "the queue is full"),
         PassReason::Deadline => (Reason::Deadline, "the wait would pass the deadline"),
-        _ => return Ok(()),
+        _ => return None,
     };
-    Err(Refusal::not_run(reason, detail).with_retry_after(retry_after_ms.max(1)))
+    Some(Refusal::not_run(reason, detail).with_retry_after(retry_after_ms.max(1)))
 }
 
 fn receive_either(
--- a/crates/router/src/placement/candidate_plan.rs
+++ b/crates/router/src/placement/candidate_plan.rs
@@ -16,10 +16,10 @@
     steps: VecDeque<Candidate>,
     /// Engines that are not looked up again as least loaded.
     tried: Vec<EndpointKey>,
-    /// Where the request queues at last; `None` after that step, and for baselines.
-    queue_at: Option<EndpointKey>,
-    home: Option<EndpointKey>,
-    second: Option<EndpointKey>,
+    /// Where the request queues at last; empty for baselines.
+    queue_at: VecDeque<EndpointKey>,
+    /// Home and second choice.
+    preferred: Vec<EndpointKey>,
     searched: bool,
     rng: SmallRng,
 }
@@ -37,16 +37,17 @@
             steps.extend(tried.iter().map(|e| step(*e, AcquireMode::IfWarm)));
         }
         steps.extend(tried.iter().map(|e| step(*e, AcquireMode::IfRoom)));
-        let (home, second) = (tried.first().copied(), tried.get(1).copied());
-        Self { pool, steps, tried, queue_at: home, home, second, searched: false, rng }
+        let preferred = tried.clone();
+        let queue_at = preferred.iter().copied().collect();
+        Self { pool, steps, tried, queue_at, preferred, searched: false, rng }
     }
 
     /// Plan of a baseline: one engine, whatever its load.
     pub(crate) fn single(pool: Arc<PoolView>, endpoint: Option<EndpointKey>, seed: u64) -> Self {
         let steps = endpoint.map(|e| step(e, AcquireMode::Queue)).into_iter().collect();
         let rng = SmallRng::seed_from_u64(seed);
-        let (tried, searched) = (Vec::new(), true);
-        Self { pool, steps, tried, queue_at: None, home: None, second: None, searched, rng }
+        let (queue_at, preferred) = (VecDeque::new(), Vec::new());
+        Self { pool, steps, tried: Vec::new(), queue_at, preferred, searched: true, rng }
     }
 
     /// Continues after a queue answered `at_cap`: the least loaded engines are
@@ -54,7 +55,7 @@
     pub(crate) fn search_again(&mut self) {
         self.tried.clear();
         self.searched = false;
-        self.queue_at = self.home;
+        self.queue_at = self.preferred.iter().copied().collect();
     }
 
     fn search(&mut self) {
@@ -76,12 +77,12 @@
         }
     }
 
-    /// Queues at home, or at the second choice if only the home is degraded.
+    /// Queues at home, then at the second choice, in case the wait at home is too
+    /// long; a degraded one of the two comes last.
     fn queue_step(&mut self) -> Option<Candidate> {
-        let home = self.queue_at.take()?;
         let degraded = self.pool.degraded(Instant::now());
-        let second = self.second.filter(|e| !degraded.contains(e));
-        let endpoint = if degraded.contains(&home) { second.unwrap_or(home) } else { home };
+        let healthy = self.queue_at.iter().position(|e| !degraded.contains(e));
+        let endpoint = self.queue_at.remove(healthy.unwrap_or(0))?;
         Some(step(endpoint, AcquireMode::Queue))
     }
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod fleet_options;
 mod objects;
+mod open_load;
 mod router_process;
 mod settings;
 mod summary;
@@ -15,6 +16,7 @@
     fleet::{ENGINE_POOL, LocalFleet, SERVICE_POOL, operator_get, state},
     fleet_options::FleetOptions,
     objects::{ObjectsBuilder, engine_endpoint, service_endpoint},
+    open_load::{PlannedTurn, TurnOutcome, run_open_load},
     router_process::RouterProcess,
     settings::{OPERATOR_TOKEN, router_settings},
     summary::Summary,
