--- a/crates/router/src/dispatch/attempt.rs
+++ b/crates/router/src/dispatch/attempt.rs
@@ -1,15 +1,13 @@
 use {
     super::{
-        engine_job::{EngineJob, Started},
+        engine_job::{EngineJob, Rest, Started},
         permit::Permit,
     },
     crate::{
         config::EndpointInfo,
-        endpoint::{
-            CallFailure, Engine, EngineAnswer, EngineCall, EngineEvent, HttpEngine, WorkerPool,
-        },
+        endpoint::{CallFailure, Engine, EngineCall, EngineEvent, HttpEngine, WorkerPool},
     },
-    crossbeam::channel::{Receiver, bounded},
+    crossbeam::channel::{Receiver, RecvTimeoutError, bounded},
     mango_wire::{Reason, peer::ReleaseOutcome, problem::Verdict},
     std::{sync::Arc, time::Instant},
 };
@@ -23,7 +21,7 @@
     pub(crate) started: Receiver<Started>,
     pub(crate) sent_at: Instant,
     /// The answer after its first event.
-    answer: Option<EngineAnswer>,
+    rest: Rest,
     engine: Arc<HttpEngine>,
     workers: Arc<WorkerPool<EngineJob>>,
 }
@@ -36,37 +34,50 @@
         permit: Permit,
         call: EngineCall,
         workers: Arc<WorkerPool<EngineJob>>,
+        piped: bool,
     ) -> std::io::Result<Self> {
         let (sender, started) = bounded(1);
-        let job =
-            EngineJob::Generate { engine: engine.clone(), call: call.clone(), started: sender };
-        workers.run(job)?;
+        let (job_engine, job_call) = (engine.clone(), call.clone());
+        workers.run(EngineJob::Generate {
+            engine: job_engine,
+            call: job_call,
+            started: sender,
+            piped,
+        })?;
         let sent_at = Instant::now();
-        Ok(Self { endpoint, permit, call, started, sent_at, answer: None, engine, workers })
+        let rest = Rest::Nothing;
+        Ok(Self { endpoint, permit, call, started, sent_at, rest, engine, workers })
     }
 
-    /// Takes the answer that follows the first event.
-    pub(crate) fn set_answer(&mut self, answer: Option<EngineAnswer>) {
-        self.answer = answer;
+    /// Takes what follows the first event.
+    pub(crate) fn set_rest(&mut self, rest: Rest) {
+        self.rest = rest;
     }
 
-    /// Blocks until the next event after the first.
-    pub(crate) fn next_event(&mut self) -> EngineEvent {
-        match &mut self.answer {
-            Some(answer) => answer.next_event(),
-            None => EngineEvent::Failed(CallFailure::new(
-                Verdict::MayHaveRun,
-                Reason::EndpointBroken,
-                "call ended early",
-            )),
+    /// Whether `next_event` keeps to its time.
+    pub(crate) fn is_piped(&self) -> bool {
+        matches!(self.rest, Rest::Piped(_))
+    }
+
+    /// Blocks until the next event after the first; `None` if the answer is piped
+    /// and no event came until then.
+    pub(crate) fn next_event(&mut self, until: Instant) -> Option<EngineEvent> {
+        match &mut self.rest {
+            Rest::Direct(answer) => Some(answer.next_event()),
+            Rest::Piped(events) => match events.recv_deadline(until) {
+                Ok(event) => Some(event),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => Some(ended_early()),
+            },
+            Rest::Nothing => Some(ended_early()),
         }
     }
 
     /// Continues a broken answer from a token index on.
     pub(crate) fn resume(&mut self, from: u32) -> Result<(), CallFailure> {
         // closes the old connection first, so that the engine ends its old stream
-        self.answer = None;
-        self.answer = Some(self.engine.resume(&self.call, from)?);
+        self.rest = Rest::Nothing;
+        self.rest = Rest::Direct(Box::new(self.engine.resume(&self.call, from)?));
         Ok(())
     }
 
@@ -93,3 +104,8 @@
         }
     }
 }
+
+fn ended_early() -> EngineEvent {
+    let detail = "call ended early";
+    EngineEvent::Failed(CallFailure::new(Verdict::MayHaveRun, Reason::EndpointBroken, detail))
+}
--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -1,16 +1,17 @@
 use {
     super::{
         attempt::Attempt,
-        chat_run::{ChatRun, RunLimits, whole_answer},
+        chat_run::{ChatRun, RunLimits, RunParts, whole_answer},
         chat_stream::ChatStream,
         claim_client::{ClaimClient, ClaimDecision, ClaimTicket},
         decision_log::{Decision, DecisionLog, now_ms},
         dispatch_metrics::DispatchMetrics,
         endpoint_table::EndpointTable,
-        engine_job::{EngineJob, Started},
+        engine_job::{EngineJob, Rest, Started},
         permit::Permit,
         permit_client::{NoPermit, PermitAsk, PermitClient},
         refusal::Refusal,
+        relocator::{ALL_TEAMS, Relocation, Relocator},
         request_context::RequestContext,
         share_budget::ShareBudget,
     },
@@ -45,8 +46,6 @@
 const CALLER_CHECK: Duration = Duration::from_millis(50);
 /// Steps of one placement kept for the state dump.
 const MAX_TRIES: usize = 64;
-/// Budget key for hedges, which are limited over all teams.
-const ALL_TEAMS: u32 = 0;
 
 /// A chat completion to run.
 pub(crate) struct ChatCall {
@@ -101,7 +100,8 @@
     decisions: Arc<DecisionLog>,
     workers: Arc<WorkerPool<EngineJob>>,
     retries: ShareBudget,
-    hedges: ShareBudget,
+    hedges: Arc<ShareBudget>,
+    relocator: Arc<Relocator>,
     kv_cost: Arc<KvCost>,
     metrics: DispatchMetrics,
 }
@@ -165,9 +165,18 @@
         parts: DispatcherParts,
     ) -> Self {
         let retries = ShareBudget::new(settings.retry_share, 3.0);
-        let hedges = ShareBudget::new(settings.hedge_share, 1.0);
+        let hedges = Arc::new(ShareBudget::new(settings.hedge_share, 1.0));
+        let workers = Arc::new(WorkerPool::new());
         let DispatcherParts { permits, claims, endpoints, planner, decisions, kv_cost, metrics } =
             parts;
+        let relocator = Arc::new(Relocator {
+            permits: permits.clone(),
+            endpoints: endpoints.clone(),
+            planner: planner.clone(),
+            workers: workers.clone(),
+            extra: hedges.clone(),
+            silence_ratio: settings.hedge_ratio,
+        });
         Self {
             settings,
             long_tokens: admission_settings.long_tokens,
@@ -176,10 +185,11 @@
             endpoints,
             planner,
             decisions,
-            workers: Arc::new(WorkerPool::new()),
+            workers,
             retries,
             hedges,
             kv_cost,
+            relocator,
             metrics,
         }
     }
@@ -270,15 +280,28 @@
             max_resumes: self.settings.max_resumes,
         };
         let (winner, event) = self.await_first(context, call, first, link, trace)?;
-        Ok(ChatRun::new(
-            context.request_id.clone(),
-            winner,
-            event,
+        let parts = RunParts {
             limits,
-            self.metrics.clone(),
-            ticket.take(),
-            self.kv_cost.clone(),
-        ))
+            metrics: self.metrics.clone(),
+            claim: ticket.take(),
+            kv_cost: self.kv_cost.clone(),
+            relocation: self.relocation(context, call),
+        };
+        Ok(ChatRun::new(context.request_id.clone(), winner, event, parts))
+    }
+
+    /// Only work that may be repeated is moved, and only by the product's policy.
+    fn relocation(&self, context: &RequestContext, call: &ChatCall) -> Option<Relocation> {
+        if !context.work.idempotent || !self.planner.is_owner_policy() {
+            return None;
+        }
+        Some(Relocation {
+            relocator: self.relocator.clone(),
+            context: context.clone(),
+            body: call.body.clone(),
+            prompt_tokens: call.prompt_tokens,
+            moves: 0,
+        })
     }
 
     /// Gets a permit and sends the request.
@@ -305,10 +328,16 @@
             body: call.body.clone(),
             deadline: context.deadline,
             repeatable: context.work.idempotent,
+            first_index: 0,
         };
         let engine = self.endpoints.engine(&endpoint);
         self.metrics.requests.inc();
-        Attempt::start(endpoint, engine, permit, engine_call, self.workers.clone()).map_err(|e| {
+        // a pipe costs more per token, so it is used only while an engine of the pool
+        // is slow and the answer may have to be moved
+        let piped = context.work.idempotent
+            && context.pools.iter().any(|pool| self.planner.has_slow_engines(pool.key));
+        let workers = self.workers.clone();
+        Attempt::start(endpoint, engine, permit, engine_call, workers, piped).map_err(|e| {
             Refusal::not_run(Reason::TooManyRequests, format!("no thread for the call: {e}"))
         })
     }
@@ -393,7 +422,7 @@
                         self.metrics.cancels.inc();
                         loser.cancel(ReleaseOutcome::Cancelled);
                     }
-                    winner.set_answer(started.answer);
+                    winner.set_rest(started.rest);
                     return Ok((winner, event));
                 }
             }
@@ -590,6 +619,7 @@
         let Some(mut plan) = self.planner.plan(pool.key, context.chat, has_history) else {
             return Ok(None);
         };
+        let mut refusal = None;
         while let Some(Candidate { endpoint: key, mode }) = plan.next() {
             if trace.excluded.contains(&key) || (hedge && mode == AcquireMode::Queue) {
                 continue;
@@ -610,7 +640,8 @@
                     *saw_owner = true;
                     trace.add(format!("{}: {mode} {reason}", endpoint.id));
                     if mode == AcquireMode::Queue {
-                        refuse_finally(reason, retry_after_ms)?;
+                        // another queue may be shorter
+                        refusal = final_refusal(reason, retry_after_ms).or(refusal);
                         if reason == PassReason::AtCap {
                             plan.search_again();
                         }
@@ -618,7 +649,7 @@
                 }
             }
         }
-        Ok(None)
+        refusal.map_or(Ok(None), Err)
     }
 
     fn log_decision<T>(
@@ -653,14 +684,14 @@
     }
 }
 
-/// Refusals of a queue that no other endpoint would answer better.
-fn refuse_finally(reason: PassReason, retry_after_ms: u32) -> Result<(), Refusal> {
+/// Refusal of a queue that is not tried again.
+fn final_refusal(reason: PassReason, retry_after_ms: u32) -> Option<Refusal> {
     let (reason, detail) = match reason {
         PassReason::QueueFull => (Reason::QueueFull, "the queue is full"),
         PassReason::Deadline => (Reason::Deadline, "the wait would pass the deadline"),
-        _ => return Ok(()),
+        _ => return None,
     };
-    Err(Refusal::not_run(reason, detail).with_retry_after(retry_after_ms.max(1)))
+    Some(Refusal::not_run(reason, detail).with_retry_after(retry_after_ms.max(1)))
 }
 
 fn receive_either(
@@ -671,7 +702,7 @@
     let lost = || {
         let detail = "call ended early";
         let failure = CallFailure::new(Verdict::MayHaveRun, Reason::EndpointBroken, detail);
-        Started { first: EngineEvent::Failed(failure), answer: None }
+        Started { first: EngineEvent::Failed(failure), rest: Rest::Nothing }
     };
     let Some(second) = second else {
         return match first.started.recv_deadline(wake) {
--- a/crates/router/src/dispatch/engine_job.rs
+++ b/crates/router/src/dispatch/engine_job.rs
@@ -1,16 +1,29 @@
 use {
     super::permit::Permit,
     crate::endpoint::{Engine, EngineAnswer, EngineCall, EngineEvent, HttpEngine, Job},
-    crossbeam::channel::Sender,
+    crossbeam::channel::{Receiver, Sender, bounded},
     std::sync::Arc,
 };
 
-/// First event of an answer, and the rest of it unless the call failed.
+/// What follows the first event of an answer.
+pub(crate) enum Rest {
+    /// Read by the thread that needs it, which is the cheapest way.
+    Direct(Box<EngineAnswer>),
+    /// Read by a worker, so that the reader can stop waiting for a slow engine.
+    Piped(Receiver<EngineEvent>),
+    /// The call failed.
+    Nothing,
+}
+
+/// First event of an answer, and the rest of it.
 pub(crate) struct Started {
     pub(crate) first: EngineEvent,
-    pub(crate) answer: Option<EngineAnswer>,
+    pub(crate) rest: Rest,
 }
 
+/// Events of one answer kept for a slow caller before the engine is made to wait.
+const EVENT_BUFFER: usize = 64;
+
 /// A blocking call to an engine, run by a worker thread.
 pub(crate) enum EngineJob {
     /// Sends a request and waits for its first event.
@@ -18,6 +31,8 @@
         engine: Arc<HttpEngine>,
         call: EngineCall,
         started: Sender<Started>,
+        /// Whether the rest is piped.
+        piped: bool,
     },
     /// Holds the permit until the engine has stopped, so that the slot is not
     /// given away while the request still runs.
@@ -36,13 +51,8 @@
 impl Job for EngineJob {
     fn run(self) {
         match self {
-            Self::Generate { engine, call, started } => {
-                let first = match engine.generate(&call) {
-                    Ok(mut answer) => Started { first: answer.next_event(), answer: Some(answer) },
-                    Err(failure) => Started { first: EngineEvent::Failed(failure), answer: None },
-                };
-                // an attempt that was given up takes no answer
-                let _ = started.send(first);
+            Self::Generate { engine, call, started, piped } => {
+                generate(&engine, &call, &started, piped);
             }
             Self::Cancel { engine, attempt_id, permit } => {
                 if let Err(failure) = engine.cancel(&attempt_id) {
@@ -58,3 +68,31 @@
         }
     }
 }
+
+fn generate(engine: &HttpEngine, call: &EngineCall, started: &Sender<Started>, piped: bool) {
+    let mut answer = match engine.generate(call) {
+        Ok(answer) => answer,
+        Err(failure) => {
+            let first = EngineEvent::Failed(failure);
+            // an attempt that was given up takes no answer
+            let _ = started.send(Started { first, rest: Rest::Nothing });
+            return;
+        }
+    };
+    let first = answer.next_event();
+    if !piped || !matches!(first, EngineEvent::Token(_)) {
+        let _ = started.send(Started { first, rest: Rest::Direct(Box::new(answer)) });
+        return;
+    }
+    let (events, receiver) = bounded(EVENT_BUFFER);
+    if started.send(Started { first, rest: Rest::Piped(receiver) }).is_err() {
+        return;
+    }
+    loop {
+        let event = answer.next_event();
+        let last = !matches!(event, EngineEvent::Token(_));
+        if events.send(event).is_err() || last {
+            return;
+        }
+    }
+}
--- a/crates/router/src/endpoint/http_engine.rs
+++ b/crates/router/src/endpoint/http_engine.rs
@@ -62,7 +62,7 @@
 impl Engine for HttpEngine {
     fn generate(&self, call: &EngineCall) -> Result<EngineAnswer, CallFailure> {
         let response = self.send(call).and_then(|response| check_head(response, call))?;
-        Ok(EngineAnswer::new(response.into_body(), &call.attempt_id, 0))
+        Ok(EngineAnswer::new(response.into_body(), &call.attempt_id, call.first_index))
     }
 
     fn resume(&self, call: &EngineCall, from: u32) -> Result<EngineAnswer, CallFailure> {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 mod fleet_options;
 mod line_fit;
 mod objects;
+mod open_load;
 mod process_fleet;
 mod router_process;
 mod settings;
@@ -18,6 +19,7 @@
     fleet_options::FleetOptions,
     line_fit::LineFit,
     objects::{ObjectsBuilder, engine_endpoint, service_endpoint},
+    open_load::{PlannedTurn, TurnOutcome, run_open_load},
     process_fleet::ProcessFleet,
     router_process::RouterProcess,
     settings::{OPERATOR_TOKEN, router_settings},
