--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -23,6 +23,9 @@
 /// Pool of the plain services.
 pub const SERVICE_POOL: &str = "services";
 
+// Some connections to an `astra` server never get an answer, so callers retry soon.
+const OPERATOR_WAIT: Duration = Duration::from_secs(1);
+
 /// Platform, endpoints and routers in this process, on loopback.
 pub struct LocalFleet {
     pub platform: PlatformStandin,
@@ -156,7 +159,7 @@
     let mut response = ureq::get(format!("http://{operators}{path}"))
         .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
         .config()
-        .timeout_global(Some(Duration::from_secs(5)))
+        .timeout_global(Some(OPERATOR_WAIT))
         .build()
         .call()
         .with_context(|| format!("GET {path}"))?;
