--- a/crates/router/src/admission/engine_core.rs
+++ b/crates/router/src/admission/engine_core.rs
@@ -31,6 +31,8 @@
     pub(super) cell: Arc<LoadCell>,
     pub(super) epoch: Option<Epoch>,
     pub(super) is_draining: bool,
+    /// No new work until then, because the engine did not accept a request.
+    pub(super) suspect_until: Option<Instant>,
     pub(super) permits: PermitTable,
     pub(super) queue: FairQueue<R>,
     pub(super) warm: WarmChats,
@@ -57,6 +59,7 @@
             cell,
             epoch: None,
             is_draining: false,
+            suspect_until: None,
             permits: PermitTable::default(),
             queue: FairQueue::new(),
             warm: WarmChats::new(warm_chats_max),
@@ -76,6 +79,17 @@
         self.permits.in_flight() == 0 && self.queue.is_empty()
     }
 
+    /// Whether the engine gets no new work now.
+    pub(super) fn is_closed(&self, now: Instant) -> bool {
+        self.is_draining || self.suspect_until.is_some_and(|until| now < until)
+    }
+
+    /// Queue as other hosts see it. An engine that takes no work is never free, or its
+    /// low load would draw the requests of the whole fleet.
+    fn visible_queue(&self, now: Instant) -> u32 {
+        (self.queue.len() as u32).max(u32::from(self.is_closed(now)))
+    }
+
     pub(super) fn pool(&self, key: PoolKey) -> Option<&Arc<PoolView>> {
         self.pools.iter().find(|pool| pool.key == key)
     }
@@ -169,7 +183,7 @@
                 version: self.version,
                 in_flight,
                 earlier_in_flight: in_flight,
-                queued: queue as u32,
+                queued: self.visible_queue(now),
                 weight_permille: self.health.factor_permille(&ctx.limits.health),
                 counted_at: now,
                 expires_at: now + ctx.load_ttl,
@@ -186,7 +200,7 @@
     ) -> Option<LoadEntry> {
         self.acting(ctx, now)?;
         self.publish(ctx, now);
-        let (in_flight, queued) = (self.permits.in_flight(), self.queue.len() as u32);
+        let (in_flight, queued) = (self.permits.in_flight(), self.visible_queue(now));
         let permille = self.health.factor_permille(&ctx.limits.health);
         // a report has to reach all hosts before the last one expires there
         let interval = if in_flight == 0 { IDLE_REPORT } else { ctx.load_ttl * 2 / 5 };
@@ -247,6 +261,7 @@
     /// Forgets everything that belongs to an ownership that has ended.
     pub(super) fn reset(&mut self, warm_chats_max: usize) {
         self.epoch = None;
+        self.suspect_until = None;
         self.permits = PermitTable::default();
         self.warm = WarmChats::new(warm_chats_max);
         self.health = HealthModel::default();
--- a/crates/router/src/admission/engine_grants.rs
+++ b/crates/router/src/admission/engine_grants.rs
@@ -36,7 +36,7 @@
             let reason = if was_acting { PassReason::LeaseLapsed } else { PassReason::NotOwner };
             return self.refuse(ctx, now, queued, reason, Duration::ZERO, out);
         };
-        if self.is_draining {
+        if self.is_closed(now) {
             return self.refuse(ctx, now, queued, PassReason::Draining, Duration::ZERO, out);
         }
         if queued.deadline <= now {
@@ -100,7 +100,7 @@
         now: Instant,
         out: &mut Outbox<R>,
     ) {
-        while !self.queue.is_empty() && !self.is_draining {
+        while !self.queue.is_empty() && !self.is_closed(now) {
             let Some(epoch) = self.acting(ctx, now) else { return };
             let Some(queued) = self.pop_eligible(ctx, now) else { return };
             if queued.deadline <= now {
@@ -142,7 +142,7 @@
         let id = ctx.next_permit(epoch);
         let permit = queued.permit(warm, epoch, now, now + ctx.limits.unused_after());
         self.permits.insert(id, permit);
-        self.warm.insert(queued.chat);
+        self.warm.ran_here(queued.chat);
         self.decide(now, queued.request, Decision::Granted { mode: queued.mode, warm }, cap);
         ctx.metrics.count_grant(queued.mode);
         if warm {
@@ -174,7 +174,11 @@
         self.decide(now, queued.request, Decision::Refused(reason), 0);
         ctx.metrics.count_refusal(reason);
         let retry_after_ms = u32::try_from(retry.as_millis()).unwrap_or(u32::MAX);
-        let refuse = Refuse { reason, retry_after_ms };
+        let moved_to = match queued.mode {
+            AcquireMode::IfWarm => self.warm.moved_to(queued.chat).unwrap_or(0),
+            AcquireMode::IfRoom | AcquireMode::Queue => 0,
+        };
+        let refuse = Refuse { reason, retry_after_ms, moved_to };
         out.push((queued.reply, AcquireResult::Refused(refuse)));
     }
 
--- a/crates/router/src/admission/engine_permits.rs
+++ b/crates/router/src/admission/engine_permits.rs
@@ -12,6 +12,10 @@
 
 /// The mean gap of fewer tokens says little.
 const MIN_GAP_TOKENS: u32 = 4;
+/// Pause after a request that an engine did not accept, a little longer than the
+/// interval of its load reports. A crashed engine has the lowest load of its pool, so
+/// without the pause it drew every request until its reports were missed.
+const SUSPECT_TIME: Duration = Duration::from_millis(300);
 
 impl<R> EngineCore<R> {
     pub(super) fn release<A: Authority>(
@@ -39,7 +43,10 @@
         release: &Release,
     ) {
         let is_answered = release.outcome == ReleaseOutcome::Completed;
-        if release.outcome != ReleaseOutcome::Unused {
+        if release.outcome == ReleaseOutcome::NotAccepted {
+            self.suspect_until = Some(now + SUSPECT_TIME);
+        }
+        if !matches!(release.outcome, ReleaseOutcome::Unused | ReleaseOutcome::NotAccepted) {
             let held = now.saturating_duration_since(permit.granted_at);
             self.waits.observe(permit.long, held);
         }
--- a/crates/router/src/admission/handle.rs
+++ b/crates/router/src/admission/handle.rs
@@ -13,7 +13,8 @@
     mango_wire::{
         EndpointKey, HostId, PoolKey, digest,
         peer::{
-            Acquire, CancelAcquire, LoadEntry, PassReason, Progress, Refuse, Release, Reregister,
+            Acquire, CancelAcquire, ChatMoved, LoadEntry, PassReason, Progress, Refuse, Release,
+            Reregister,
         },
         platform::{CacheEvents, CacheListing},
         settings::{AdmissionSettings, HealthSettings},
@@ -125,7 +126,8 @@
         let now = self.ctx.authority.now();
         let roster = self.roster.load();
         let Some(engine) = roster.engines.get(&request.endpoint) else {
-            let refuse = Refuse { reason: PassReason::UnknownEndpoint, retry_after_ms: 0 };
+            let refuse =
+                Refuse { reason: PassReason::UnknownEndpoint, retry_after_ms: 0, moved_to: 0 };
             self.ctx.metrics.count_refusal(refuse.reason);
             return reply.reply(AcquireResult::Refused(refuse));
         };
@@ -183,6 +185,11 @@
         });
     }
 
+    /// Notes which engine runs a chat whose home is owned here.
+    pub(crate) fn chat_moved(&self, moved: &ChatMoved) {
+        self.with(moved.endpoint, |core, _, _| core.warm.ran_elsewhere(moved.chat, moved.to));
+    }
+
     /// Frees the permits of a dead host after `permit_idle_ms` and drops its requests.
     pub(crate) fn host_down(&self, host: &HostId) {
         let origin = host_key(host);
--- a/crates/router/src/admission/warm_chats.rs
+++ b/crates/router/src/admission/warm_chats.rs
@@ -1,7 +1,7 @@
 use {
     lru::LruCache,
     mango_wire::{
-        ChatKey,
+        ChatKey, EndpointKey,
         platform::{CacheEvent, CacheEvents, CacheListing},
     },
     std::num::NonZeroUsize,
@@ -12,6 +12,8 @@
 #[derive(Debug)]
 pub(crate) struct WarmChats {
     chats: LruCache<ChatKey, ()>,
+    /// Engines that run chats whose home this engine is.
+    moved: LruCache<ChatKey, EndpointKey>,
     identity: String,
     next_sequence: u64,
 }
@@ -19,7 +21,12 @@
 impl WarmChats {
     pub(crate) fn new(max: usize) -> Self {
         let max = NonZeroUsize::new(max).unwrap_or(NonZeroUsize::MIN);
-        Self { chats: LruCache::sparse(max), identity: String::new(), next_sequence: 0 }
+        Self {
+            chats: LruCache::sparse(max),
+            moved: LruCache::sparse(max),
+            identity: String::new(),
+            next_sequence: 0,
+        }
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -37,6 +44,24 @@
         }
     }
 
+    /// Notes that a chat ran on this engine now.
+    pub(crate) fn ran_here(&mut self, chat: ChatKey) {
+        self.moved.pop(&chat);
+        self.insert(chat);
+    }
+
+    /// Notes that a chat of this engine ran on another one.
+    pub(crate) fn ran_elsewhere(&mut self, chat: ChatKey, engine: EndpointKey) {
+        if chat != 0 {
+            self.moved.put(chat, engine);
+        }
+    }
+
+    /// Engine that a chat ran on since it last ran here.
+    pub(crate) fn moved_to(&mut self, chat: ChatKey) -> Option<EndpointKey> {
+        self.moved.get(&chat).copied()
+    }
+
     pub(crate) fn remove(&mut self, chat: ChatKey) {
         self.chats.pop(&chat);
     }
--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -44,6 +44,11 @@
 const CALLER_CHECK: Duration = Duration::from_millis(50);
 /// Steps of one placement kept for the state dump.
 const MAX_TRIES: usize = 64;
+/// Prefill time that a cached token is taken to save.
+const PREFILL_US_PER_TOKEN: u64 = 200;
+/// Longest wait for room where a chat is warm. A longer one would delay the first
+/// token more than a cold start.
+const MAX_WARM_WAIT: Duration = Duration::from_millis(300);
 /// Budget key for hedges, which are limited over all teams.
 const ALL_TEAMS: u32 = 0;
 
@@ -435,7 +440,7 @@
                     });
                 }
                 Err(failure) => {
-                    permit.set_outcome(ReleaseOutcome::Failed);
+                    permit.set_outcome(failure.outcome());
                     trace.add(format!("{}: {failure}", endpoint.id));
                     trace.excluded.push(endpoint.key);
                     attempt += 1;
@@ -543,6 +548,7 @@
         let Some(mut plan) = self.planner.plan(pool.key, context.chat, has_history) else {
             return Ok(None);
         };
+        let mut waited_warm = false;
         while let Some(Candidate { endpoint: key, mode }) = plan.next() {
             if trace.excluded.contains(&key) || (hedge && mode == AcquireMode::Queue) {
                 continue;
@@ -552,6 +558,9 @@
             match self.permits.acquire(&ask, key, mode, &caller_left) {
                 Ok(permit) if permit.is_valid() => {
                     trace.add(format!("{}: {mode} granted", endpoint.id));
+                    if let Some(home) = plan.left_home(key) {
+                        self.permits.chat_moved(home, context.chat, key);
+                    }
                     return Ok(Some((endpoint, permit)));
                 }
                 Ok(_) => trace.add(format!("{}: permit came too late", endpoint.id)),
@@ -559,9 +568,21 @@
                     return Err(Refusal::not_run(Reason::CallerLeft, "the caller left"));
                 }
                 Err(NoPermit::NoOwner) => trace.add(format!("{}: no owner", endpoint.id)),
-                Err(NoPermit::Refused { reason, retry_after_ms }) => {
+                Err(NoPermit::Refused { reason, retry_after_ms, moved_to }) => {
                     *saw_owner = true;
                     trace.add(format!("{}: {mode} {reason}", endpoint.id));
+                    plan.note_moved(key, moved_to);
+                    let is_full = matches!(reason, PassReason::AtCap | PassReason::NoSlot);
+                    if mode == AcquireMode::IfWarm && is_full && !hedge && !waited_warm {
+                        waited_warm = true;
+                        if let Some(permit) = self.wait_warm(&ask, key, &caller_left) {
+                            trace.add(format!("{}: waited, granted", endpoint.id));
+                            if let Some(home) = plan.left_home(key) {
+                                self.permits.chat_moved(home, context.chat, key);
+                            }
+                            return Ok(Some((endpoint, permit)));
+                        }
+                    }
                     if mode == AcquireMode::Queue {
                         refuse_finally(reason, retry_after_ms)?;
                         if reason == PassReason::AtCap {
@@ -574,6 +595,21 @@
         Ok(None)
     }
 
+    /// Waits in the queue of an engine where the chat is warm, as long as the prefill
+    /// that this may save.
+    fn wait_warm(
+        &self,
+        ask: &PermitAsk,
+        endpoint: EndpointKey,
+        caller_left: &impl Fn() -> bool,
+    ) -> Option<Permit> {
+        let prefill = Duration::from_micros(u64::from(ask.prompt_tokens) * PREFILL_US_PER_TOKEN);
+        let deadline = ask.deadline.min(Instant::now() + prefill.min(MAX_WARM_WAIT));
+        let ask = PermitAsk { deadline, ..*ask };
+        let permit = self.permits.acquire(&ask, endpoint, AcquireMode::Queue, caller_left);
+        permit.ok().filter(Permit::is_valid)
+    }
+
     fn log_decision<T>(
         &self,
         context: &RequestContext,
@@ -643,7 +679,7 @@
 /// Ends an attempt that failed. Nothing is left to cancel if it never ran.
 fn end_failed(mut attempt: Attempt, failure: &CallFailure) {
     if failure.verdict == Verdict::NotRun {
-        attempt.permit.set_outcome(ReleaseOutcome::Failed);
+        attempt.permit.set_outcome(failure.outcome());
     } else {
         attempt.cancel(ReleaseOutcome::Failed);
     }
--- a/crates/router/src/dispatch/permit_client.rs
+++ b/crates/router/src/dispatch/permit_client.rs
@@ -11,8 +11,8 @@
     mango_wire::{
         ChatKey, EndpointKey, Epoch, HostId, PoolKey, TeamKey, WorkKey,
         peer::{
-            Acquire, AcquireMode, CancelAcquire, Grant, PassReason, PeerMessage, PermitInUse,
-            Progress, Refuse, Release, ReleaseOutcome, Reregister,
+            Acquire, AcquireMode, CancelAcquire, ChatMoved, Grant, PassReason, PeerMessage,
+            PermitInUse, Progress, Refuse, Release, ReleaseOutcome, Reregister,
         },
     },
     parking_lot::Mutex,
@@ -49,6 +49,7 @@
     Refused {
         reason: PassReason,
         retry_after_ms: u32,
+        moved_to: Option<EndpointKey>,
     },
     /// The endpoint has no owner, or the owner did not answer.
     NoOwner,
@@ -204,8 +205,9 @@
         };
         match result {
             Ok(AcquireResult::Granted(grant)) => Ok(self.permit(ask, grant)),
-            Ok(AcquireResult::Refused(Refuse { reason, retry_after_ms })) => {
-                Err(NoPermit::Refused { reason, retry_after_ms })
+            Ok(AcquireResult::Refused(Refuse { reason, retry_after_ms, moved_to })) => {
+                let moved_to = (moved_to != 0).then_some(moved_to);
+                Err(NoPermit::Refused { reason, retry_after_ms, moved_to })
             }
             Err(none) => {
                 self.cancel(&owner.host_id, CancelAcquire { request, endpoint });
@@ -214,6 +216,18 @@
         }
     }
 
+    /// Tells the owner of a chat's home which engine runs the chat. A lost notice costs
+    /// one cold start.
+    pub(crate) fn chat_moved(&self, home: EndpointKey, chat: ChatKey, to: EndpointKey) {
+        let Some(owner) = self.releaser.owner(home) else { return };
+        let moved = ChatMoved { endpoint: home, chat, to };
+        if owner.host_id == self.releaser.host_id {
+            self.releaser.admission.chat_moved(&moved);
+        } else {
+            self.releaser.peers.send(&owner.host_id, PeerMessage::ChatMoved(moved));
+        }
+    }
+
     fn permit(&self, ask: &PermitAsk, grant: Grant) -> Permit {
         let in_use = InUse {
             team: ask.team,
--- a/crates/router/src/endpoint/call_failure.rs
+++ b/crates/router/src/endpoint/call_failure.rs
@@ -1,5 +1,5 @@
 use {
-    mango_wire::{Reason, problem::Verdict},
+    mango_wire::{Reason, peer::ReleaseOutcome, problem::Verdict},
     std::{fmt, io},
     ureq::{Error, Timeout},
 };
@@ -36,6 +36,15 @@
         Self::new(verdict, reason, error.to_string())
     }
 
+    /// Outcome of the permit of a request that was not run, or of a service call.
+    pub(crate) fn outcome(&self) -> ReleaseOutcome {
+        if self.verdict == Verdict::NotRun {
+            ReleaseOutcome::NotAccepted
+        } else {
+            ReleaseOutcome::Failed
+        }
+    }
+
     /// Failure while the body of an answer was read.
     pub(crate) fn of_read(error: &io::Error) -> Self {
         let reason = match error.kind() {
--- a/crates/router/src/peer/message_kind.rs
+++ b/crates/router/src/peer/message_kind.rs
@@ -33,6 +33,7 @@
     StatusRequest,
     StatusReply,
     Ack,
+    ChatMoved,
 }
 
 impl From<&PeerMessage> for MessageKind {
@@ -64,6 +65,7 @@
             PeerMessage::StatusRequest(_) => Self::StatusRequest,
             PeerMessage::StatusReply(_) => Self::StatusReply,
             PeerMessage::Ack => Self::Ack,
+            PeerMessage::ChatMoved(_) => Self::ChatMoved,
         }
     }
 }
--- a/crates/router/src/placement/candidate_plan.rs
+++ b/crates/router/src/placement/candidate_plan.rs
@@ -21,6 +21,11 @@
     home: Option<EndpointKey>,
     second: Option<EndpointKey>,
     searched: bool,
+    /// Engines asked whether the chat is warm there.
+    asked_warm: Vec<EndpointKey>,
+    /// Engine that the home's owner knows to run the chat.
+    known_at: Option<EndpointKey>,
+    is_chat: bool,
     rng: SmallRng,
 }
 
@@ -38,7 +43,19 @@
         }
         steps.extend(tried.iter().map(|e| step(*e, AcquireMode::IfRoom)));
         let (home, second) = (tried.first().copied(), tried.get(1).copied());
-        Self { pool, steps, tried, queue_at: home, home, second, searched: false, rng }
+        Self {
+            pool,
+            steps,
+            asked_warm: tried.clone(),
+            tried,
+            queue_at: home,
+            home,
+            second,
+            searched: false,
+            known_at: None,
+            is_chat: chat != 0,
+            rng,
+        }
     }
 
     /// Plan of a baseline: one engine, whatever its load.
@@ -46,7 +63,19 @@
         let steps = endpoint.map(|e| step(e, AcquireMode::Queue)).into_iter().collect();
         let rng = SmallRng::seed_from_u64(seed);
         let (tried, searched) = (Vec::new(), true);
-        Self { pool, steps, tried, queue_at: None, home: None, second: None, searched, rng }
+        Self {
+            pool,
+            steps,
+            asked_warm: Vec::new(),
+            tried,
+            queue_at: None,
+            home: None,
+            second: None,
+            searched,
+            known_at: None,
+            is_chat: false,
+            rng,
+        }
     }
 
     /// Continues after a queue answered `at_cap`: the least loaded engines are
@@ -57,6 +86,24 @@
         self.queue_at = self.home;
     }
 
+    /// Takes an owner's answer that the chat ran on another engine, which is asked next.
+    pub(crate) fn note_moved(&mut self, asked: EndpointKey, to: Option<EndpointKey>) {
+        let Some(to) = to else { return };
+        if Some(asked) == self.home {
+            self.known_at = Some(to);
+        }
+        if !self.asked_warm.contains(&to) {
+            self.asked_warm.push(to);
+            self.steps.push_front(step(to, AcquireMode::IfWarm));
+        }
+    }
+
+    /// Home whose owner is to be told that the chat runs on `granted`.
+    pub(crate) fn left_home(&self, granted: EndpointKey) -> Option<EndpointKey> {
+        let is_news = self.is_chat && self.known_at != Some(granted);
+        self.home.filter(|home| is_news && *home != granted)
+    }
+
     fn search(&mut self) {
         self.searched = true;
         let now = Instant::now();
--- a/crates/router/src/placement/load_table.rs
+++ b/crates/router/src/placement/load_table.rs
@@ -31,6 +31,11 @@
         self.ttl
     }
 
+    /// Number of engines.
+    pub(crate) fn len(&self) -> usize {
+        self.cells.read().len()
+    }
+
     pub(crate) fn local_starts(&self) -> Arc<AtomicU64> {
         self.local_starts.clone()
     }
--- a/crates/router/src/placement/pool_view.rs
+++ b/crates/router/src/placement/pool_view.rs
@@ -85,7 +85,11 @@
         for member in &self.members {
             let is_own = member.key == own;
             let own_count = (own_in_flight, own_in_flight, own_permille);
-            let (newest, earlier, permille) = if is_own { own_count } else { member.count(now) };
+            let (mut newest, mut earlier, permille) =
+                if is_own { own_count } else { member.count(now) };
+            if !is_own {
+                (newest, earlier) = member.estimate(now);
+            }
             total.add(newest, earlier);
             if is_own {
                 survey.full_weight = member.weight;
--- a/crates/router/src/placement/tests.rs
+++ b/crates/router/src/placement/tests.rs
@@ -193,3 +193,40 @@
     let home = rank(42, (1..=8u32).map(|key| (key, 1.0)))[0];
     assert_eq!(share(&chosen(Policy::Rendezvous, 42), home), 800);
 }
+
+/// Guards against counts of a dead owner's engine that lift the caps of the engines
+/// which run its requests by now.
+#[test]
+fn an_overdue_count_is_not_in_the_estimate() {
+    let (table, now) = (LoadTable::new(TTL, 0.3), Instant::now());
+    let pool = view(&table, 3);
+    for version in 1..=2 {
+        let reports = [report(2, 10), report(3, 10)].map(|r| LoadEntry { version, ..r });
+        table.merge_at(&reports, now);
+    }
+    let in_flight = |ms| pool.survey(1, 0, 1000, now + Duration::from_millis(ms)).in_flight;
+    assert_eq!(in_flight(600), 20);
+    let news = LoadEntry { version: 3, ..report(2, 10) };
+    table.merge_at(&[news], now + Duration::from_millis(600));
+    assert_eq!(in_flight(750), 10);
+}
+
+/// Guards against a moved chat that is started cold although its engine is known, and
+/// against a notice of what the home's owner knows already.
+#[test]
+fn the_engine_that_a_chat_moved_to_is_asked_next() {
+    let (planner, _) = planner(Policy::Owner, 6);
+    let mut plan = planner.plan(1, 42, true).unwrap();
+    let home = plan.next().unwrap().endpoint;
+    let second = planner.plan(1, 42, true).unwrap().nth(1).unwrap().endpoint;
+    let moved = (1..=6).find(|e| *e != home && *e != second).unwrap();
+    assert_eq!(plan.left_home(moved), Some(home));
+    plan.note_moved(home, Some(moved));
+    let next = Candidate { endpoint: moved, mode: AcquireMode::IfWarm };
+    assert_eq!(plan.next(), Some(next));
+    plan.note_moved(second, Some(moved));
+    assert_ne!(plan.next(), Some(next));
+    assert_eq!(plan.left_home(moved), None);
+    assert_eq!(plan.left_home(second), Some(home));
+    assert_eq!(plan.left_home(home), None);
+}
--- a/crates/router/src/router/engine_watch.rs
+++ b/crates/router/src/router/engine_watch.rs
@@ -48,6 +48,10 @@
             };
             if leaving != is_draining {
                 is_draining = leaving;
+                if self.owned && !leaving {
+                    // a restarted engine has lost the chats that are listed as warm
+                    self.read_cache();
+                }
                 log::info!("event=engine_draining endpoint={} draining={leaving}", self.id);
                 self.admission.set_draining(self.endpoint, leaving);
             }
--- a/crates/router/src/router/gossiper.rs
+++ b/crates/router/src/router/gossiper.rs
@@ -18,6 +18,9 @@
 /// Bytes of one entry and of one message's envelope, for the byte budget.
 const ENTRY_BYTES: usize = 18;
 const ENVELOPE_BYTES: usize = 24;
+/// Longest interval at which an owner sends its loads to all hosts of the region
+/// itself. Forwarding over 3 hops at 300 ms took longer than a count is used for.
+const DIRECT_INTERVAL: Duration = Duration::from_millis(500);
 
 struct News {
     entry: LoadEntry,
@@ -57,7 +60,9 @@
         if merged.is_empty() {
             return;
         }
-        self.add_news(merged);
+        if !self.is_direct() {
+            self.add_news(merged);
+        }
         self.admission.loads_merged();
     }
 
@@ -95,6 +100,14 @@
         shortest.max(Duration::from_secs_f64(bytes as f64 / budget))
     }
 
+    /// Whether each owner sends to all hosts and nobody forwards. It follows from the
+    /// numbers of hosts and engines, so that all hosts come to the same answer.
+    fn is_direct(&self) -> bool {
+        let hosts = self.membership.live_hosts();
+        let hosts = hosts.iter().filter(|host| host.region == self.region).count();
+        is_direct(hosts, self.loads.len(), self.settings.gossip_bytes_per_s)
+    }
+
     fn targets(&self) -> Vec<HostId> {
         let hosts = self.membership.live_hosts();
         let others: Vec<&HostId> = hosts
@@ -102,11 +115,19 @@
             .filter(|host| host.region == self.region && host.host_id != self.host_id)
             .map(|host| &host.host_id)
             .collect();
-        let fanout = self.settings.gossip_fanout as usize;
+        let fanout =
+            if self.is_direct() { others.len() } else { self.settings.gossip_fanout as usize };
         others.sample(&mut rand::rng(), fanout).map(|host| (*host).clone()).collect()
     }
 }
 
+/// Whether an owner can send its loads to all hosts within `DIRECT_INTERVAL`.
+pub(super) fn is_direct(hosts: usize, engines: usize, bytes_per_s: u32) -> bool {
+    let entries = engines.div_ceil(hosts.max(1)).max(1);
+    let bytes = hosts.saturating_sub(1) * (ENVELOPE_BYTES + entries * ENTRY_BYTES);
+    bytes as f64 <= f64::from(bytes_per_s.max(1)) * DIRECT_INTERVAL.as_secs_f64()
+}
+
 fn aged(news: News, now: Instant) -> LoadEntry {
     let waited_ms = now.saturating_duration_since(news.merged_at).as_millis() as u32;
     LoadEntry { age_ms: news.entry.age_ms.saturating_add(waited_ms), ..news.entry }
--- a/crates/router/src/router/message_handler.rs
+++ b/crates/router/src/router/message_handler.rs
@@ -45,6 +45,7 @@
                 parts.admission.progress(&progress);
             }
             PeerMessage::Release(release) => parts.admission.release(from, &release),
+            PeerMessage::ChatMoved(moved) => parts.admission.chat_moved(&moved),
             PeerMessage::Reregister(permits) => parts.admission.reregister(from, &permits),
             PeerMessage::ClaimRequest(request) => {
                 parts.claims.claim_from(from, request, move |reply| {
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -10,6 +10,8 @@
 mod parts;
 mod spawn;
 mod state_dump;
+#[cfg(test)]
+mod tests;
 mod topology;
 mod types;
 
