--- a/crates/router/benches/skew.rs
+++ b/crates/router/benches/skew.rs
@@ -179,9 +179,14 @@
         peer_address: router.to_string(),
         state: if index % 7 == phase { HostState::Leaving } else { HostState::Live },
     };
-    let wrong = fleet.routers.iter().enumerate().filter(|(index, _)| (index + phase) % 4 != 0);
+    let wrong =
+        fleet.routers.iter().enumerate().filter(|(index, _)| !(index + phase).is_multiple_of(4));
     fleet.platform.set_hosts(wrong.map(|(i, r)| entry(i, r.peer_address())).collect());
-    fleet.platform.set_log_delay(Duration::from_millis(if phase % 2 == 0 { 0 } else { 40 }));
+    fleet.platform.set_log_delay(Duration::from_millis(if phase.is_multiple_of(2) {
+        0
+    } else {
+        40
+    }));
     if phase % 2 == 1 {
         let crashed = &fleet.routers[3 + phase];
         lock(&demand.stopped).push(crashed.caller_address());
