--- a/crates/router/src/placement/pool_member.rs
+++ b/crates/router/src/placement/pool_member.rs
@@ -9,8 +9,7 @@
 
 /// Age above which a count does not enter the estimate of a pool's total. A busy engine
 /// is reported every 400 ms at the latest. When its owner has died, its requests end
-/// and start again on other engines, whose newer counts then contain them twice: with
-/// counts of up to 1 s, 3 of 639 starts were over the cap after a router crashed.
+/// and start again on other engines, whose newer counts then contain them twice.
 const OVERDUE: Duration = Duration::from_millis(700);
 
 /// An engine of a pool with its load.
--- a/crates/router/src/router/gossiper.rs
+++ b/crates/router/src/router/gossiper.rs
@@ -19,7 +19,7 @@
 const ENTRY_BYTES: usize = 18;
 const ENVELOPE_BYTES: usize = 24;
 /// Longest interval at which an owner sends its loads to all hosts of the region
-/// itself. Forwarding over 3 hops at 300 ms took longer than a count is used for.
+/// itself. Forwarding over 3 hops of about 300 ms takes almost as long as a count is used.
 const DIRECT_INTERVAL: Duration = Duration::from_millis(500);
 
 struct News {
