--- a/crates/router/src/peer/message_kind.rs
+++ b/crates/router/src/peer/message_kind.rs
@@ -37,6 +37,7 @@
     LoadTicketReply,
     LoadTicketRelease,
     KvMoveRequest,
+    ChatMoved,
 }
 
 impl From<&PeerMessage> for MessageKind {
@@ -72,6 +73,7 @@
             PeerMessage::LoadTicketReply(_) => Self::LoadTicketReply,
             PeerMessage::LoadTicketRelease(_) => Self::LoadTicketRelease,
             PeerMessage::KvMoveRequest(_) => Self::KvMoveRequest,
+            PeerMessage::ChatMoved(_) => Self::ChatMoved,
         }
     }
 }
--- a/crates/router/src/placement/candidate_plan.rs
+++ b/crates/router/src/placement/candidate_plan.rs
@@ -21,6 +21,11 @@
     /// Home and second choice.
     preferred: Vec<EndpointKey>,
     searched: bool,
+    /// Engines asked whether the chat is warm there.
+    asked_warm: Vec<EndpointKey>,
+    /// Engine that the home's owner knows to run the chat.
+    known_at: Option<EndpointKey>,
+    is_chat: bool,
     rng: SmallRng,
 }
 
@@ -38,16 +43,36 @@
         }
         steps.extend(tried.iter().map(|e| step(*e, AcquireMode::IfRoom)));
         let preferred = tried.clone();
-        let queue_at = preferred.iter().copied().collect();
-        Self { pool, steps, tried, queue_at, preferred, searched: false, rng }
+        Self {
+            pool,
+            steps,
+            asked_warm: tried.clone(),
+            tried,
+            queue_at: preferred.iter().copied().collect(),
+            preferred,
+            searched: false,
+            known_at: None,
+            is_chat: chat != 0,
+            rng,
+        }
     }
 
     /// Plan of a baseline: one engine, whatever its load.
     pub(crate) fn single(pool: Arc<PoolView>, endpoint: Option<EndpointKey>, seed: u64) -> Self {
         let steps = endpoint.map(|e| step(e, AcquireMode::Queue)).into_iter().collect();
         let rng = SmallRng::seed_from_u64(seed);
-        let (queue_at, preferred) = (VecDeque::new(), Vec::new());
-        Self { pool, steps, tried: Vec::new(), queue_at, preferred, searched: true, rng }
+        Self {
+            pool,
+            steps,
+            asked_warm: Vec::new(),
+            tried: Vec::new(),
+            queue_at: VecDeque::new(),
+            preferred: Vec::new(),
+            searched: true,
+            known_at: None,
+            is_chat: false,
+            rng,
+        }
     }
 
     /// Continues after a queue answered `at_cap`: the least loaded engines are
@@ -58,6 +83,28 @@
         self.queue_at = self.preferred.iter().copied().collect();
     }
 
+    /// Takes an owner's answer that the chat ran on another engine, which is asked next.
+    pub(crate) fn note_moved(&mut self, asked: EndpointKey, to: Option<EndpointKey>) {
+        let Some(to) = to else { return };
+        if Some(asked) == self.home() {
+            self.known_at = Some(to);
+        }
+        if !self.asked_warm.contains(&to) {
+            self.asked_warm.push(to);
+            self.steps.push_front(step(to, AcquireMode::IfWarm));
+        }
+    }
+
+    /// Home whose owner is to be told that the chat runs on `granted`.
+    pub(crate) fn left_home(&self, granted: EndpointKey) -> Option<EndpointKey> {
+        let is_news = self.is_chat && self.known_at != Some(granted);
+        self.home().filter(|home| is_news && *home != granted)
+    }
+
+    fn home(&self) -> Option<EndpointKey> {
+        self.preferred.first().copied()
+    }
+
     fn search(&mut self) {
         self.searched = true;
         let now = Instant::now();
