Count the time until a read is confirmed as outage

Cause: a host that had read nothing for a lease told an owner so, and the owner verified an outage and claimed keys in memory. When the host's next read, which had started within the lease, was answered, the host noted no outage, so that as successor it granted such a key again.

Change: the time counts up to the confirmation. The new test fails before and passes after.

--- a/crates/router/src/ownership/fleet_sink.rs
+++ b/crates/router/src/ownership/fleet_sink.rs
@@ -28,19 +28,21 @@
         Self { shared, membership, newest_read: None }
     }
 
-    /// Notes an outage of this host for the controller to record, if the log
-    /// could not be read for longer than the lease.
+    /// Notes an outage of this host for the controller to record, if no read was
+    /// confirmed for the lease. The time counts up to now and not up to the start of
+    /// this read: until now this host has told others that it can't read the log, and
+    /// they may have verified an outage by that.
     fn note_outage(&mut self, read_started: Instant) {
         let Some(previous) = self.newest_read.replace(read_started) else {
             return;
         };
-        let unread = read_started.saturating_duration_since(previous);
-        if unread <= self.shared.clock.lease() {
+        let unread = previous.elapsed();
+        if unread < self.shared.clock.lease() {
             return;
         }
         let ended_ms =
             SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
-        let began_ms = ended_ms.saturating_sub(previous.elapsed().as_millis() as u64);
+        let began_ms = ended_ms.saturating_sub(unread.as_millis() as u64);
         info!("event=log_outage_ended unread_ms={}", unread.as_millis());
         let mut state = self.shared.state.lock();
         // an earlier outage that is not recorded yet is joined with this one
--- a/crates/router/src/ownership/tests.rs
+++ b/crates/router/src/ownership/tests.rs
@@ -1,10 +1,13 @@
 use {
-    super::{Ownership, OwnershipMode, ResourceId},
+    super::{
+        Ownership, OwnershipMode, ResourceId, fleet_sink::FleetSink,
+        ownership_metrics::OwnershipMetrics, shared::Shared,
+    },
     crate::{
         membership::{Membership, unix_ms},
         metrics::Metrics,
         peer::{PeerHandler, PeerNet, Replier},
-        platform::MemoryLog,
+        platform::{Confirmed, MemoryLog, TailSink},
     },
     mango_wire::{
         HostId, Offset,
@@ -335,6 +338,24 @@
     assert_eq!(fleet.stop_watching(), 0);
 }
 
+// Guards against an outage that this host confirmed to an owner while its next read was
+// on its way, and then does not remember: as a successor it would not know that keys may
+// have been claimed in memory.
+#[test]
+fn time_until_a_read_is_confirmed_counts_as_outage() {
+    let fleet = Fleet::start(&["a"], Timing::Scaled);
+    let (wake, _woken) = crossbeam::channel::bounded(1);
+    let metrics = OwnershipMetrics::register(&Metrics::new());
+    let shared = Arc::new(Shared::new("a", "a-1", LEASE, 60_000, wake, metrics));
+    let mut sink = FleetSink::new(shared.clone(), fleet.hosts[0].membership.clone());
+    let first = Instant::now();
+    sink.confirmed(Confirmed { read_started: first, next_offset: 1 });
+    // the next read starts within the lease, but its answer takes longer
+    thread::sleep(LEASE * 12 / 10);
+    sink.confirmed(Confirmed { read_started: first + LEASE / 2, next_offset: 1 });
+    assert_eq!(shared.outages_ms().len(), 1);
+}
+
 // Guards against a fleet that stops serving, or changes owners, while the log is down.
 #[test]
 fn verified_outage_keeps_the_owners() {
