Give claims of a host up only when the host is gone

Cause: a host that a monitor lost sight of for a moment was treated as dead, and the new owner of a key range wrote its running claims off. Repeats have the same verdict while a claim counts as running, so nothing is lost by waiting: a host counts as gone after ten suspect times, or at once when another process runs under its name.

--- a/crates/router/src/router/maintenance.rs
+++ b/crates/router/src/router/maintenance.rs
@@ -1,8 +1,11 @@
 use {
-    super::{engine_watches::EngineWatches, gossiper::Gossiper, parts::Parts, topology::topology},
+    super::{
+        down_hosts::DownHosts, engine_watches::EngineWatches, gossiper::Gossiper, parts::Parts,
+        topology::topology,
+    },
     crate::ownership::ResourceId,
     crossbeam::channel::{Receiver, RecvTimeoutError},
-    mango_wire::{EndpointKey, HostId, settings::AdmissionSettings},
+    mango_wire::{EndpointKey, settings::AdmissionSettings},
     std::{
         collections::HashSet,
         sync::Arc,
@@ -12,6 +15,8 @@
 
 /// Interval at which queue and permit deadlines are checked.
 const TICK: Duration = Duration::from_millis(10);
+/// Suspect times after which a host that is not live counts as gone.
+const GONE_AFTER_SUSPECT_TIMES: u32 = 10;
 /// Interval at which ownership, watches and permits in use are compared.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -25,7 +30,7 @@
     stop: Receiver<()>,
     watches: EngineWatches,
     config_version: u64,
-    live_hosts: HashSet<HostId>,
+    hosts: DownHosts,
     owned: HashSet<EndpointKey>,
     ownership_changes: u64,
     review_at: Instant,
@@ -41,6 +46,8 @@
         host_changes: Receiver<()>,
         stop: Receiver<()>,
     ) -> Self {
+        let membership = parts.settings.membership.clone().unwrap_or_default();
+        let suspect = Duration::from_millis(u64::from(membership.suspect_ms));
         let now = Instant::now();
         Self {
             parts,
@@ -51,7 +58,7 @@
             stop,
             watches: EngineWatches::default(),
             config_version: 0,
-            live_hosts: HashSet::new(),
+            hosts: DownHosts::new(suspect * GONE_AFTER_SUSPECT_TIMES),
             owned: HashSet::new(),
             ownership_changes: 0,
             review_at: now,
@@ -106,13 +113,13 @@
     }
 
     fn review_hosts(&mut self) {
-        let live: HashSet<HostId> =
-            self.parts.membership.live_hosts().iter().map(|h| h.host_id.clone()).collect();
-        for host in self.live_hosts.difference(&live) {
-            self.parts.admission.host_down(host);
-            self.parts.claims.host_down(host);
+        let changes = self.hosts.review(&self.parts.membership.live_hosts(), Instant::now());
+        for host in changes.lost {
+            self.parts.admission.host_down(&host);
+        }
+        for host in changes.gone {
+            self.parts.claims.host_down(&host);
         }
-        self.live_hosts = live;
     }
 
     fn review_ownership(&mut self) {
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -1,5 +1,6 @@
 mod authorities;
 mod config_peers;
+mod down_hosts;
 mod engine_resources;
 mod engine_watch;
 mod engine_watches;
--- a/crates/router/src/router/tests/mod.rs
+++ b/crates/router/src/router/tests/mod.rs
@@ -1,1 +1,2 @@
+mod down_hosts;
 mod spread_group;
