Run eight fleets at once in histories

Twelve fleets kept all 10 cores busy, so that live routers missed their scaled deadlines: 1 of 204 runs showed a repeat that was told in_progress at its deadline.

--- a/crates/router/tests/histories/main.rs
+++ b/crates/router/tests/histories/main.rs
@@ -21,7 +21,7 @@
 
 const RUNS: u64 = 204;
 // At most 4 routers each, so at most 48 processes at a time.
-const RUNS_AT_ONCE: usize = 12;
+const RUNS_AT_ONCE: usize = 8;
 
 struct Outcome {
     seed: u64,
