--- a/crates/router/tests/histories/fleet.rs
+++ b/crates/router/tests/histories/fleet.rs
@@ -156,7 +156,10 @@
                 }
             }
             if Instant::now() >= deadline {
-                bail!("fleet did not start: {acting} of {wanted} endpoints have acting owners");
+                let shown: Vec<_> = states.iter().flatten().map(start_state).collect();
+                bail!(
+                    "fleet did not start: {acting} of {wanted} endpoints have acting owners; {shown:?}"
+                );
             }
             thread::sleep(Duration::from_millis(20));
         }
@@ -309,3 +312,15 @@
     let text = response.body_mut().read_to_string()?;
     Ok((response.status().as_u16(), serde_json::from_str(&text).unwrap_or_default()))
 }
+
+/// What a host that has not started knows of the fleet.
+fn start_state(state: &Value) -> String {
+    let live = state["members"]["live"].as_array().map_or(0, Vec::len);
+    format!(
+        "{}: live {live}, registered {}, version {}, {}",
+        state["host"]["host_id"],
+        state["members"]["registered"],
+        state["config"]["version"],
+        state["ownership"]
+    )
+}
