--- a/crates/standins/src/platform/platform_standin.rs
+++ b/crates/standins/src/platform/platform_standin.rs
@@ -12,9 +12,7 @@
 
 /// The platform: append-only log, host list and weight store on one port.
 ///
-/// It is served by `mango-http`: of 300 new connections to a bare `astra` 0.4
-/// server, 3 to 19 never got an answer. Dropping it closes the listener and all
-/// connections.
+/// Dropping it closes the listener and all connections.
 pub struct PlatformStandin {
     server: EndpointServer,
     service: Arc<PlatformService>,
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -23,7 +23,7 @@
 /// Pool of the plain services.
 pub const SERVICE_POOL: &str = "services";
 
-// Some connections to an `astra` server never get an answer, so callers retry soon.
+// Short, because waits for a fleet ask again and again while routers start.
 const OPERATOR_WAIT: Duration = Duration::from_secs(1);
 
 /// Platform, endpoints and routers in this process, on loopback.
