--- a/crates/router/src/dispatch/dispatcher.rs
+++ b/crates/router/src/dispatch/dispatcher.rs
@@ -1,6 +1,8 @@
 use {
     super::{
         attempt::Attempt,
+        chat_answer::ChatAnswer,
+        chat_call::ChatCall,
         chat_run::{ChatRun, RunLimits, RunParts, whole_answer},
         chat_stream::ChatStream,
         claim_client::{ClaimClient, ClaimDecision, ClaimTicket},
@@ -8,97 +10,45 @@
         dispatch_metrics::DispatchMetrics,
         endpoint_table::EndpointTable,
         engine_job::{EngineJob, Rest, Started},
-        permit::Permit,
-        permit_client::{NoPermit, PermitAsk, PermitClient},
+        permit_client::PermitClient,
+        placer::{Placer, Wanted},
         refusal::Refusal,
         relocator::{ALL_TEAMS, Relocation, Relocator},
         request_context::RequestContext,
+        service_reply::ServiceReply,
+        service_request::ServiceRequest,
         share_budget::ShareBudget,
+        trace::Trace,
     },
     crate::{
         callers::InFlightGuard,
-        config::{EndpointInfo, PoolInfo},
         endpoint::{CallFailure, EngineCall, EngineEvent, Service, ServiceCall, WorkerPool},
         orders::KvCost,
-        placement::{Candidate, Planner},
+        placement::Planner,
     },
-    bytes::Bytes,
     crossbeam::{channel::RecvTimeoutError, select},
     mango_http::CallerLink,
     mango_wire::{
-        EndpointKey, Reason,
-        peer::{AcquireMode, PassReason, ReleaseOutcome},
+        Reason,
+        peer::ReleaseOutcome,
         problem::Verdict,
         settings::{AdmissionSettings, DispatchSettings},
     },
     std::{
         sync::Arc,
-        thread,
         time::{Duration, Instant},
     },
 };
 
 /// Sendings of one request, the first included.
 const MAX_ATTEMPTS: u32 = 3;
-/// Pause before endpoints without a reachable owner are tried again.
-const OWNER_RETRY: Duration = Duration::from_millis(50);
 /// Interval at which a waiting request checks whether its caller has left.
 const CALLER_CHECK: Duration = Duration::from_millis(50);
-/// Steps of one placement kept for the state dump.
-const MAX_TRIES: usize = 64;
-/// Prefill time that a cached token is taken to save.
-const PREFILL_US_PER_TOKEN: u64 = 200;
-/// Longest wait for room where a chat is warm. A longer one would delay the first
-/// token more than a cold start.
-const MAX_WARM_WAIT: Duration = Duration::from_millis(300);
-
-/// A chat completion to run.
-pub(crate) struct ChatCall {
-    pub(crate) body: Bytes,
-    pub(crate) stream: bool,
-    pub(crate) has_history: bool,
-    pub(crate) prompt_tokens: u32,
-}
-
-/// Answer to a chat completion.
-pub(crate) enum ChatAnswer {
-    Whole {
-        body: Bytes,
-        endpoint_id: String,
-    },
-    Stream {
-        stream: Box<ChatStream>,
-        endpoint_id: String,
-    },
-    /// The request ran before; its answer.
-    Stored {
-        status: u16,
-        content_type: String,
-        body: Bytes,
-    },
-}
-
-/// A call of a plain service to run.
-pub(crate) struct ServiceRequest {
-    pub(crate) method: http::Method,
-    pub(crate) path: String,
-    pub(crate) content_type: Option<String>,
-    pub(crate) body: Bytes,
-}
-
-/// Whole answer to a service call.
-pub(crate) struct ServiceReply {
-    pub(crate) status: u16,
-    pub(crate) content_type: String,
-    pub(crate) body: Bytes,
-    pub(crate) endpoint_id: String,
-}
-
 /// Places requests on endpoints and sees them through.
 pub(crate) struct Dispatcher {
     settings: DispatchSettings,
     long_tokens: u32,
-    permits: Arc<PermitClient>,
+    placer: Placer,
     claims: Arc<ClaimClient>,
     endpoints: Arc<EndpointTable>,
     planner: Arc<Planner>,
@@ -122,47 +72,6 @@
     pub(crate) metrics: DispatchMetrics,
 }
 
-/// One placement: what was tried, and what is left out.
-#[derive(Default)]
-struct Trace {
-    tries: Vec<String>,
-    excluded: Vec<EndpointKey>,
-    /// The newest failure of an endpoint.
-    failed: Option<Refusal>,
-    /// Whether any sending may have run.
-    may_have_run: bool,
-}
-
-impl Trace {
-    fn add(&mut self, line: String) {
-        if self.tries.len() < MAX_TRIES {
-            self.tries.push(line);
-        }
-    }
-
-    /// Notes that a sending to an endpoint failed.
-    fn add_failure(&mut self, endpoint: &EndpointInfo, failure: &CallFailure) {
-        self.add(format!("{}: {failure}", endpoint.id));
-        self.excluded.push(endpoint.key);
-        self.note(failure.verdict);
-        self.failed = Some(failure.clone().into());
-    }
-
-    /// Notes the verdict of one sending.
-    fn note(&mut self, verdict: Verdict) {
-        self.may_have_run |= verdict != Verdict::NotRun;
-    }
-
-    /// Refusal of the whole request, whose last attempt ended in `refusal`: an
-    /// attempt that was not run does not undo an earlier one that may have run.
-    fn conclude(&self, refusal: Refusal) -> Refusal {
-        if self.may_have_run && refusal.verdict == Verdict::NotRun {
-            return Refusal { verdict: Verdict::MayHaveRun, ..refusal };
-        }
-        refusal
-    }
-}
-
 impl Dispatcher {
     pub(crate) fn new(
         settings: DispatchSettings,
@@ -185,7 +94,7 @@
         Self {
             settings,
             long_tokens: admission_settings.long_tokens,
-            permits,
+            placer: Placer { permits, planner: planner.clone(), metrics: metrics.clone() },
             claims,
             endpoints,
             planner,
@@ -319,8 +228,9 @@
         trace: &mut Trace,
         hedge: bool,
     ) -> Result<Attempt, Refusal> {
-        let (endpoint, permit) =
-            self.place(context, call.has_history, call.prompt_tokens, link, trace, hedge)?;
+        let wanted =
+            Wanted { has_history: call.has_history, prompt_tokens: call.prompt_tokens, hedge };
+        let (endpoint, permit) = self.placer.place(context, wanted, link, trace)?;
         let chat = match context.chat {
             0 => String::new(),
             chat => format!("{chat:016x}"),
@@ -481,7 +391,8 @@
     ) -> Result<ServiceReply, Refusal> {
         let mut attempt = 0;
         loop {
-            let (endpoint, mut permit) = self.place(context, false, 0, link, trace, false)?;
+            let (endpoint, mut permit) =
+                self.placer.place(context, Wanted::default(), link, trace)?;
             let call = ServiceCall {
                 attempt_id: format!("{}-{attempt}", context.request_id),
                 method: request.method.clone(),
@@ -560,134 +471,6 @@
         retry
     }
 
-    /// Finds an endpoint with a permit that is still valid.
-    fn place(
-        &self,
-        context: &RequestContext,
-        has_history: bool,
-        prompt_tokens: u32,
-        link: &CallerLink,
-        trace: &mut Trace,
-        hedge: bool,
-    ) -> Result<(Arc<EndpointInfo>, Permit), Refusal> {
-        let started = Instant::now();
-        loop {
-            let mut saw_owner = false;
-            for pool in &context.pools {
-                let placed = self.place_in_pool(
-                    context,
-                    pool,
-                    (has_history, prompt_tokens),
-                    link,
-                    trace,
-                    (hedge, &mut saw_owner),
-                )?;
-                if let Some((endpoint, permit)) = placed {
-                    self.metrics.permit_wait_seconds.observe(started.elapsed().as_secs_f64());
-                    return Ok((endpoint, permit));
-                }
-            }
-            if hedge {
-                return Err(Refusal::not_run(Reason::NoCapacity, "no other endpoint is free"));
-            }
-            let is_excluded = |endpoint: &Arc<EndpointInfo>| trace.excluded.contains(&endpoint.key);
-            let all_excluded = context.pools.iter().all(|p| p.endpoints.iter().all(is_excluded));
-            if let Some(failed) = trace.failed.as_ref().filter(|_| all_excluded) {
-                return Err(failed.clone());
-            }
-            if Instant::now() + OWNER_RETRY >= context.deadline {
-                let reason = if saw_owner { Reason::NoCapacity } else { Reason::OwnerUnavailable };
-                let detail = format!("no endpoint took the request: {}", trace.tries.join(", "));
-                return Err(Refusal::not_run(reason, detail).with_retry_after(1000));
-            }
-            thread::sleep(OWNER_RETRY);
-        }
-    }
-
-    fn place_in_pool(
-        &self,
-        context: &RequestContext,
-        pool: &Arc<PoolInfo>,
-        (has_history, prompt_tokens): (bool, u32),
-        link: &CallerLink,
-        trace: &mut Trace,
-        (hedge, saw_owner): (bool, &mut bool),
-    ) -> Result<Option<(Arc<EndpointInfo>, Permit)>, Refusal> {
-        let ask = PermitAsk {
-            pool: pool.key,
-            team: context.team.key,
-            work: context.work.key,
-            chat: context.chat,
-            prompt_tokens,
-            deadline: context.deadline,
-        };
-        let Some(mut plan) = self.planner.plan(pool.key, context.chat, has_history) else {
-            return Ok(None);
-        };
-        let mut refusal = None;
-        let mut waited_warm = false;
-        while let Some(Candidate { endpoint: key, mode }) = plan.next() {
-            if trace.excluded.contains(&key) || (hedge && mode == AcquireMode::Queue) {
-                continue;
-            }
-            let Some(endpoint) = context.config.endpoint(key).cloned() else { continue };
-            let caller_left = || link.is_closed();
-            match self.permits.acquire(&ask, key, mode, &caller_left) {
-                Ok(permit) if permit.is_valid() => {
-                    trace.add(format!("{}: {mode} granted", endpoint.id));
-                    if let Some(home) = plan.left_home(key) {
-                        self.permits.chat_moved(home, context.chat, key);
-                    }
-                    return Ok(Some((endpoint, permit)));
-                }
-                Ok(_) => trace.add(format!("{}: permit came too late", endpoint.id)),
-                Err(NoPermit::CallerLeft) => {
-                    return Err(Refusal::not_run(Reason::CallerLeft, "the caller left"));
-                }
-                Err(NoPermit::NoOwner) => trace.add(format!("{}: no owner", endpoint.id)),
-                Err(NoPermit::Refused { reason, retry_after_ms, moved_to }) => {
-                    *saw_owner = true;
-                    trace.add(format!("{}: {mode} {reason}", endpoint.id));
-                    plan.note_moved(key, moved_to);
-                    let is_full = matches!(reason, PassReason::AtCap | PassReason::NoSlot);
-                    if mode == AcquireMode::IfWarm && is_full && !hedge && !waited_warm {
-                        waited_warm = true;
-                        if let Some(permit) = self.wait_warm(&ask, key, &caller_left) {
-                            trace.add(format!("{}: waited, granted", endpoint.id));
-                            if let Some(home) = plan.left_home(key) {
-                                self.permits.chat_moved(home, context.chat, key);
-                            }
-                            return Ok(Some((endpoint, permit)));
-                        }
-                    }
-                    if mode == AcquireMode::Queue {
-                        // another queue may be shorter
-                        refusal = final_refusal(reason, retry_after_ms).or(refusal);
-                        if reason == PassReason::AtCap {
-                            plan.search_again();
-                        }
-                    }
-                }
-            }
-        }
-        refusal.map_or(Ok(None), Err)
-    }
-
-    /// Waits in the queue of an engine where the chat is warm, as long as the prefill
-    /// that this may save.
-    fn wait_warm(
-        &self,
-        ask: &PermitAsk,
-        endpoint: EndpointKey,
-        caller_left: &impl Fn() -> bool,
-    ) -> Option<Permit> {
-        let prefill = Duration::from_micros(u64::from(ask.prompt_tokens) * PREFILL_US_PER_TOKEN);
-        let deadline = ask.deadline.min(Instant::now() + prefill.min(MAX_WARM_WAIT));
-        let ask = PermitAsk { deadline, ..*ask };
-        let permit = self.permits.acquire(&ask, endpoint, AcquireMode::Queue, caller_left);
-        permit.ok().filter(Permit::is_valid)
-    }
-
     fn log_decision<T>(
         &self,
         context: &RequestContext,
@@ -720,16 +503,6 @@
     }
 }
 
-/// Refusal of a queue that is not tried again.
-fn final_refusal(reason: PassReason, retry_after_ms: u32) -> Option<Refusal> {
-    let (reason, detail) = match reason {
-        PassReason::QueueFull => (Reason::QueueFull, "the queue is full"),
-        PassReason::Deadline => (Reason::Deadline, "the wait would pass the deadline"),
-        _ => return None,
-    };
-    Some(Refusal::not_run(reason, detail).with_retry_after(retry_after_ms.max(1)))
-}
-
 fn receive_either(
     first: &Attempt,
     second: Option<&Attempt>,
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,4 +1,6 @@
 mod attempt;
+mod chat_answer;
+mod chat_call;
 mod chat_run;
 mod chat_stream;
 mod claim_client;
@@ -10,22 +12,30 @@
 mod permit;
 mod permit_client;
 mod permit_reply;
+mod placer;
 mod refusal;
 mod relocator;
 mod request_context;
+mod service_reply;
+mod service_request;
 mod share_budget;
 #[cfg(test)]
 mod tests;
+mod trace;
 
 pub(crate) use {
+    chat_answer::ChatAnswer,
+    chat_call::ChatCall,
     chat_stream::{ChatItem, ChatStream},
     claim_client::ClaimClient,
     decision_log::{Decision, DecisionLog, now_ms},
     dispatch_metrics::DispatchMetrics,
-    dispatcher::{ChatAnswer, ChatCall, Dispatcher, DispatcherParts, ServiceReply, ServiceRequest},
+    dispatcher::{Dispatcher, DispatcherParts},
     endpoint_table::EndpointTable,
     permit_client::PermitClient,
     permit_reply::PermitReply,
     refusal::Refusal,
     request_context::RequestContext,
+    service_reply::ServiceReply,
+    service_request::ServiceRequest,
 };
