--- a/crates/router/benches/recovery.rs
+++ b/crates/router/benches/recovery.rs
@@ -110,7 +110,11 @@
                 }
             }
             if Instant::now() >= deadline {
-                bail!("fleet is not ready in time");
+                let states = self.routers.iter().filter_map(|r| state(r.operator_address()).ok());
+                let shown: Vec<_> = states
+                    .map(|s| format!("{} {} {}", s["host"], s["members"], s["ownership"]))
+                    .collect();
+                bail!("fleet is not ready in time: {shown:#?}");
             }
             thread::sleep(Duration::from_millis(50));
         }
@@ -136,7 +140,8 @@
         let live = states.iter().all(|state| {
             state["members"]["live"].as_array().is_some_and(|live| live.len() == ROUTERS)
         });
-        let resources = ENGINES + 1 + KEY_RANGES as usize + 1;
+        // engines, the service, key ranges, `config` and `weights`
+        let resources = ENGINES + 1 + KEY_RANGES as usize + 2;
         states.len() == ROUTERS
             && live
             && count("/owned_engines") == ENGINES + 1
