--- /dev/null
+++ b/crates/gateway/src/callers/caller_sink.rs
@@ -0,0 +1,150 @@
+use {
+    super::{protocol::Protocol, refusal::Refusal},
+    crate::http1::{Headers, ResponseHead},
+    std::{io, io::Write, marker::PhantomData},
+    tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf},
+};
+
+/// Writes the answer to one request of a caller.
+pub(crate) struct CallerSink<'a, P> {
+    writer: &'a mut OwnedWriteHalf,
+    request_id: Box<str>,
+    state: State,
+    closes: bool,
+    is_head_request: bool,
+    protocol: PhantomData<P>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Unanswered,
+    Streaming,
+    Complete,
+}
+
+impl<'a, P: Protocol> CallerSink<'a, P> {
+    /// `closes` says that the connection ends after this answer.
+    pub(crate) fn new(
+        writer: &'a mut OwnedWriteHalf,
+        request_id: &str,
+        method: &str,
+        closes: bool,
+    ) -> CallerSink<'a, P> {
+        CallerSink {
+            writer,
+            request_id: request_id.into(),
+            state: State::Unanswered,
+            closes,
+            is_head_request: method == "HEAD",
+            protocol: PhantomData,
+        }
+    }
+
+    pub(crate) fn is_unanswered(&self) -> bool {
+        self.state == State::Unanswered
+    }
+
+    /// Whether another request may follow on the connection.
+    pub(crate) fn keeps_connection(&self) -> bool {
+        self.state == State::Complete && !self.closes
+    }
+
+    pub(crate) fn set_closing(&mut self) {
+        self.closes = true;
+    }
+
+    /// Passes a whole answer of an endpoint on.
+    pub(crate) async fn send_whole(&mut self, head: &ResponseHead, body: &[u8]) -> io::Result<()> {
+        let mut output = Vec::with_capacity(512 + body.len());
+        self.write_head(&mut output, head);
+        let has_no_body = head.status == 204 || head.status == 304;
+        if !has_no_body && !self.is_head_request {
+            let _ = write!(output, "Content-Length: {}\r\n", body.len());
+        }
+        output.extend_from_slice(b"\r\n");
+        output.extend_from_slice(body);
+        self.state = State::Complete;
+        self.writer.write_all(&output).await
+    }
+
+    /// Starts a stream whose events follow.
+    pub(crate) async fn start_stream(
+        &mut self,
+        head: &ResponseHead,
+        events: &[u8],
+    ) -> io::Result<()> {
+        let mut output = Vec::with_capacity(512 + events.len());
+        self.write_head(&mut output, head);
+        output.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
+        write_chunk(&mut output, events);
+        self.state = State::Streaming;
+        self.writer.write_all(&output).await
+    }
+
+    pub(crate) async fn send_events(&mut self, events: &[u8]) -> io::Result<()> {
+        let mut output = Vec::with_capacity(16 + events.len());
+        write_chunk(&mut output, events);
+        self.writer.write_all(&output).await
+    }
+
+    pub(crate) async fn end_stream(&mut self) -> io::Result<()> {
+        self.state = State::Complete;
+        self.writer.write_all(b"0\r\n\r\n").await
+    }
+
+    /// Answers in place of an endpoint.
+    pub(crate) async fn refuse(&mut self, refusal: &Refusal) -> io::Result<()> {
+        // a problem holds only strings and numbers, which always serialise
+        let body = serde_json::to_vec(&refusal.to_problem(&self.request_id)).unwrap_or_default();
+        let mut output = Vec::with_capacity(256 + body.len());
+        let _ = write!(output, "HTTP/1.1 {} {}\r\n", refusal.status, refusal.status_text());
+        if !self.request_id.is_empty() {
+            let _ = write!(output, "{}: {}\r\n", P::REQUEST_ID_HEADER, self.request_id);
+        }
+        if let Some(pause) = refusal.retry_after {
+            let _ = write!(output, "Retry-After: {:.2}\r\n", pause.as_secs_f64());
+        }
+        let _ = write!(
+            output,
+            "Content-Type: application/problem+json\r\nContent-Length: {}\r\n",
+            body.len()
+        );
+        self.write_connection(&mut output);
+        output.extend_from_slice(b"\r\n");
+        if !self.is_head_request {
+            output.extend_from_slice(&body);
+        }
+        self.state = State::Complete;
+        self.writer.write_all(&output).await
+    }
+
+    fn write_head(&self, output: &mut Vec<u8>, head: &ResponseHead) {
+        let _ = write!(output, "HTTP/1.1 {} {}\r\n", head.status, head.reason);
+        write_headers(output, &head.headers);
+        self.write_connection(output);
+    }
+
+    fn write_connection(&self, output: &mut Vec<u8>) {
+        if self.closes {
+            output.extend_from_slice(b"Connection: close\r\n");
+        }
+    }
+}
+
+fn write_headers(output: &mut Vec<u8>, headers: &Headers) {
+    for header in headers.end_to_end() {
+        output.extend_from_slice(header.name.as_bytes());
+        output.extend_from_slice(b": ");
+        output.extend_from_slice(&header.value);
+        output.extend_from_slice(b"\r\n");
+    }
+}
+
+fn write_chunk(output: &mut Vec<u8>, data: &[u8]) {
+    if data.is_empty() {
+        return;
+    }
+    let _ = write!(output, "{:x}\r\n", data.len());
+    output.extend_from_slice(data);
+    output.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/gateway/src/callers/mod.rs
@@ -0,0 +1,19 @@
+mod admission;
+mod admitted_request;
+mod caller_request;
+mod caller_sink;
+mod caller_task;
+mod protocol;
+mod refusal;
+
+pub(crate) use {
+    admission::{recheck, spread},
+    admitted_request::AdmittedRequest,
+    caller_sink::CallerSink,
+    caller_task::serve_caller,
+    refusal::Refusal,
+};
+pub use {
+    caller_request::{CallerRequest, PromptPrefix, RequestError},
+    protocol::Protocol,
+};
--- /dev/null
+++ b/crates/gateway/src/clock/mod.rs
@@ -0,0 +1,3 @@
+mod boot_instant;
+
+pub(crate) use boot_instant::BootInstant;
--- /dev/null
+++ b/crates/gateway/src/config/routing_config.rs
@@ -0,0 +1,66 @@
+use {
+    super::{caller_limits::CallerLimits, route::Route, service::Service, team::Team},
+    std::{collections::HashMap, rc::Rc},
+};
+
+/// One version of the operators' configuration.
+#[derive(Debug, Default)]
+pub struct RoutingConfig {
+    pub version: u64,
+    pub limits: CallerLimits,
+    routes: HashMap<Rc<str>, Vec<Rc<Route>>>,
+    services: HashMap<Rc<str>, Service>,
+    teams: HashMap<Box<str>, Rc<Team>>,
+    has_teams: bool,
+}
+
+impl RoutingConfig {
+    pub fn new(
+        version: u64,
+        limits: CallerLimits,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        teams: Option<Vec<Team>>,
+    ) -> RoutingConfig {
+        let mut by_host: HashMap<Rc<str>, Vec<Rc<Route>>> = HashMap::new();
+        for route in routes {
+            by_host.entry(route.host_name.clone()).or_default().push(Rc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let has_teams = teams.is_some();
+        let mut by_key = HashMap::new();
+        for team in teams.unwrap_or_default().into_iter().map(Rc::new) {
+            for key in &team.api_keys {
+                by_key.insert(key.clone(), team.clone());
+            }
+        }
+        let services =
+            services.into_iter().map(|service| (service.name.clone(), service)).collect();
+        RoutingConfig { version, limits, routes: by_host, services, teams: by_key, has_teams }
+    }
+
+    /// The route with the longest prefix of the path, among those of the host name.
+    pub fn find_route(&self, host_name: &str, path: &str) -> Option<&Rc<Route>> {
+        // routes are sorted by the length of their prefix, longest first
+        self.routes.get(host_name)?.iter().find(|route| path.starts_with(&*route.path_prefix))
+    }
+
+    pub fn team_of_key(&self, api_key: &str) -> Option<&Rc<Team>> {
+        self.teams.get(api_key)
+    }
+
+    /// Whether callers have to identify themselves.
+    pub fn has_teams(&self) -> bool {
+        self.has_teams
+    }
+
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -0,0 +1,205 @@
+use {
+    super::{
+        answer_meta::AnswerMeta,
+        failure::{FailureCause, SendFailure},
+    },
+    crate::{
+        callers::Protocol,
+        endpoints::{Endpoint, IdleConnection, InFlight},
+        http1::{BodyDecoder, Connection, ResponseHead, connect, read_into},
+        retry::SendOutcome,
+        server::Gateway,
+    },
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf},
+};
+
+/// Longest time to open a connection; another endpoint is tried after it.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long an idle connection is kept if the endpoint does not say.
+const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(3_000);
+/// An idle connection is given up this much before the endpoint would close it.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(600);
+/// Answers to earlier requests that may come before the awaited one.
+const MAX_STRAY_ANSWERS: u32 = 3;
+/// Longest stray answer that is read to reach the awaited one, in bytes.
+const MAX_STRAY_BYTES: usize = 262_144;
+
+/// One request on a connection to an endpoint. Dropping it closes the connection,
+/// which makes the endpoint stop the request.
+pub(super) struct EndpointCall {
+    endpoint: Rc<Endpoint>,
+    connection: Connection,
+    decoder: Option<BodyDecoder>,
+    is_reusable: bool,
+    keep_alive: Duration,
+    _in_flight: InFlight,
+}
+
+impl EndpointCall {
+    /// Takes an idle connection or opens one.
+    pub(super) async fn open<P: Protocol>(
+        gateway: &Gateway<P>,
+        endpoint: &Rc<Endpoint>,
+    ) -> Result<EndpointCall, SendFailure> {
+        let in_flight = endpoint.start_request();
+        let connection = match endpoint.take_idle(Instant::now()) {
+            Some(idle) => idle.connection,
+            None => {
+                let address = endpoint.record.borrow().address;
+                gateway.metrics.new_endpoint_connections.inc();
+                connect(address, CONNECT_TIMEOUT).await.map_err(|_| {
+                    endpoint.update_health(|health| health.connect_failed(Instant::now()));
+                    SendFailure::new(SendOutcome::NotSent, FailureCause::ConnectFailed)
+                })?
+            }
+        };
+        Ok(EndpointCall {
+            endpoint: endpoint.clone(),
+            connection,
+            decoder: None,
+            is_reusable: true,
+            keep_alive: DEFAULT_KEEP_ALIVE,
+            _in_flight: in_flight,
+        })
+    }
+
+    /// Sends the request. An endpoint may answer before it has read a long body;
+    /// the rest of the body is then not sent and the connection not used again.
+    pub(super) async fn send(&mut self, head: &[u8], body: &[u8]) -> Result<(), SendFailure> {
+        let Connection { reader, writer, input } = &mut self.connection;
+        tokio::select! {
+            biased;
+            sent = write_both(writer, head, body) => {
+                sent.map_err(|_| SendFailure::may_have_run(FailureCause::ConnectionBroken))
+            }
+            received = read_into(reader, input) => {
+                self.is_reusable = false;
+                match received {
+                    Ok(1..) => Ok(()),
+                    Ok(0) | Err(_) => {
+                        Err(SendFailure::may_have_run(FailureCause::ConnectionBroken))
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the head of the answer to this request.
+    pub(super) async fn read_head<P: Protocol>(
+        &mut self,
+        protocol: &P,
+        method: &str,
+        request_id: &str,
+    ) -> Result<(ResponseHead, AnswerMeta), SendFailure> {
+        for _ in 0..=MAX_STRAY_ANSWERS {
+            let head = self.read_any_head(method).await?;
+            let meta = protocol.answer_meta(&head);
+            let is_own = match &meta.request_id {
+                Some(id) => **id == *request_id,
+                None => meta.is_not_run,
+            };
+            if is_own {
+                self.is_reusable &= head.keeps_alive;
+                if let Some(keep_alive) = meta.keep_alive {
+                    self.keep_alive = keep_alive;
+                }
+                self.decoder = Some(BodyDecoder::new(head.framing));
+                return Ok((head, meta));
+            }
+            self.skip_stray(&head, &meta).await?;
+        }
+        Err(SendFailure::may_have_run(FailureCause::BadAnswer))
+    }
+
+    async fn read_any_head(&mut self, method: &str) -> Result<ResponseHead, SendFailure> {
+        loop {
+            match ResponseHead::take(&mut self.connection.input, method) {
+                Ok(Some(head)) => return Ok(head),
+                Ok(None) => self.read_more().await?,
+                Err(_) => return Err(SendFailure::may_have_run(FailureCause::BadAnswer)),
+            }
+        }
+    }
+
+    /// Passes over the late answer of an earlier request.
+    async fn skip_stray(
+        &mut self,
+        head: &ResponseHead,
+        meta: &AnswerMeta,
+    ) -> Result<(), SendFailure> {
+        let bad_answer = || SendFailure::may_have_run(FailureCause::BadAnswer);
+        if meta.request_id.is_none() || !head.keeps_alive {
+            return Err(bad_answer());
+        }
+        self.is_reusable = false;
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut skipped = Vec::new();
+        loop {
+            decoder
+                .decode(&mut self.connection.input, &mut skipped)
+                .map_err(|_| bad_answer())?;
+            if decoder.is_done() {
+                return Ok(());
+            }
+            if skipped.len() > MAX_STRAY_BYTES {
+                return Err(bad_answer());
+            }
+            self.read_more().await?;
+        }
+    }
+
+    async fn read_more(&mut self) -> Result<(), SendFailure> {
+        match self.connection.read_more().await {
+            Ok(1..) => Ok(()),
+            Ok(0) | Err(_) => Err(SendFailure::may_have_run(FailureCause::ConnectionBroken)),
+        }
+    }
+
+    /// Appends the next bytes of the body. Returns whether the body is whole.
+    pub(super) async fn read_body(&mut self, output: &mut Vec<u8>) -> Result<bool, SendFailure> {
+        let truncated = || SendFailure::may_have_run(FailureCause::Truncated);
+        let decoder = self.decoder.as_mut().ok_or_else(truncated)?;
+        let before = output.len();
+        loop {
+            decoder
+                .decode(&mut self.connection.input, output)
+                .map_err(|_| SendFailure::may_have_run(FailureCause::BadAnswer))?;
+            if decoder.is_done() {
+                return Ok(true);
+            }
+            if output.len() > before {
+                return Ok(false);
+            }
+            match self.connection.read_more().await {
+                Ok(1..) => {}
+                Ok(0) if decoder.finish() => return Ok(true),
+                Ok(0) | Err(_) => return Err(truncated()),
+            }
+        }
+    }
+
+    /// Keeps the connection for another request if its state allows it.
+    pub(super) fn finish(self) {
+        let is_done = self.decoder.as_ref().is_some_and(BodyDecoder::is_done);
+        let keep_alive = self.keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
+        if is_done && self.is_reusable && self.connection.input.is_empty() {
+            self.endpoint.put_idle(IdleConnection {
+                connection: self.connection,
+                usable_until: Instant::now() + keep_alive,
+            });
+        }
+    }
+}
+
+async fn write_both(
+    writer: &mut OwnedWriteHalf,
+    head: &[u8],
+    body: &[u8],
+) -> std::io::Result<()> {
+    writer.write_all(head).await?;
+    writer.write_all(body).await
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -0,0 +1,265 @@
+use {
+    super::{
+        attempt::{Delivered, attempt},
+        failure::{FailureCause, SendFailure},
+        stream_progress::StreamProgress,
+    },
+    crate::{
+        callers::{AdmittedRequest, CallerSink, Protocol, Refusal, recheck, spread},
+        clock::BootInstant,
+        endpoints::{Endpoint, EndpointId},
+        http1::ResponseHead,
+        placement::{Candidate, PlacementRequest, choose_endpoint},
+        retry::{AttemptHistory, NextStep, RetryRule, SendOutcome, next_step},
+        server::Gateway,
+        telemetry::event,
+    },
+    mango_wire::Reason,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout,
+};
+
+/// An endpoint answers at the deadline itself; the router waits this much longer.
+const DEADLINE_SLACK: Duration = Duration::from_millis(120);
+/// A request that endpoints refused is told to come back after about this time.
+const REFUSED_RETRY: Duration = Duration::from_millis(500);
+
+/// Runs a request to its answer. Returns whether the caller's connection may serve
+/// another request.
+pub(crate) async fn run_request<P: Protocol>(
+    gateway: &Rc<Gateway<P>>,
+    request: &AdmittedRequest,
+    sink: &mut CallerSink<'_, P>,
+) -> bool {
+    let mut run = Run::new(gateway, request);
+    let is_kept = match timeout(request.time_left() + DEADLINE_SLACK, run.to_answer(sink)).await {
+        Ok(is_kept) => is_kept,
+        Err(_) => run.out_of_time(sink).await,
+    };
+    run.log_end();
+    is_kept
+}
+
+struct Run<'a, P> {
+    gateway: &'a Gateway<P>,
+    request: &'a AdmittedRequest,
+    history: AttemptHistory,
+    progress: StreamProgress,
+    tried: Vec<EndpointId>,
+    /// A failure that an endpoint signed, to be passed on if nothing better follows.
+    failed_answer: Option<(ResponseHead, Vec<u8>)>,
+    last_cause: Option<FailureCause>,
+    outcome: &'static str,
+    status: u16,
+}
+
+impl<'a, P: Protocol> Run<'a, P> {
+    fn new(gateway: &'a Gateway<P>, request: &'a AdmittedRequest) -> Run<'a, P> {
+        gateway.count_request(&request.service);
+        let last_event_id = request.caller.last_event_id;
+        Run {
+            gateway,
+            request,
+            history: AttemptHistory::default(),
+            progress: StreamProgress { has_started: false, last_event_id },
+            tried: Vec::new(),
+            failed_answer: None,
+            last_cause: None,
+            outcome: "unfinished",
+            status: 0,
+        }
+    }
+
+    async fn to_answer(&mut self, sink: &mut CallerSink<'_, P>) -> bool {
+        loop {
+            if let Err(refusal) = self.check_allowed() {
+                return self.give_up(sink, refusal).await;
+            }
+            let Some(endpoint) = self.choose() else {
+                let refusal = Refusal::unavailable(Reason::NoCapacity, spread(REFUSED_RETRY));
+                return self.give_up(sink, refusal).await;
+            };
+            self.tried.push(endpoint.record.borrow().id.clone());
+            let result =
+                attempt(self.gateway, self.request, &endpoint, &mut self.progress, sink).await;
+            let failure = match result {
+                Ok(delivered) => return self.delivered(sink, delivered),
+                Err(failure) => failure,
+            };
+            if !self.continues_after(failure, &endpoint) {
+                let refusal = self.final_refusal();
+                return self.give_up(sink, refusal).await;
+            }
+        }
+    }
+
+    fn check_allowed(&self) -> Result<(), Refusal> {
+        if self.request.time_left().is_zero() {
+            return Err(Refusal::unavailable(Reason::Deadline, spread(REFUSED_RETRY)));
+        }
+        recheck(
+            &self.gateway.config,
+            self.gateway.settings.bounds.refuses_unconfirmed_keys,
+            &self.request.caller,
+            self.request.team.is_some(),
+        )
+    }
+
+    fn choose(&self) -> Option<Rc<Endpoint>> {
+        let now = Instant::now();
+        let endpoints = self.gateway.directory.of_service(&self.request.service);
+        let records: Vec<_> = endpoints.iter().map(|endpoint| endpoint.record.borrow()).collect();
+        let candidates: Vec<Candidate<'_>> = endpoints
+            .iter()
+            .zip(&records)
+            .map(|(endpoint, record)| {
+                let (health, load) = (endpoint.health.get(), endpoint.load.get());
+                Candidate {
+                    id: &record.id,
+                    requests: load.requests(endpoint.in_flight(), now),
+                    waiting: load.waiting(now),
+                    slots: record.slots,
+                    slowness: load.slowness(now),
+                    latency_ms: health.latency_ms(now),
+                    failure_share: health.failure_share(now),
+                    is_paused: health.is_paused(now),
+                    is_excluded: self.tried.contains(&record.id),
+                    is_same_zone: *record.zone == *self.gateway.settings.zone,
+                }
+            })
+            .collect();
+        let placement = PlacementRequest {
+            prefix_hash: self.request.caller.prefix.map(|prefix| prefix.hash),
+            tie_breaker: rand::random(),
+        };
+        let index = choose_endpoint(&placement, &candidates)?;
+        let chosen = &candidates[index];
+        event!(
+            "request_placed",
+            "id={} route={} kind={} endpoint={} load={:.1} failures={:.2} slowness={:.2} \
+             candidates={} config_version={} sends={} time_left_ms={}",
+            self.request.caller.id,
+            self.request.route.name,
+            self.request.route.kind,
+            chosen.id,
+            chosen.requests,
+            chosen.failure_share,
+            chosen.slowness,
+            candidates.len(),
+            self.request.config_version,
+            self.tried.len(),
+            self.request.time_left().as_millis()
+        );
+        Some(endpoints[index].clone())
+    }
+
+    fn delivered(&mut self, sink: &CallerSink<'_, P>, delivered: Delivered) -> bool {
+        match delivered {
+            Delivered::Answered { status } => {
+                self.outcome = "answered";
+                self.status = status;
+                self.gateway.metrics.send_ended("answered");
+                sink.keeps_connection()
+            }
+            Delivered::CallerLost => {
+                self.outcome = "caller_lost";
+                false
+            }
+        }
+    }
+
+    /// Records a failure and decides whether the request is sent again.
+    fn continues_after(&mut self, failure: SendFailure, endpoint: &Endpoint) -> bool {
+        let SendFailure { outcome, cause, answer } = failure;
+        self.gateway.metrics.send_ended(outcome.into());
+        if !matches!(cause, FailureCause::ConnectFailed | FailureCause::Misdirected) {
+            endpoint.update_health(|health| health.failed(Instant::now()));
+        }
+        self.history.record(outcome);
+        self.last_cause = Some(cause);
+        if answer.is_some() {
+            self.failed_answer = answer;
+        }
+        let rule = RetryRule {
+            may_rerun: self.request.route.may_rerun(),
+            max_attempts: self.request.route.max_attempts,
+        };
+        let step = next_step(&rule, &self.history, outcome);
+        let continues = match step {
+            NextStep::Reconnect => true,
+            NextStep::Repeat => self.gateway.take_repeat(&self.request.service),
+            NextStep::GiveUp => false,
+        };
+        event!(
+            "send_failed",
+            "id={} endpoint={} outcome={outcome} cause={cause} step={step:?} continues={continues} \
+             runs={} elapsed_ms={}",
+            self.request.caller.id,
+            endpoint.record.borrow().id,
+            self.history.runs,
+            self.request.elapsed().as_millis()
+        );
+        continues
+    }
+
+    /// The answer after the last send failed.
+    fn final_refusal(&self) -> Refusal {
+        match self.last_cause {
+            _ if !self.history.has_not_run() => Refusal::broken(Reason::EndpointBroken),
+            Some(FailureCause::ConnectFailed) => {
+                Refusal::unavailable(Reason::EndpointUnreachable, spread(REFUSED_RETRY))
+            }
+            _ => Refusal::unavailable(Reason::EndpointRefused, spread(REFUSED_RETRY)),
+        }
+    }
+
+    /// Ends the request without a success. A refusal that says "not run" is only
+    /// sent while that is true.
+    async fn give_up(&mut self, sink: &mut CallerSink<'_, P>, refusal: Refusal) -> bool {
+        if !sink.is_unanswered() {
+            // the connection ends without the end of the stream
+            self.outcome = "broken_off";
+            return false;
+        }
+        if let Some((head, body)) = self.failed_answer.take() {
+            self.outcome = "endpoint_failed";
+            self.status = head.status;
+            return sink.send_whole(&head, &body).await.is_ok() && sink.keeps_connection();
+        }
+        let is_true = refusal.status != 503 || self.history.has_not_run();
+        let refusal = if is_true { refusal } else { Refusal::broken(refusal.reason) };
+        self.outcome = refusal.reason.into();
+        self.status = refusal.status;
+        sink.refuse(&refusal).await.is_ok() && sink.keeps_connection()
+    }
+
+    async fn out_of_time(&mut self, sink: &mut CallerSink<'_, P>) -> bool {
+        // a send that was under way when the time ran out may have run
+        self.history.record(SendOutcome::MayHaveRun);
+        self.give_up(sink, Refusal::broken(Reason::Deadline)).await
+    }
+
+    fn log_end(&self) {
+        let kind = self.request.route.kind;
+        self.gateway.metrics.request_ended(kind.into(), self.outcome);
+        let age = self.gateway.config.confirmation_age(BootInstant::now());
+        event!(
+            "request_ended",
+            "id={} route={} kind={kind} team={} outcome={} status={} sends={} runs={} \
+             elapsed_ms={} config_version={} config_age_ms={}",
+            self.request.caller.id,
+            self.request.route.name,
+            self.request.team.as_deref().unwrap_or("-"),
+            self.outcome,
+            self.status,
+            self.tried.len(),
+            self.history.runs,
+            self.request.elapsed().as_millis(),
+            self.request.config_version,
+            age.map_or(0, |age| age.as_millis())
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -0,0 +1,121 @@
+use {
+    super::{
+        endpoint::Endpoint,
+        endpoint_record::{EndpointId, EndpointRecord, EndpointState},
+    },
+    crate::telemetry::event,
+    std::{
+        cell::RefCell,
+        collections::{BTreeMap, HashMap},
+        rc::Rc,
+        time::Instant,
+    },
+};
+
+/// The endpoints that the store lists, by service.
+#[derive(Default)]
+pub(crate) struct Directory {
+    by_id: RefCell<BTreeMap<EndpointId, Rc<Endpoint>>>,
+    /// Endpoints whose record vanished while the store was away, until when they stay.
+    missing_until: RefCell<HashMap<EndpointId, Instant>>,
+}
+
+impl Directory {
+    /// Applies a record of an endpoint. Older news than what is known is ignored.
+    pub(crate) fn upsert(&self, record: EndpointRecord) {
+        self.missing_until.borrow_mut().remove(&record.id);
+        let mut by_id = self.by_id.borrow_mut();
+        let Some(known) = by_id.get(&record.id) else {
+            event!("endpoint_added", "endpoint={} service={} address={} zone={} state={} sequence={}", record.id, record.service, record.address, record.zone, record.state, record.sequence);
+            by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record)));
+            return;
+        };
+        let is_replaced = {
+            let current = known.record.borrow();
+            if record.is_older_than(&current) {
+                return;
+            }
+            record.is_restart_of(&current)
+                || record.address != current.address
+                || record.service != current.service
+        };
+        if is_replaced {
+            event!("endpoint_restarted", "endpoint={} service={} address={} state={} sequence={}", record.id, record.service, record.address, record.state, record.sequence);
+            known.set_leaving();
+            by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record)));
+            return;
+        }
+        if record.state == EndpointState::Draining && !known.is_leaving() {
+            event!("endpoint_draining", "endpoint={} service={} sequence={}", record.id, record.service, record.sequence);
+            known.set_leaving();
+        }
+        known.record.replace(record);
+    }
+
+    /// Removes an endpoint whose record is gone. With a time, it stays in use until
+    /// then: its record may only have lapsed while the store was away.
+    pub(crate) fn remove(&self, id: &str, keep_until: Option<Instant>) {
+        if let Some(until) = keep_until
+            && let Some((id, endpoint)) = self.by_id.borrow().get_key_value(id)
+            && !endpoint.is_leaving()
+        {
+            self.missing_until.borrow_mut().entry(id.clone()).or_insert(until);
+            return;
+        }
+        if let Some(endpoint) = self.by_id.borrow_mut().remove(id) {
+            event!("endpoint_gone", "endpoint={id} service={}", endpoint.record.borrow().service);
+            endpoint.set_leaving();
+        }
+        self.missing_until.borrow_mut().remove(id);
+    }
+
+    /// Makes the directory equal to a whole listing.
+    pub(crate) fn replace_all(&self, records: Vec<EndpointRecord>, keep_until: Option<Instant>) {
+        let gone: Vec<EndpointId> = self
+            .by_id
+            .borrow()
+            .keys()
+            .filter(|id| !records.iter().any(|record| record.id == **id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.remove(&id, keep_until);
+        }
+        for record in records {
+            self.upsert(record);
+        }
+    }
+
+    /// Drops endpoints whose time to come back is over, and connections past their use.
+    pub(crate) fn expire(&self, now: Instant) {
+        let expired: Vec<EndpointId> = self
+            .missing_until
+            .borrow()
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in expired {
+            self.remove(&id, None);
+        }
+        for endpoint in self.by_id.borrow().values() {
+            endpoint.prune_idle(now);
+        }
+    }
+
+    /// Endpoints of a service that take new work.
+    pub(crate) fn of_service(&self, service: &str) -> Vec<Rc<Endpoint>> {
+        self.by_id
+            .borrow()
+            .values()
+            .filter(|endpoint| {
+                !endpoint.is_leaving() && *endpoint.record.borrow().service == *service
+            })
+            .cloned()
+            .collect()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.by_id.borrow().len()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -0,0 +1,97 @@
+use {
+    super::{
+        endpoint_record::{EndpointRecord, EndpointState},
+        health::Health,
+        idle_connection::IdleConnection,
+        load_estimate::LoadEstimate,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Instant,
+    },
+};
+
+/// Idle connections kept to one endpoint.
+const MAX_IDLE_CONNECTIONS: usize = 8;
+
+/// An endpoint with what this process knows of it.
+pub(crate) struct Endpoint {
+    pub(crate) record: RefCell<EndpointRecord>,
+    pub(crate) health: Cell<Health>,
+    pub(crate) load: Cell<LoadEstimate>,
+    in_flight: Cell<u32>,
+    is_leaving: Cell<bool>,
+    idle: RefCell<Vec<IdleConnection>>,
+}
+
+impl Endpoint {
+    pub(crate) fn new(record: EndpointRecord) -> Endpoint {
+        let is_leaving = record.state == EndpointState::Draining;
+        Endpoint {
+            record: RefCell::new(record),
+            health: Cell::default(),
+            load: Cell::default(),
+            in_flight: Cell::new(0),
+            is_leaving: Cell::new(is_leaving),
+            idle: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Takes no new work: it drains or is gone.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
+    pub(crate) fn set_leaving(&self) {
+        self.is_leaving.set(true);
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn start_request(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(self.clone())
+    }
+
+    pub(crate) fn take_idle(&self, now: Instant) -> Option<IdleConnection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if connection.is_usable(now) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    pub(crate) fn put_idle(&self, connection: IdleConnection) {
+        let mut idle = self.idle.borrow_mut();
+        if !self.is_leaving() && idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.push(connection);
+        }
+    }
+
+    /// Closes idle connections that the endpoint has closed or soon will.
+    pub(crate) fn prune_idle(&self, now: Instant) {
+        self.idle.borrow_mut().retain(|connection| connection.is_usable(now));
+    }
+
+    pub(crate) fn update_health(&self, update: impl FnOnce(&mut Health)) {
+        let mut health = self.health.get();
+        update(&mut health);
+        self.health.set(health);
+    }
+}
+
+/// Counts one request of an endpoint while it lives.
+pub(crate) struct InFlight(Rc<Endpoint>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -0,0 +1,16 @@
+mod directory;
+mod endpoint;
+mod endpoint_record;
+mod health;
+mod idle_connection;
+mod load_estimate;
+
+pub(crate) use {
+    directory::Directory,
+    endpoint::{Endpoint, InFlight},
+    idle_connection::IdleConnection,
+};
+pub use {
+    endpoint_record::{EndpointId, EndpointRecord, EndpointState},
+    load_estimate::LoadReport,
+};
--- /dev/null
+++ b/crates/gateway/src/followers/record_feed.rs
@@ -0,0 +1,63 @@
+use std::{fmt, future::Future, time::Duration};
+
+/// Position of a record in its log.
+pub type Offset = u64;
+
+/// A log of keyed records in the platform's store.
+pub trait RecordFeed: 'static {
+    type Value;
+
+    /// The newest record of each key. The end is read before the records.
+    fn newest(&mut self) -> impl Future<Output = Result<Newest<Self::Value>, FeedError>>;
+
+    /// The records from an offset on; waits up to `wait` for the first one.
+    fn changes(
+        &mut self,
+        from: Offset,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes<Self::Value>, FeedError>>;
+}
+
+/// All keys of a log.
+#[derive(Debug)]
+pub struct Newest<V> {
+    pub records: Vec<Record<V>>,
+    /// Records from this offset on may be missing from the listing.
+    pub end: Offset,
+}
+
+/// Records that follow each other in a log.
+#[derive(Debug)]
+pub struct Changes<V> {
+    pub records: Vec<Record<V>>,
+    /// Offset after the last record returned.
+    pub next: Offset,
+    /// Offset after the last record of the log.
+    pub end: Offset,
+}
+
+#[derive(Debug)]
+pub enum Record<V> {
+    Value { key: Box<str>, value: V },
+    /// The key has no value any more.
+    Removed { key: Box<str> },
+    /// The content has not the form of a value.
+    Unreadable { key: Box<str>, reason: Box<str> },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FeedError {
+    /// The records at this offset were deleted.
+    Expired,
+    /// The store gave no usable answer.
+    Unavailable(Box<str>),
+}
+
+impl fmt::Display for FeedError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FeedError::Expired => f.write_str("records expired"),
+            FeedError::Unavailable(reason) => f.write_str(reason),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http1/connection.rs
@@ -0,0 +1,84 @@
+use {
+    socket2::{SockRef, TcpKeepalive},
+    std::{cell::RefCell, io, time::Duration},
+    tokio::net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+};
+
+/// Size of the read buffer that all connections of the thread share, in bytes.
+const READ_BUFFER_BYTES: usize = 16_384;
+/// Silence on a connection before the kernel probes the peer.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Pause between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which the connection is broken.
+const KEEPALIVE_PROBES: u32 = 2;
+
+thread_local! {
+    static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BUFFER_BYTES]);
+}
+
+/// A TCP connection with the bytes that were received and not yet used.
+pub(crate) struct Connection {
+    pub(crate) reader: OwnedReadHalf,
+    pub(crate) writer: OwnedWriteHalf,
+    pub(crate) input: Vec<u8>,
+}
+
+impl Connection {
+    pub(crate) fn new(stream: TcpStream) -> Connection {
+        let (reader, writer) = stream.into_split();
+        Connection { reader, writer, input: Vec::new() }
+    }
+
+    /// Receives more bytes; 0 means that the peer closed its side.
+    pub(crate) async fn read_more(&mut self) -> io::Result<usize> {
+        read_into(&mut self.reader, &mut self.input).await
+    }
+
+    /// Whether an idle connection is still open and has nothing unread.
+    pub(crate) fn is_clean(&self) -> bool {
+        let mut byte = [0];
+        self.input.is_empty()
+            && matches!(
+                self.reader.try_read(&mut byte),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock
+            )
+    }
+}
+
+/// Appends received bytes to `input`. The buffer is shared, so a waiting
+/// connection holds no memory for reading.
+pub(crate) async fn read_into(
+    reader: &mut OwnedReadHalf,
+    input: &mut Vec<u8>,
+) -> io::Result<usize> {
+    loop {
+        reader.readable().await?;
+        let result = READ_BUFFER.with_borrow_mut(|buffer| {
+            let length = reader.try_read(buffer)?;
+            input.extend_from_slice(&buffer[..length]);
+            Ok(length)
+        });
+        match result {
+            Err(e) if io::Error::kind(&e) == io::ErrorKind::WouldBlock => {}
+            result => return result,
+        }
+    }
+}
+
+/// Breaks the connection when sent bytes stay unacknowledged for this long, and
+/// probes a silent peer, so that a lost host is noticed.
+pub(crate) fn set_user_timeout(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(timeout))?;
+    socket.set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(KEEPALIVE_IDLE)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_PROBES),
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/http1/request_head.rs
@@ -0,0 +1,68 @@
+use super::{
+    body_framing::BodyFraming, head_error::HeadError, headers::Headers, response_head::MAX_HEADERS,
+};
+
+/// Request line and headers.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    pub method: Box<str>,
+    pub target: Box<str>,
+    pub headers: Headers,
+    pub framing: BodyFraming,
+    pub keeps_alive: bool,
+}
+
+impl RequestHead {
+    /// Takes a head from the start of the bytes; nothing while it is not whole.
+    pub fn take(
+        input: &mut Vec<u8>,
+        max_bytes: usize,
+    ) -> Result<Option<RequestHead>, HeadError> {
+        let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut request = httparse::Request::new(&mut parsed);
+        let length = match request.parse(input) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) if input.len() > max_bytes => {
+                return Err(HeadError::TooLarge);
+            }
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
+            Err(_) => return Err(HeadError::Malformed),
+        };
+        if length > max_bytes {
+            return Err(HeadError::TooLarge);
+        }
+        let is_1_1 = request.version == Some(1);
+        let headers = Headers::from_parsed(request.headers);
+        let (Some(method), Some(target)) = (request.method, request.path) else {
+            return Err(HeadError::Malformed);
+        };
+        let head = RequestHead {
+            method: method.into(),
+            target: target.into(),
+            framing: BodyFraming::of_request(&headers)?,
+            keeps_alive: if is_1_1 {
+                !headers.has_token("connection", "close")
+            } else {
+                headers.has_token("connection", "keep-alive")
+            },
+            headers,
+        };
+        input.drain(..length);
+        Ok(Some(head))
+    }
+
+    /// The path without its query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// The host name without a port.
+    pub fn host_name(&self) -> Option<&str> {
+        let value = self.headers.only("host")?;
+        Some(match value.rsplit_once(':') {
+            Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+            _ => value,
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http1/response_head.rs
@@ -0,0 +1,58 @@
+use super::{body_framing::BodyFraming, head_error::HeadError, headers::Headers};
+
+/// Most header lines of a message.
+pub(super) const MAX_HEADERS: usize = 64;
+/// Longest head of a response, in bytes.
+const MAX_RESPONSE_HEAD_BYTES: usize = 65_536;
+
+/// Status line and headers.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    pub status: u16,
+    pub reason: Box<str>,
+    pub headers: Headers,
+    pub framing: BodyFraming,
+    pub keeps_alive: bool,
+}
+
+impl ResponseHead {
+    /// Takes a head from the start of the bytes; nothing while it is not whole.
+    /// Interim responses (1xx) are passed over.
+    pub fn take(input: &mut Vec<u8>, method: &str) -> Result<Option<ResponseHead>, HeadError> {
+        loop {
+            let Some(head) = take_one(input, method)? else { return Ok(None) };
+            if head.status >= 200 {
+                return Ok(Some(head));
+            }
+        }
+    }
+}
+
+fn take_one(input: &mut Vec<u8>, method: &str) -> Result<Option<ResponseHead>, HeadError> {
+    let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut parsed);
+    let length = match response.parse(input) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if input.len() > MAX_RESPONSE_HEAD_BYTES => {
+            return Err(HeadError::TooLarge);
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(HeadError::Malformed),
+    };
+    let Some(status) = response.code else { return Err(HeadError::Malformed) };
+    let is_1_1 = response.version == Some(1);
+    let reason = response.reason.unwrap_or_default().into();
+    let headers = Headers::from_parsed(response.headers);
+    let framing = BodyFraming::of_response(method, status, &headers)?;
+    let head = ResponseHead {
+        status,
+        reason,
+        framing,
+        keeps_alive: is_1_1
+            && framing != BodyFraming::UntilClose
+            && !headers.has_token("connection", "close"),
+        headers,
+    };
+    input.drain(..length);
+    Ok(Some(head))
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,34 @@
+//! Request path of a router on a small host.
+//!
+//! One thread serves all connections of the process, one task each. What the
+//! platform says and how it says it is behind two traits: `Protocol` (callers and
+//! endpoints) and `RecordFeed` (configuration and endpoint records).
+
+mod callers;
+mod clock;
+mod config;
+mod dispatch;
+mod endpoints;
+mod followers;
+mod http1;
+mod placement;
+mod retry;
+mod server;
+mod settings;
+mod telemetry;
+
+pub use {
+    callers::{CallerRequest, PromptPrefix, Protocol, RequestError},
+    config::{ApiKey, CallerLimits, RequestKind, Route, RoutingConfig, Service, ServiceShare, Team},
+    dispatch::{AnswerMeta, EndpointRequest},
+    endpoints::{EndpointId, EndpointRecord, EndpointState, LoadReport},
+    followers::{Changes, FeedError, Newest, Offset, Record, RecordFeed},
+    http1::{
+        BodyDecoder, BodyFraming, ClientConnection, FramingError, HeadError, Header, Headers,
+        RequestHead, ResponseHead,
+    },
+    placement::{Candidate, PlacementRequest, choose_endpoint},
+    retry::{AttemptHistory, NextStep, RetryBudget, RetryRule, SendOutcome, next_step},
+    server::run,
+    settings::{Bounds, GatewaySettings, load_settings},
+};
--- /dev/null
+++ b/crates/gateway/src/placement/choose.rs
@@ -0,0 +1,124 @@
+//! Chooses an endpoint for one request from what this router knows alone.
+//!
+//! Load pattern: many routers see a part of the traffic each, a prefix gets a large
+//! share of it for seconds (hot key), some endpoints are slow or fail a part of
+//! their requests. Requests with one prefix go to the first endpoint of the prefix's
+//! order that is neither overloaded nor unhealthy, so that its cache is reused and a
+//! hot prefix spreads to as many endpoints as its load needs.
+
+use {
+    super::candidate::{Candidate, PlacementRequest},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// An endpoint takes requests of its prefixes up to this multiple of the mean load,
+const MAX_LOAD_FACTOR: f64 = 1.3;
+/// plus this many requests, which lets small loads stay together.
+const LOAD_ALLOWANCE: f64 = 2.0;
+/// Endpoints that fail more of their requests than this are used last.
+const MAX_FAILURE_SHARE: f64 = 0.2;
+/// Endpoints slower than this multiple of the median are used last.
+const MAX_SLOWNESS: f64 = 2.5;
+/// Cost of a failed request, in requests that wait.
+const FAILURE_COST: f64 = 12.0;
+/// Cost of another availability zone, in requests that wait.
+const ZONE_COST: f64 = 0.3;
+
+/// Index of the endpoint to send to; nothing if no candidate may be used.
+pub fn choose_endpoint(
+    request: &PlacementRequest,
+    candidates: &[Candidate<'_>],
+) -> Option<usize> {
+    let usable: Vec<usize> = usable(candidates);
+    let costs = Costs::new(candidates, &usable);
+    if let Some(prefix) = request.prefix_hash
+        && let Some(warm) = first_with_room(prefix, candidates, &usable, &costs)
+    {
+        return Some(warm);
+    }
+    usable
+        .into_iter()
+        .map(|index| (costs.cost(&candidates[index], request.tie_breaker), index))
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, index)| index)
+}
+
+/// Untried endpoints first; a paused one only if there is no other.
+fn usable(candidates: &[Candidate<'_>]) -> Vec<usize> {
+    let select = |accept: &dyn Fn(&Candidate<'_>) -> bool| -> Vec<usize> {
+        (0..candidates.len()).filter(|&index| accept(&candidates[index])).collect()
+    };
+    let fresh = select(&|c| !c.is_excluded && !c.is_paused);
+    if !fresh.is_empty() {
+        return fresh;
+    }
+    let untried = select(&|c| !c.is_excluded);
+    if !untried.is_empty() {
+        return untried;
+    }
+    select(&|c| !c.is_paused)
+}
+
+fn first_with_room(
+    prefix: u64,
+    candidates: &[Candidate<'_>],
+    usable: &[usize],
+    costs: &Costs,
+) -> Option<usize> {
+    usable
+        .iter()
+        .filter(|&&index| costs.has_room(&candidates[index]))
+        .map(|&index| (xxh3_64_with_seed(candidates[index].id.as_bytes(), prefix), index))
+        .max()
+        .map(|(_, index)| index)
+}
+
+struct Costs {
+    max_requests: f64,
+    median_latency_ms: f64,
+}
+
+impl Costs {
+    fn new(candidates: &[Candidate<'_>], usable: &[usize]) -> Costs {
+        let total: f64 = usable.iter().map(|&index| candidates[index].requests).sum();
+        let mean = total / usable.len().max(1) as f64;
+        let mut latencies: Vec<f64> = usable
+            .iter()
+            .map(|&index| candidates[index].latency_ms)
+            .filter(|latency| *latency > 0.0)
+            .collect();
+        latencies.sort_by(f64::total_cmp);
+        Costs {
+            max_requests: mean * MAX_LOAD_FACTOR + LOAD_ALLOWANCE,
+            median_latency_ms: latencies.get(latencies.len() / 2).copied().unwrap_or(0.0),
+        }
+    }
+
+    /// How slow an endpoint is, by its own report and by its answers against the median.
+    fn slowness(&self, candidate: &Candidate<'_>) -> f64 {
+        let observed = if candidate.latency_ms > 0.0 && self.median_latency_ms > 0.0 {
+            candidate.latency_ms / self.median_latency_ms
+        } else {
+            1.0
+        };
+        observed.max(candidate.slowness).clamp(0.5, 20.0)
+    }
+
+    fn has_room(&self, candidate: &Candidate<'_>) -> bool {
+        candidate.requests < self.max_requests.min(f64::from(candidate.slots))
+            && candidate.waiting <= 1
+            && candidate.failure_share <= MAX_FAILURE_SHARE
+            && self.slowness(candidate) <= MAX_SLOWNESS
+    }
+
+    fn cost(&self, candidate: &Candidate<'_>, tie_breaker: u64) -> f64 {
+        let load = candidate.requests + f64::from(candidate.waiting) + 1.0;
+        let zone = if candidate.is_same_zone { 0.0 } else { ZONE_COST };
+        // below one request, so that it only orders endpoints of about the same load
+        let tie = xxh3_64_with_seed(candidate.id.as_bytes(), tie_breaker) as f64 / u64::MAX as f64;
+        load * self.slowness(candidate)
+            + FAILURE_COST * candidate.failure_share
+            + zone
+            + 0.5 * tie
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/retry/mod.rs
@@ -0,0 +1,7 @@
+mod budget;
+mod rule;
+
+pub use {
+    budget::RetryBudget,
+    rule::{AttemptHistory, NextStep, RetryRule, SendOutcome, next_step},
+};
--- /dev/null
+++ b/crates/gateway/src/server/gateway.rs
@@ -0,0 +1,123 @@
+use {
+    super::stop_state::StopState,
+    crate::{
+        callers::Protocol,
+        clock::BootInstant,
+        config::{CallerLimits, ConfigState},
+        endpoints::Directory,
+        retry::RetryBudget,
+        settings::GatewaySettings,
+        telemetry::GatewayMetrics,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        rc::Rc,
+        time::Instant,
+    },
+};
+
+/// A fleet of more routers than this spends more than its allowance of repeats only
+/// if all of them use up their shares within one window.
+const ALLOWANCE_SHARES: f64 = 24.0;
+/// Part of the fleet's ratio that a router spends, for requests that it has counted
+/// and that the fleet's window no longer holds.
+const RATIO_SHARE: f64 = 0.9;
+/// Part of the revocation time after which unconfirmed keys are refused; the rest
+/// covers an answer of the store that was on its way.
+const CONFIRMATION_SHARE: f64 = 0.7;
+
+/// State that all connections of the process share.
+pub(crate) struct Gateway<P> {
+    pub(crate) protocol: P,
+    pub(crate) settings: GatewaySettings,
+    pub(crate) config: Rc<ConfigState>,
+    pub(crate) directory: Rc<Directory>,
+    pub(crate) metrics: Rc<GatewayMetrics>,
+    pub(crate) stop: StopState,
+    budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
+    connections: Rc<Cell<u32>>,
+}
+
+impl<P: Protocol> Gateway<P> {
+    pub(crate) fn new(protocol: P, settings: GatewaySettings) -> Gateway<P> {
+        let max_age = settings.bounds.key_revocation().mul_f64(CONFIRMATION_SHARE);
+        Gateway {
+            protocol,
+            settings,
+            config: Rc::new(ConfigState::new(max_age)),
+            directory: Rc::default(),
+            metrics: Rc::new(GatewayMetrics::new()),
+            stop: StopState::new(),
+            budgets: RefCell::default(),
+            connections: Rc::default(),
+        }
+    }
+
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        self.config.current().map(|config| config.limits).unwrap_or_default()
+    }
+
+    /// Whether the balancer is to send new connections here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let is_confirmed = !self.settings.bounds.refuses_unconfirmed_keys
+            || self.config.is_confirmed(BootInstant::now());
+        !self.stop.is_stopping()
+            && self.config.current().is_some()
+            && is_confirmed
+            && self.directory.len() > 0
+    }
+
+    pub(crate) fn count_request(&self, service: &Rc<str>) {
+        self.with_budget(service, |budget, now| budget.count_request(now));
+    }
+
+    /// Takes one repeat from the service's retry budget, if it has one left.
+    pub(crate) fn take_repeat(&self, service: &Rc<str>) -> bool {
+        let is_taken = self.with_budget(service, RetryBudget::take_repeat);
+        if !is_taken {
+            self.metrics.repeats_refused.inc();
+        }
+        is_taken
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &Rc<str>,
+        action: impl FnOnce(&mut RetryBudget, Instant) -> T,
+    ) -> T {
+        let bounds = &self.settings.bounds;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            RetryBudget::new(
+                bounds.retry_budget_ratio * RATIO_SHARE,
+                (bounds.retry_budget_allowance / ALLOWANCE_SHARES) as u32,
+                bounds.retry_budget_window(),
+            )
+        });
+        action(budget, Instant::now())
+    }
+
+    pub(crate) fn connection_count(&self) -> u32 {
+        self.connections.get()
+    }
+
+    /// Counts a caller's connection until the guard is dropped.
+    pub(crate) fn count_connection(&self) -> OpenConnection {
+        self.connections.set(self.connections.get() + 1);
+        self.metrics.caller_connections.inc();
+        OpenConnection { connections: self.connections.clone(), metrics: self.metrics.clone() }
+    }
+}
+
+pub(crate) struct OpenConnection {
+    connections: Rc<Cell<u32>>,
+    metrics: Rc<GatewayMetrics>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.connections.set(self.connections.get() - 1);
+        self.metrics.caller_connections.dec();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server/listeners.rs
@@ -0,0 +1,61 @@
+use {
+    crate::{
+        callers::{Protocol, serve_caller},
+        server::Gateway,
+        settings::GatewaySettings,
+        telemetry::event,
+    },
+    anyhow::{Context, Result},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{net::TcpListener, task::spawn_local, time::sleep},
+};
+
+/// Pause after a failed accept, for instance without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Descriptors left for endpoints, the store, files and the side addresses.
+const RESERVED_FILES: u32 = 400;
+
+/// Sockets on which a process listens.
+pub(super) struct Listeners {
+    pub(super) callers: TcpListener,
+    pub(super) ready: TcpListener,
+    pub(super) metrics: Option<TcpListener>,
+}
+
+impl Listeners {
+    pub(super) async fn bind(settings: &GatewaySettings) -> Result<Listeners> {
+        let metrics = match settings.metrics_address {
+            Some(address) => Some(bind("metrics_address", address).await?),
+            None => None,
+        };
+        Ok(Listeners {
+            callers: bind("callers_address", settings.callers_address).await?,
+            ready: bind("ready_address", settings.ready_address).await?,
+            metrics,
+        })
+    }
+}
+
+async fn bind(field: &str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("{field} {address}"))
+}
+
+/// Accepts callers' connections while the process runs.
+pub(super) async fn accept_callers<P: Protocol>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
+    let max_connections = gateway.settings.max_open_files.saturating_sub(RESERVED_FILES).max(32);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if gateway.connection_count() < max_connections => {
+                spawn_local(serve_caller(gateway.clone(), stream));
+            }
+            Ok((stream, from)) => {
+                event!("connection_refused", "from={from} open={}", gateway.connection_count());
+                drop(stream);
+            }
+            Err(error) => {
+                event!("accept_failed", "reason={:?}", error.to_string());
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings/mod.rs
@@ -0,0 +1,7 @@
+mod gateway_settings;
+mod load;
+
+pub use {
+    gateway_settings::{Bounds, GatewaySettings},
+    load::load_settings,
+};
--- /dev/null
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -0,0 +1,133 @@
+use {
+    prometheus_client::{
+        encoding::{EncodeLabelSet, text::encode},
+        metrics::{
+            counter::Counter,
+            family::Family,
+            gauge::Gauge,
+            histogram::{Histogram, exponential_buckets},
+        },
+        registry::Registry,
+    },
+    std::fmt,
+};
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct RequestLabels {
+    pub(crate) kind: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct SendLabels {
+    pub(crate) outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct KindLabels {
+    pub(crate) kind: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct FeedLabels {
+    pub(crate) feed: &'static str,
+    pub(crate) result: &'static str,
+}
+
+/// Counters, gauges and histograms of a process.
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    sends: Family<SendLabels, Counter>,
+    latency_s: Family<KindLabels, Histogram>,
+    feed_calls: Family<FeedLabels, Counter>,
+    pub(crate) new_endpoint_connections: Counter,
+    pub(crate) repeats_refused: Counter,
+    pub(crate) caller_connections: Gauge,
+    pub(crate) config_version: Gauge,
+    pub(crate) config_age_ms: Gauge,
+    pub(crate) endpoints: Gauge,
+}
+
+impl GatewayMetrics {
+    pub(crate) fn new() -> GatewayMetrics {
+        let mut metrics = GatewayMetrics {
+            registry: Registry::with_prefix("mangobridge"),
+            requests: Family::default(),
+            sends: Family::default(),
+            latency_s: Family::new_with_constructor(|| {
+                Histogram::new(exponential_buckets(0.004, 2.0, 14))
+            }),
+            feed_calls: Family::default(),
+            new_endpoint_connections: Counter::default(),
+            repeats_refused: Counter::default(),
+            caller_connections: Gauge::default(),
+            config_version: Gauge::default(),
+            config_age_ms: Gauge::default(),
+            endpoints: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests of callers by outcome", self.requests.clone());
+        registry.register("endpoint_sends", "Sends to endpoints by outcome", self.sends.clone());
+        registry.register(
+            "request_latency_seconds",
+            "Time to the answer, or to the first event of a stream",
+            self.latency_s.clone(),
+        );
+        registry.register("store_calls", "Calls to the store by result", self.feed_calls.clone());
+        registry.register(
+            "endpoint_connections_opened",
+            "Connections opened to endpoints",
+            self.new_endpoint_connections.clone(),
+        );
+        registry.register(
+            "repeats_refused",
+            "Repeats that the retry budget did not allow",
+            self.repeats_refused.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.caller_connections.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+        registry.register(
+            "config_confirmation_age_ms",
+            "Time since the store confirmed the configuration",
+            self.config_age_ms.clone(),
+        );
+        registry.register("endpoints", "Endpoints known", self.endpoints.clone());
+    }
+
+    pub(crate) fn request_ended(&self, kind: &'static str, outcome: &'static str) {
+        self.requests.get_or_create(&RequestLabels { kind, outcome }).inc();
+    }
+
+    pub(crate) fn send_ended(&self, outcome: &'static str) {
+        self.sends.get_or_create(&SendLabels { outcome }).inc();
+    }
+
+    pub(crate) fn answered_after(&self, kind: &'static str, seconds: f64) {
+        self.latency_s.get_or_create(&KindLabels { kind }).observe(seconds);
+    }
+
+    pub(crate) fn feed_called(&self, feed: &'static str, result: &'static str) {
+        self.feed_calls.get_or_create(&FeedLabels { feed, result }).inc();
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub(crate) fn encode(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/telemetry/start_logging.rs
@@ -0,0 +1,20 @@
+use {
+    super::bounded_writer::BoundedWriter,
+    anyhow::{Context, Result},
+    flexi_logger::{Logger, LoggerHandle},
+};
+
+/// Keeps logging running until it is dropped.
+pub(crate) struct LogGuard(#[expect(dead_code, reason = "held for its drop")] LoggerHandle);
+
+/// Starts logging to standard output with one line per event. `spec` is a
+/// flexi_logger specification such as `info`.
+pub(crate) fn start_logging(spec: &str) -> Result<LogGuard> {
+    let writer = BoundedWriter::spawn().context("log thread")?;
+    let handle = Logger::try_with_str(spec)
+        .with_context(|| format!("log_spec {spec:?}"))?
+        .log_to_writer(Box::new(writer))
+        .start()
+        .context("logger")?;
+    Ok(LogGuard(handle))
+}
--- a/crates/router/src/app/args.rs
+++ b/crates/router/src/app/args.rs
@@ -1,5 +1,5 @@
 use {
-    crate::settings::load_settings, anyhow::Result, clap::Parser, mango_wire::settings::Settings,
+    crate::settings::load_settings, anyhow::{Context, Result}, clap::Parser, mango_wire::settings::Settings,
     std::path::PathBuf,
 };
 
@@ -9,12 +9,16 @@
     name = "mangobridge",
     version,
     after_help = "Examples:\n  mangobridge --settings /etc/mangobridge/settings.json\n  \
-                  mangobridge --settings settings.json --check"
+                  mangobridge --settings settings.json --check\n  \
+                  mangobridge --on-platform"
 )]
 pub(crate) struct Args {
     /// Settings file (JSON), see docs/operations/settings.md.
-    #[arg(short, long, value_name = "FILE")]
-    pub(crate) settings: PathBuf,
+    #[arg(short, long, value_name = "FILE", required_unless_present = "on_platform")]
+    pub(crate) settings: Option<PathBuf>,
+    /// Serve on the users' platform; without --settings, the platform names the file.
+    #[arg(long)]
+    pub(crate) on_platform: bool,
     /// Check the settings file and exit.
     #[arg(long)]
     pub(crate) check: bool,
@@ -23,6 +27,6 @@
 impl Args {
     /// Loads and checks the settings file.
     pub(crate) fn load_settings(&self) -> Result<Settings> {
-        load_settings(&self.settings)
+        load_settings(self.settings.as_deref().context("--settings is missing")?)
     }
 }
--- a/crates/router/src/app/run.rs
+++ b/crates/router/src/app/run.rs
@@ -17,6 +17,9 @@
 /// Runs the router until a signal or an operator asks for a planned stop.
 pub fn run() -> Result<()> {
     let args = Args::parse();
+    if args.on_platform {
+        return mango_platform::run(args.settings.as_deref(), args.check);
+    }
     let settings = args.load_settings()?;
     if args.check {
         return Ok(());
