Relay the store's records within a zone and share loads between hosts

Change: one host a zone reads the store and relays records and confirmations; hosts report their requests to it every 200 ms and get the others' sums.

--- a/crates/gateway/src/callers/caller_sink.rs
+++ b/crates/gateway/src/callers/caller_sink.rs
@@ -49,10 +49,6 @@
         self.state == State::Complete && !self.closes
     }
 
-    pub(crate) fn set_closing(&mut self) {
-        self.closes = true;
-    }
-
     /// Passes a whole answer of an endpoint on.
     pub(crate) async fn send_whole(&mut self, head: &ResponseHead, body: &[u8]) -> io::Result<()> {
         let mut output = Vec::with_capacity(512 + body.len());
--- a/crates/gateway/src/clock/boot_instant.rs
+++ b/crates/gateway/src/clock/boot_instant.rs
@@ -22,6 +22,18 @@
         }
     }
 
+    pub(crate) fn from_millis(ms: u64) -> BootInstant {
+        BootInstant(Duration::from_millis(ms))
+    }
+
+    pub(crate) fn as_millis(self) -> u64 {
+        self.0.as_millis() as u64
+    }
+
+    pub(crate) fn checked_sub(self, duration: Duration) -> Option<BootInstant> {
+        self.0.checked_sub(duration).map(BootInstant)
+    }
+
     pub(crate) fn saturating_duration_since(self, earlier: BootInstant) -> Duration {
         self.0.saturating_sub(earlier.0)
     }
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -119,7 +119,11 @@
                 let (health, load) = (endpoint.health.get(), endpoint.load.get());
                 Candidate {
                     id: &record.id,
-                    requests: load.requests(endpoint.in_flight(), now),
+                    requests: load.requests(
+                        endpoint.in_flight(),
+                        self.gateway.peers.others_at(&record.id),
+                        now,
+                    ),
                     waiting: load.waiting(now),
                     slots: record.slots,
                     slowness: load.slowness(now),
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -4,6 +4,7 @@
         endpoint_record::{EndpointId, EndpointRecord, EndpointState},
     },
     crate::telemetry::event,
+    mango_wire::gossip::EndpointLoad,
     std::{
         cell::RefCell,
         collections::{BTreeMap, HashMap},
@@ -22,18 +23,19 @@
 
 impl Directory {
     /// Applies a record of an endpoint. Older news than what is known is ignored.
-    pub(crate) fn upsert(&self, record: EndpointRecord) {
+    /// Returns whether more than the record's sequence changed.
+    pub(crate) fn upsert(&self, record: EndpointRecord) -> bool {
         self.missing_until.borrow_mut().remove(&record.id);
         let mut by_id = self.by_id.borrow_mut();
         let Some(known) = by_id.get(&record.id) else {
             event!("endpoint_added", "endpoint={} service={} address={} zone={} state={} sequence={}", record.id, record.service, record.address, record.zone, record.state, record.sequence);
             by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record)));
-            return;
+            return true;
         };
         let is_replaced = {
             let current = known.record.borrow();
             if record.is_older_than(&current) {
-                return;
+                return false;
             }
             record.is_restart_of(&current)
                 || record.address != current.address
@@ -43,30 +45,33 @@
             event!("endpoint_restarted", "endpoint={} service={} address={} state={} sequence={}", record.id, record.service, record.address, record.state, record.sequence);
             known.set_leaving();
             by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record)));
-            return;
+            return true;
         }
-        if record.state == EndpointState::Draining && !known.is_leaving() {
+        let starts_draining = record.state == EndpointState::Draining && !known.is_leaving();
+        if starts_draining {
             event!("endpoint_draining", "endpoint={} service={} sequence={}", record.id, record.service, record.sequence);
             known.set_leaving();
         }
         known.record.replace(record);
+        starts_draining
     }
 
     /// Removes an endpoint whose record is gone. With a time, it stays in use until
-    /// then: its record may only have lapsed while the store was away.
-    pub(crate) fn remove(&self, id: &str, keep_until: Option<Instant>) {
+    /// then: its record may only have lapsed while the store was away. Returns
+    /// whether the endpoint was known.
+    pub(crate) fn remove(&self, id: &str, keep_until: Option<Instant>) -> bool {
         if let Some(until) = keep_until
             && let Some((id, endpoint)) = self.by_id.borrow().get_key_value(id)
             && !endpoint.is_leaving()
         {
             self.missing_until.borrow_mut().entry(id.clone()).or_insert(until);
-            return;
-        }
-        if let Some(endpoint) = self.by_id.borrow_mut().remove(id) {
-            event!("endpoint_gone", "endpoint={id} service={}", endpoint.record.borrow().service);
-            endpoint.set_leaving();
+            return true;
         }
         self.missing_until.borrow_mut().remove(id);
+        let Some(endpoint) = self.by_id.borrow_mut().remove(id) else { return false };
+        event!("endpoint_gone", "endpoint={id} service={}", endpoint.record.borrow().service);
+        endpoint.set_leaving();
+        true
     }
 
     /// Makes the directory equal to a whole listing.
@@ -86,8 +91,9 @@
         }
     }
 
-    /// Drops endpoints whose time to come back is over, and connections past their use.
-    pub(crate) fn expire(&self, now: Instant) {
+    /// Drops endpoints whose time to come back is over, and connections past their
+    /// use. Returns when the next endpoint is due.
+    pub(crate) fn expire(&self, now: Instant) -> Option<Instant> {
         let expired: Vec<EndpointId> = self
             .missing_until
             .borrow()
@@ -101,6 +107,20 @@
         for endpoint in self.by_id.borrow().values() {
             endpoint.prune_idle(now);
         }
+        self.missing_until.borrow().values().min().copied()
+    }
+
+    /// Requests of this process at each endpoint that has any.
+    pub(crate) fn loads(&self, hash: impl Fn(&str) -> u32) -> Vec<EndpointLoad> {
+        self.by_id
+            .borrow()
+            .iter()
+            .filter(|(_, endpoint)| endpoint.in_flight() > 0)
+            .map(|(id, endpoint)| EndpointLoad {
+                endpoint: hash(id),
+                requests: endpoint.in_flight(),
+            })
+            .collect()
     }
 
     /// Endpoints of a service that take new work.
--- a/crates/gateway/src/endpoints/load_estimate.rs
+++ b/crates/gateway/src/endpoints/load_estimate.rs
@@ -29,8 +29,12 @@
         self.in_flight_at_report = in_flight;
     }
 
-    /// Requests at the endpoint, of all routers.
-    pub(crate) fn requests(&self, in_flight: u32, now: Instant) -> f64 {
+    /// Requests at the endpoint, of all routers. `others` is what the other routers
+    /// told; without it the last report of the endpoint is used.
+    pub(crate) fn requests(&self, in_flight: u32, others: Option<u32>, now: Instant) -> f64 {
+        if let Some(others) = others {
+            return f64::from(in_flight) + f64::from(others);
+        }
         let Some(report) = self.valid_report(now) else { return f64::from(in_flight) };
         let reported = f64::from(report.running + report.waiting);
         let since = f64::from(in_flight) - f64::from(self.in_flight_at_report);
--- /dev/null
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -0,0 +1,97 @@
+use {
+    super::{
+        record_feed::RawRecord,
+        record_sink::{Decode, RecordSink},
+    },
+    crate::{
+        clock::BootInstant,
+        config::{ConfigState, RoutingConfig},
+        peers::FeedKind,
+        telemetry::{GatewayMetrics, event},
+    },
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Keeps the configuration in force.
+pub(crate) struct ConfigSink {
+    state: Rc<ConfigState>,
+    decode: Decode<Rc<RoutingConfig>>,
+    metrics: Rc<GatewayMetrics>,
+    /// The newest record could be read, so that a confirmation holds for it.
+    is_readable: bool,
+}
+
+impl ConfigSink {
+    pub(crate) fn new(
+        state: Rc<ConfigState>,
+        decode: Decode<Rc<RoutingConfig>>,
+        metrics: Rc<GatewayMetrics>,
+    ) -> ConfigSink {
+        ConfigSink { state, decode, metrics, is_readable: false }
+    }
+
+    fn take(&self, config: Rc<RoutingConfig>, offset: u64) -> bool {
+        let (version, routes, known) = (config.version, config.route_count(), self.state.version());
+        let is_taken = self.state.offer(config);
+        if is_taken {
+            event!(
+                "config_applied",
+                "version={version} routes={routes} previous={known} offset={offset}"
+            );
+            self.metrics.config_version.set(version as i64);
+        } else if version < known {
+            event!("config_ignored", "version={version} in_force={known} offset={offset}");
+        }
+        is_taken
+    }
+}
+
+impl RecordSink for ConfigSink {
+    const KIND: FeedKind = FeedKind::Config;
+
+    /// Each empty answer confirms the configuration, so this stays well under the
+    /// time in which revoked keys must go.
+    const POLL_WAIT: Duration = Duration::from_millis(1_400);
+
+    const POLL_PAUSE: Duration = Duration::ZERO;
+
+    fn replace_all(&mut self, records: &[RawRecord]) {
+        for record in records {
+            self.apply(record);
+        }
+    }
+
+    fn apply(&mut self, record: &RawRecord) -> bool {
+        let (key, offset) = (&record.key, record.offset);
+        if record.value.is_empty() {
+            event!("config_record_removed", "key={key:?} offset={offset}");
+            return false;
+        }
+        match (self.decode)(key, &record.value) {
+            Ok(config) => {
+                self.is_readable = true;
+                self.take(config, offset)
+            }
+            Err(reason) => {
+                self.is_readable = false;
+                event!("config_record_unreadable", "key={key:?} offset={offset} reason={reason:?}");
+                false
+            }
+        }
+    }
+
+    fn confirmed(&mut self, at: BootInstant) {
+        if self.is_readable {
+            self.state.confirm(at);
+        }
+    }
+
+    fn store_returned(&mut self, _away: Duration, _records: usize) {}
+
+    fn expire(&mut self, _now: Instant) -> Option<Instant> {
+        None
+    }
+}
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -1,7 +1,14 @@
-mod config_follower;
-mod endpoint_follower;
+mod config_sink;
+mod endpoint_sink;
 mod feed_health;
+mod follower;
 mod record_feed;
+mod record_sink;
 
-pub(crate) use {config_follower::follow_config, endpoint_follower::follow_endpoints};
-pub use record_feed::{Changes, FeedError, Newest, Offset, Record, RecordFeed};
+pub(crate) use {
+    config_sink::ConfigSink, endpoint_sink::EndpointSink, follower::Follower,
+};
+pub use {
+    record_feed::{Changes, FeedError, Newest, Offset, RawRecord, RecordFeed},
+    record_sink::Decode,
+};
--- a/crates/gateway/src/followers/record_feed.rs
+++ b/crates/gateway/src/followers/record_feed.rs
@@ -5,44 +5,42 @@
 
 /// A log of keyed records in the platform's store.
 pub trait RecordFeed: 'static {
-    type Value;
-
     /// The newest record of each key. The end is read before the records.
-    fn newest(&mut self) -> impl Future<Output = Result<Newest<Self::Value>, FeedError>>;
+    fn newest(&mut self) -> impl Future<Output = Result<Newest, FeedError>>;
 
     /// The records from an offset on; waits up to `wait` for the first one.
     fn changes(
         &mut self,
         from: Offset,
         wait: Duration,
-    ) -> impl Future<Output = Result<Changes<Self::Value>, FeedError>>;
+    ) -> impl Future<Output = Result<Changes, FeedError>>;
 }
 
 /// All keys of a log.
 #[derive(Debug)]
-pub struct Newest<V> {
-    pub records: Vec<Record<V>>,
+pub struct Newest {
+    pub records: Vec<RawRecord>,
     /// Records from this offset on may be missing from the listing.
     pub end: Offset,
 }
 
 /// Records that follow each other in a log.
 #[derive(Debug)]
-pub struct Changes<V> {
-    pub records: Vec<Record<V>>,
-    /// Offset after the last record returned.
+pub struct Changes {
+    pub records: Vec<RawRecord>,
+    /// Offset after the last record read.
     pub next: Offset,
     /// Offset after the last record of the log.
     pub end: Offset,
 }
 
-#[derive(Debug)]
-pub enum Record<V> {
-    Value { key: Box<str>, value: V },
-    /// The key has no value any more.
-    Removed { key: Box<str> },
-    /// The content has not the form of a value.
-    Unreadable { key: Box<str>, reason: Box<str> },
+/// A record as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RawRecord {
+    pub offset: Offset,
+    pub key: Box<str>,
+    /// Empty if the key was removed.
+    pub value: Vec<u8>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod endpoints;
 mod followers;
 mod http1;
+mod peers;
 mod placement;
 mod retry;
 mod server;
@@ -22,13 +23,14 @@
     config::{ApiKey, CallerLimits, RequestKind, Route, RoutingConfig, Service, ServiceShare, Team},
     dispatch::{AnswerMeta, EndpointRequest},
     endpoints::{EndpointId, EndpointRecord, EndpointState, LoadReport},
-    followers::{Changes, FeedError, Newest, Offset, Record, RecordFeed},
+    followers::{Changes, Decode, FeedError, Newest, Offset, RawRecord, RecordFeed},
     http1::{
         BodyDecoder, BodyFraming, ClientConnection, FramingError, HeadError, Header, Headers,
         RequestHead, ResponseHead,
     },
+    peers::{HostRegistry, RegistryError},
     placement::{Candidate, PlacementRequest, choose_endpoint},
     retry::{AttemptHistory, NextStep, RetryBudget, RetryRule, SendOutcome, next_step},
-    server::run,
+    server::{PlatformAccess, run},
     settings::{Bounds, GatewaySettings, load_settings},
 };
--- /dev/null
+++ b/crates/gateway/src/peers/announcer.rs
@@ -0,0 +1,42 @@
+use {
+    super::{
+        host_registry::{HostRegistry, RegistryError},
+        peer_state::PeerState,
+    },
+    crate::telemetry::event,
+    rand::RngExt,
+    std::{rc::Rc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Pause after the registry gave no answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Leaves this host's address in the registry and reads the others'. The own record
+/// is written first, so that of two hosts that start together one finds the other.
+pub(crate) async fn announce<R: HostRegistry>(mut registry: R, state: Rc<PeerState>) {
+    loop {
+        match find_hosts(&mut registry, &state).await {
+            Ok(count) => {
+                event!("announced", "hosts={count}");
+                return;
+            }
+            Err(RegistryError(reason)) => {
+                event!("announce_failed", "reason={reason:?}");
+                sleep(RETRY_PAUSE.mul_f64(rand::rng().random_range(0.7..1.3))).await;
+            }
+        }
+    }
+}
+
+async fn find_hosts<R: HostRegistry>(
+    registry: &mut R,
+    state: &PeerState,
+) -> Result<usize, RegistryError> {
+    registry.announce(state.own()).await?;
+    let hosts = registry.hosts().await?;
+    for host in &hosts {
+        state.add_host(host);
+    }
+    Ok(hosts.len())
+}
--- /dev/null
+++ b/crates/gateway/src/peers/host_table.rs
@@ -0,0 +1,189 @@
+use {
+    super::{
+        load_sums::LoadSums,
+        relay_election::rank,
+    },
+    mango_wire::gossip::{EndpointLoad, HostRecord, LoadReport, ZoneLoads},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Reports older than this no longer count.
+const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Hosts that were not heard for this long are forgotten.
+const HOST_LIFETIME: Duration = Duration::from_secs(120);
+
+/// Other hosts, with what they reported last.
+#[derive(Debug, Default)]
+pub(super) struct HostTable {
+    hosts: BTreeMap<String, KnownHost>,
+    zones: BTreeMap<String, KnownZone>,
+}
+
+#[derive(Debug)]
+struct KnownHost {
+    zone: String,
+    gossip_address: SocketAddr,
+    heard_at: Instant,
+    report: Option<HostReport>,
+}
+
+#[derive(Debug)]
+struct HostReport {
+    received_at: Instant,
+    sent_at_ms: u64,
+    loads: Vec<EndpointLoad>,
+}
+
+/// Sums of another zone, from its relay.
+#[derive(Debug)]
+struct KnownZone {
+    relay_address: SocketAddr,
+    received_at: Instant,
+    hosts: u32,
+    loads: Vec<EndpointLoad>,
+}
+
+/// A host to which a status is due.
+pub(super) struct StatusTarget<'a> {
+    pub(super) address: SocketAddr,
+    pub(super) echo_ms: Option<u64>,
+    /// What the host itself reported, to be left out of its sums.
+    pub(super) own_loads: &'a [EndpointLoad],
+}
+
+impl HostTable {
+    /// Adds a host or renews its address. Returns whether the host is new.
+    pub(super) fn heard(&mut self, host: &HostRecord, now: Instant) -> bool {
+        let Ok(gossip_address) = host.gossip_address.parse() else { return false };
+        let known = self.hosts.get_mut(&host.host_id);
+        let is_new = known.is_none();
+        match known {
+            Some(known) => {
+                known.gossip_address = gossip_address;
+                known.heard_at = now;
+            }
+            None => {
+                let zone = host.zone.clone();
+                let known = KnownHost { zone, gossip_address, heard_at: now, report: None };
+                self.hosts.insert(host.host_id.clone(), known);
+            }
+        }
+        is_new
+    }
+
+    pub(super) fn add_report(&mut self, report: LoadReport, now: Instant) {
+        if let Some(known) = self.hosts.get_mut(&report.host.host_id) {
+            let LoadReport { sent_at_ms, loads, .. } = report;
+            known.report = Some(HostReport { received_at: now, sent_at_ms, loads });
+        }
+    }
+
+    pub(super) fn add_zone(&mut self, message: ZoneLoads, now: Instant) {
+        if let Ok(relay_address) = message.host.gossip_address.parse() {
+            let ZoneLoads { hosts, loads, .. } = message;
+            let zone = KnownZone { relay_address, received_at: now, hosts, loads };
+            self.zones.insert(message.host.zone, zone);
+        }
+    }
+
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.hosts.retain(|_, host| is_within(host.heard_at, HOST_LIFETIME, now));
+        self.zones.retain(|_, zone| is_within(zone.received_at, REPORT_LIFETIME, now));
+    }
+
+    /// Sum over the reports of this zone's hosts, with their number.
+    pub(super) fn zone_sums(&self, now: Instant) -> (u32, LoadSums) {
+        let mut sums = LoadSums::default();
+        let mut hosts = 0;
+        for report in self.fresh_reports(now) {
+            sums.add(&report.loads);
+            hosts += 1;
+        }
+        (hosts, sums)
+    }
+
+    /// Adds the sums of the other zones. Returns the number of their hosts.
+    pub(super) fn add_other_zones(&self, sums: &mut LoadSums, now: Instant) -> u32 {
+        let mut hosts = 0;
+        for zone in self.zones.values() {
+            if is_within(zone.received_at, REPORT_LIFETIME, now) {
+                sums.add(&zone.loads);
+                hosts += zone.hosts;
+            }
+        }
+        hosts
+    }
+
+    fn fresh_reports(&self, now: Instant) -> impl Iterator<Item = &HostReport> {
+        self.hosts
+            .values()
+            .filter_map(|host| host.report.as_ref())
+            .filter(move |report| is_within(report.received_at, REPORT_LIFETIME, now))
+    }
+
+    /// Hosts of a zone that report, or all of them if `also_silent`.
+    pub(super) fn status_targets(
+        &self,
+        zone: &str,
+        also_silent: bool,
+        now: Instant,
+    ) -> Vec<StatusTarget<'_>> {
+        let in_zone = self.hosts.values().filter(|host| host.zone == zone);
+        in_zone
+            .filter_map(|host| {
+                let report = host
+                    .report
+                    .as_ref()
+                    .filter(|report| is_within(report.received_at, REPORT_LIFETIME, now));
+                (also_silent || report.is_some()).then(|| StatusTarget {
+                    address: host.gossip_address,
+                    echo_ms: report.map(|report| report.sent_at_ms),
+                    own_loads: report.map_or(&[], |report| &report.loads),
+                })
+            })
+            .collect()
+    }
+
+    /// The best-ranked other host of a zone, and all of them with `to_all`.
+    pub(super) fn report_targets(&self, zone: &str, to_all: bool) -> Vec<SocketAddr> {
+        let mut in_zone: Vec<(u64, SocketAddr)> = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| host.zone == zone)
+            .map(|(id, host)| (rank(zone, id), host.gossip_address))
+            .collect();
+        in_zone.sort_unstable();
+        let count = if to_all { in_zone.len() } else { 1 };
+        in_zone.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
+    /// Relays of the other zones; every host of a zone whose relay is not known.
+    pub(super) fn foreign_relays(&self, own_zone: &str, also_unknown: bool) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = self
+            .zones
+            .iter()
+            .filter(|(name, _)| *name != own_zone)
+            .map(|(_, zone)| zone.relay_address)
+            .collect();
+        if also_unknown {
+            let unknown = self
+                .hosts
+                .values()
+                .filter(|host| host.zone != own_zone && !self.zones.contains_key(&host.zone));
+            addresses.extend(unknown.map(|host| host.gossip_address));
+        }
+        addresses
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.hosts.len()
+    }
+}
+
+fn is_within(at: Instant, lifetime: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(at) <= lifetime
+}
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,20 @@
+mod announcer;
+mod gossip_task;
+mod host_registry;
+mod host_table;
+mod load_sums;
+mod peer_state;
+mod published_feed;
+mod relay_client;
+mod relay_election;
+mod relay_view;
+
+pub use host_registry::{HostRegistry, RegistryError};
+pub(crate) use {
+    announcer::announce,
+    gossip_task::{gossip, receive_gossip},
+    peer_state::{FeedKind, PeerState},
+    published_feed::{PublishedFeed, encode_changes},
+    relay_client::RelayClient,
+    relay_view::RelayedFeed,
+};
--- /dev/null
+++ b/crates/gateway/src/peers/relay_client.rs
@@ -0,0 +1,60 @@
+use {
+    super::{peer_state::FeedKind, published_feed::MAX_CHANGES_BYTES},
+    crate::{
+        followers::{FeedError, Offset},
+        http1::ClientConnection,
+    },
+    mango_wire::{decode_bounded, gossip::RelayedChanges},
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest time for a relay's answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Reads records of the store from the relay of the zone.
+pub(crate) struct RelayClient {
+    kind: FeedKind,
+    connection: Option<(SocketAddr, ClientConnection)>,
+}
+
+impl RelayClient {
+    pub(crate) fn new(kind: FeedKind) -> RelayClient {
+        RelayClient { kind, connection: None }
+    }
+
+    /// The newest record of each key that changed since an offset.
+    pub(crate) async fn changes(
+        &mut self,
+        address: SocketAddr,
+        from: Offset,
+    ) -> Result<RelayedChanges, FeedError> {
+        match timeout(ANSWER_TIMEOUT, self.exchange(address, from)).await {
+            Ok(Ok(body)) => decode_bounded(&body, MAX_CHANGES_BYTES)
+                .map_err(|e| FeedError::Unavailable(e.to_string().into())),
+            Ok(Err(error)) => Err(FeedError::Unavailable(error.to_string().into())),
+            Err(_) => Err(FeedError::Unavailable("no answer in time".into())),
+        }
+    }
+
+    async fn exchange(&mut self, address: SocketAddr, from: Offset) -> io::Result<Vec<u8>> {
+        // taken out, so that a call that fails or is dropped leaves no connection behind
+        let kept = self.connection.take().filter(|(known, _)| *known == address);
+        let mut connection = match kept {
+            Some((_, connection)) => connection,
+            None => ClientConnection::open(address, CONNECT_TIMEOUT).await?,
+        };
+        let request =
+            format!("GET /relay/{}?from={from} HTTP/1.1\r\nHost: {address}\r\n\r\n", self.kind);
+        let (head, body) =
+            connection.call("GET", request.as_bytes(), MAX_CHANGES_BYTES).await?;
+        if head.status != 200 {
+            return Err(io::Error::other(format!("status {}", head.status)));
+        }
+        if head.keeps_alive {
+            self.connection = Some((address, connection));
+        }
+        Ok(body)
+    }
+}
--- a/crates/gateway/src/retry/budget.rs
+++ b/crates/gateway/src/retry/budget.rs
@@ -32,6 +32,11 @@
         RetryBudget { ratio, allowance, window, slots: VecDeque::new() }
     }
 
+    /// Changes the repeats that are free in a window.
+    pub fn set_allowance(&mut self, allowance: u32) {
+        self.allowance = allowance;
+    }
+
     pub fn count_request(&mut self, now: Instant) {
         self.slot(now).requests += 1;
     }
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -5,10 +5,12 @@
         clock::BootInstant,
         config::{CallerLimits, ConfigState},
         endpoints::Directory,
+        peers::PeerState,
         retry::RetryBudget,
         settings::GatewaySettings,
         telemetry::GatewayMetrics,
     },
+    mango_wire::gossip::HostRecord,
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -17,9 +19,10 @@
     },
 };
 
-/// A fleet of more routers than this spends more than its allowance of repeats only
-/// if all of them use up their shares within one window.
-const ALLOWANCE_SHARES: f64 = 24.0;
+/// Shares of the fleet's allowance of repeats while the number of hosts is not known.
+const DEFAULT_ALLOWANCE_SHARES: f64 = 128.0;
+/// Hosts that may join before the others count them.
+const JOINING_HOSTS: f64 = 4.0;
 /// Part of the fleet's ratio that a router spends, for requests that it has counted
 /// and that the fleet's window no longer holds.
 const RATIO_SHARE: f64 = 0.9;
@@ -35,6 +38,7 @@
     pub(crate) directory: Rc<Directory>,
     pub(crate) metrics: Rc<GatewayMetrics>,
     pub(crate) stop: StopState,
+    pub(crate) peers: Rc<PeerState>,
     budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
     connections: Rc<Cell<u32>>,
 }
@@ -43,6 +47,7 @@
     pub(crate) fn new(protocol: P, settings: GatewaySettings) -> Gateway<P> {
         let max_age = settings.bounds.key_revocation().mul_f64(CONFIRMATION_SHARE);
         Gateway {
+            peers: Rc::new(PeerState::new(own_record(&settings))),
             protocol,
             settings,
             config: Rc::new(ConfigState::new(max_age)),
@@ -91,10 +96,15 @@
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
             RetryBudget::new(
                 bounds.retry_budget_ratio * RATIO_SHARE,
-                (bounds.retry_budget_allowance / ALLOWANCE_SHARES) as u32,
+                0,
                 bounds.retry_budget_window(),
             )
         });
+        let shares = match self.peers.fleet_hosts() {
+            0 => DEFAULT_ALLOWANCE_SHARES,
+            hosts => f64::from(hosts) + JOINING_HOSTS,
+        };
+        budget.set_allowance((bounds.retry_budget_allowance / shares) as u32);
         action(budget, Instant::now())
     }
 
@@ -110,6 +120,15 @@
     }
 }
 
+fn own_record(settings: &GatewaySettings) -> HostRecord {
+    HostRecord {
+        host_id: settings.host.clone(),
+        zone: settings.zone.clone(),
+        gossip_address: settings.gossip_address.to_string(),
+        relay_address: settings.side_address.to_string(),
+    }
+}
+
 pub(crate) struct OpenConnection {
     connections: Rc<Cell<u32>>,
     metrics: Rc<GatewayMetrics>,
--- a/crates/gateway/src/server/listeners.rs
+++ b/crates/gateway/src/server/listeners.rs
@@ -7,7 +7,7 @@
     },
     anyhow::{Context, Result},
     std::{net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{net::TcpListener, task::spawn_local, time::sleep},
+    tokio::{net::{TcpListener, UdpSocket}, task::spawn_local, time::sleep},
 };
 
 /// Pause after a failed accept, for instance without free descriptors.
@@ -19,19 +19,17 @@
 pub(super) struct Listeners {
     pub(super) callers: TcpListener,
     pub(super) ready: TcpListener,
-    pub(super) metrics: Option<TcpListener>,
+    pub(super) side: TcpListener,
+    pub(super) gossip: Rc<UdpSocket>,
 }
 
 impl Listeners {
     pub(super) async fn bind(settings: &GatewaySettings) -> Result<Listeners> {
-        let metrics = match settings.metrics_address {
-            Some(address) => Some(bind("metrics_address", address).await?),
-            None => None,
-        };
         Ok(Listeners {
             callers: bind("callers_address", settings.callers_address).await?,
             ready: bind("ready_address", settings.ready_address).await?,
-            metrics,
+            side: bind("side_address", settings.side_address).await?,
+            gossip: Rc::new(bind_gossip(settings.gossip_address).await?),
         })
     }
 }
@@ -40,11 +38,21 @@
     TcpListener::bind(address).await.with_context(|| format!("{field} {address}"))
 }
 
-/// Accepts callers' connections while the process runs.
+async fn bind_gossip(address: SocketAddr) -> Result<UdpSocket> {
+    UdpSocket::bind(address).await.with_context(|| format!("gossip_address {address}"))
+}
+
+/// Accepts callers' connections until idle ones are to end.
 pub(super) async fn accept_callers<P: Protocol>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
     let max_connections = gateway.settings.max_open_files.saturating_sub(RESERVED_FILES).max(32);
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            // a caller that is turned away now finds another host in time
+            _ = gateway.stop.closes_idle() => return,
+        };
+        match accepted {
             Ok((stream, _)) if gateway.connection_count() < max_connections => {
                 spawn_local(serve_caller(gateway.clone(), stream));
             }
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -5,4 +5,4 @@
 mod stop_state;
 
 pub(crate) use gateway::Gateway;
-pub use run::run;
+pub use run::{PlatformAccess, run};
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -8,7 +8,8 @@
         callers::Protocol,
         config::RoutingConfig,
         endpoints::EndpointRecord,
-        followers::{RecordFeed, follow_config, follow_endpoints},
+        followers::{ConfigSink, Decode, EndpointSink, Follower, RecordFeed},
+        peers::{HostRegistry, announce, gossip, receive_gossip},
         settings::{GatewaySettings, load_settings},
         telemetry::{event, start_logging},
     },
@@ -29,41 +30,49 @@
 /// Pause between two looks at whether the last connection has ended.
 const STOP_POLL: Duration = Duration::from_millis(100);
 
+/// What a platform gives to a host.
+pub struct PlatformAccess<P, C, E, R> {
+    pub protocol: P,
+    /// Log of the operators' configuration, and how its records are read.
+    pub config: (C, Decode<Rc<RoutingConfig>>),
+    /// Log of the endpoints' records, and how they are read.
+    pub endpoints: (E, Decode<EndpointRecord>),
+    pub registry: R,
+}
+
 /// Serves callers until a signal asks for a planned stop.
-///
-/// `open_config` and `open_endpoints` open the feeds of the platform's store.
-pub fn run<P, C, E>(
+pub fn run<P, C, E, R>(
     settings_path: &Path,
-    protocol: P,
-    open_config: impl FnOnce(&GatewaySettings) -> C,
-    open_endpoints: impl FnOnce(&GatewaySettings) -> E,
+    open: impl FnOnce(&GatewaySettings) -> PlatformAccess<P, C, E, R>,
 ) -> Result<()>
 where
     P: Protocol,
-    C: RecordFeed<Value = Rc<RoutingConfig>>,
-    E: RecordFeed<Value = EndpointRecord>,
+    C: RecordFeed,
+    E: RecordFeed,
+    R: HostRegistry,
 {
     let settings = load_settings(settings_path)?;
     let _logging = start_logging(&settings.log_spec)?;
-    let feeds = (open_config(&settings), open_endpoints(&settings));
-    let gateway = Rc::new(Gateway::new(protocol, settings));
+    let access = open(&settings);
     let runtime = runtime::Builder::new_current_thread().enable_all().build().context("runtime")?;
-    LocalSet::new().block_on(&runtime, serve(settings_path, gateway, feeds))
+    LocalSet::new().block_on(&runtime, serve(settings_path, settings, access))
 }
 
-async fn serve<P, C, E>(
+async fn serve<P, C, E, R>(
     settings_path: &Path,
-    gateway: Rc<Gateway<P>>,
-    (config_feed, endpoint_feed): (C, E),
+    settings: GatewaySettings,
+    access: PlatformAccess<P, C, E, R>,
 ) -> Result<()>
 where
     P: Protocol,
-    C: RecordFeed<Value = Rc<RoutingConfig>>,
-    E: RecordFeed<Value = EndpointRecord>,
+    C: RecordFeed,
+    E: RecordFeed,
+    R: HostRegistry,
 {
     let mut terminate = signal(SignalKind::terminate()).context("signal handler")?;
     let hangup = signal(SignalKind::hangup()).context("signal handler")?;
-    let listeners = Listeners::bind(&gateway.settings).await?;
+    let listeners = Listeners::bind(&settings).await?;
+    let gateway = Rc::new(Gateway::new(access.protocol, settings));
     event!(
         "started",
         "host={} zone={} version={}",
@@ -71,14 +80,13 @@
         gateway.settings.zone,
         env!("CARGO_PKG_VERSION")
     );
-    spawn_local(follow_config(config_feed, gateway.config.clone(), gateway.metrics.clone()));
-    let heartbeat = Duration::from_millis(gateway.settings.endpoint_heartbeat_ms);
-    let (directory, metrics) = (gateway.directory.clone(), gateway.metrics.clone());
-    spawn_local(follow_endpoints(endpoint_feed, directory, heartbeat, metrics));
+    follow_store(&gateway, access.config, access.endpoints);
+    spawn_local(announce(access.registry, gateway.peers.clone()));
+    let gossip_socket = listeners.gossip;
+    spawn_local(receive_gossip(gateway.peers.clone(), gossip_socket.clone()));
+    spawn_local(gossip(gateway.peers.clone(), gateway.directory.clone(), gossip_socket));
     spawn_local(serve_side(gateway.clone(), listeners.ready));
-    if let Some(metrics) = listeners.metrics {
-        spawn_local(serve_side(gateway.clone(), metrics));
-    }
+    spawn_local(serve_side(gateway.clone(), listeners.side));
     spawn_local(accept_callers(gateway.clone(), listeners.callers));
     spawn_local(watch_settings(hangup, settings_path.to_owned(), gateway.settings.clone()));
     terminate.recv().await;
@@ -86,6 +94,24 @@
     Ok(())
 }
 
+fn follow_store<P, C, E>(
+    gateway: &Gateway<P>,
+    (config_feed, decode_config): (C, Decode<Rc<RoutingConfig>>),
+    (endpoint_feed, decode_endpoint): (E, Decode<EndpointRecord>),
+) where
+    P: Protocol,
+    C: RecordFeed,
+    E: RecordFeed,
+{
+    let (peers, metrics) = (&gateway.peers, &gateway.metrics);
+    let sink = ConfigSink::new(gateway.config.clone(), decode_config, metrics.clone());
+    spawn_local(Follower::new(config_feed, sink, peers.clone(), metrics.clone()).run());
+    let heartbeat = Duration::from_millis(gateway.settings.endpoint_heartbeat_ms);
+    let directory = gateway.directory.clone();
+    let sink = EndpointSink::new(directory, decode_endpoint, heartbeat, metrics.clone());
+    spawn_local(Follower::new(endpoint_feed, sink, peers.clone(), metrics.clone()).run());
+}
+
 /// Ends without cutting a request off: new connections are turned away first, then
 /// idle ones end, then the requests in progress run to their answers.
 async fn stop<P: Protocol>(gateway: &Gateway<P>) {
--- a/crates/gateway/src/server/side_server.rs
+++ b/crates/gateway/src/server/side_server.rs
@@ -3,6 +3,7 @@
         callers::Protocol,
         clock::BootInstant,
         http1::{Connection, RequestHead},
+        peers::{PublishedFeed, encode_changes},
         server::Gateway,
         telemetry::event,
     },
@@ -16,13 +17,17 @@
 };
 
 const METRICS_PATH: &str = "/metrics";
+const CONFIG_PATH: &str = "/relay/config";
+const ENDPOINTS_PATH: &str = "/relay/endpoints";
+const OK: &str = "200 OK";
+const NOT_FOUND: &str = "404 Not Found";
 const MAX_HEAD_BYTES: usize = 8_192;
 /// A connection without a question for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Pause after a failed accept, for instance without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Answers the balancer's question for readiness, and reads of metrics.
+/// Answers the balancer's question for readiness, reads of metrics and peers' reads.
 pub(super) async fn serve_side<P: Protocol>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
     loop {
         match listener.accept().await {
@@ -40,13 +45,13 @@
 async fn serve_connection<P: Protocol>(gateway: Rc<Gateway<P>>, stream: TcpStream) {
     let mut connection = Connection::new(stream);
     while let Ok(Some(head)) = timeout(IDLE_TIMEOUT, read_head(&mut connection)).await {
-        let (status, body) = respond(&gateway, head.path());
+        let (status, body) = respond(&gateway, &head.target);
         let closing = if head.keeps_alive { "" } else { "Connection: close\r\n" };
-        let answer = format!(
-            "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n{closing}\r\n{body}",
-            body.len()
-        );
-        if connection.writer.write_all(answer.as_bytes()).await.is_err() || !head.keeps_alive {
+        let length = body.len();
+        let mut answer =
+            format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n{closing}\r\n").into_bytes();
+        answer.extend_from_slice(&body);
+        if connection.writer.write_all(&answer).await.is_err() || !head.keeps_alive {
             return;
         }
     }
@@ -66,23 +71,39 @@
     }
 }
 
-fn respond<P: Protocol>(gateway: &Gateway<P>, path: &str) -> (&'static str, String) {
+fn respond<P: Protocol>(gateway: &Gateway<P>, target: &str) -> (&'static str, Vec<u8>) {
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
     if path == P::READY_PATH {
         return match gateway.is_ready() {
-            true => ("200 OK", String::new()),
-            false => ("503 Service Unavailable", String::new()),
+            true => (OK, Vec::new()),
+            false => ("503 Service Unavailable", Vec::new()),
         };
     }
-    if path != METRICS_PATH {
-        return ("404 Not Found", String::new());
+    match path {
+        METRICS_PATH => metrics(gateway),
+        CONFIG_PATH => relayed(&gateway.peers.config.borrow(), query),
+        ENDPOINTS_PATH => relayed(&gateway.peers.endpoints.borrow(), query),
+        _ => (NOT_FOUND, Vec::new()),
     }
+}
+
+/// Records of the store for a peer of the zone.
+fn relayed(feed: &PublishedFeed, query: &str) -> (&'static str, Vec<u8>) {
+    let from = query.strip_prefix("from=").and_then(|from| from.parse().ok());
+    match from.and_then(|from| encode_changes(feed, from)) {
+        Some(body) => (OK, body),
+        None => (NOT_FOUND, Vec::new()),
+    }
+}
+
+fn metrics<P: Protocol>(gateway: &Gateway<P>) -> (&'static str, Vec<u8>) {
     let age = gateway.config.confirmation_age(BootInstant::now()).unwrap_or_default();
     gateway.metrics.config_age_ms.set(age.as_millis() as i64);
     match gateway.metrics.encode() {
-        Ok(text) => ("200 OK", text),
+        Ok(text) => (OK, text.into_bytes()),
         Err(error) => {
             event!("metrics_failed", "reason={:?}", error.to_string());
-            ("500 Internal Server Error", String::new())
+            ("500 Internal Server Error", Vec::new())
         }
     }
 }
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -13,9 +13,10 @@
     pub callers_address: SocketAddr,
     /// Tells the balancer whether new connections are wanted.
     pub ready_address: SocketAddr,
-    /// Serves metrics; none are served without it.
-    #[serde(default)]
-    pub metrics_address: Option<SocketAddr>,
+    /// Serves metrics, and records of the store to peers.
+    pub side_address: SocketAddr,
+    /// Datagrams between hosts.
+    pub gossip_address: SocketAddr,
     pub store_address: SocketAddr,
     /// Most open files and sockets of the process.
     #[serde(default = "default_max_open_files")]
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -4,6 +4,7 @@
         config::{Configuration, Limit, LittleEndian, Varint, standard},
         serde::{decode_from_slice, encode_to_vec},
     },
+    serde::{Serialize, de::DeserializeOwned},
     std::fmt,
 };
 
@@ -59,3 +60,32 @@
     }
     Ok(frame)
 }
+
+/// Encodes a message of up to `max_bytes`.
+pub fn encode_bounded<T: Serialize>(
+    message: &T,
+    max_bytes: usize,
+) -> Result<Vec<u8>, DecodeError> {
+    let bytes =
+        encode_to_vec(message, standard()).map_err(|e| DecodeError::Malformed(e.to_string()))?;
+    if bytes.len() > max_bytes {
+        return Err(DecodeError::TooLarge(bytes.len()));
+    }
+    Ok(bytes)
+}
+
+/// Decodes exactly one message of up to `max_bytes`.
+pub fn decode_bounded<T: DeserializeOwned>(
+    bytes: &[u8],
+    max_bytes: usize,
+) -> Result<T, DecodeError> {
+    if bytes.len() > max_bytes {
+        return Err(DecodeError::TooLarge(bytes.len()));
+    }
+    let (message, used) =
+        decode_from_slice(bytes, standard()).map_err(|e| DecodeError::Malformed(e.to_string()))?;
+    if used != bytes.len() {
+        return Err(DecodeError::TrailingBytes(bytes.len() - used));
+    }
+    Ok(message)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,8 +9,11 @@
 mod reason;
 
 pub use {
-    codec::{DecodeError, MAX_MESSAGE_BYTES, decode_message, encode_message},
-    generated::{config, peer, platform, problem, records, settings},
+    codec::{
+        DecodeError, MAX_MESSAGE_BYTES, decode_bounded, decode_message, encode_bounded,
+        encode_message,
+    },
+    generated::{config, gossip, peer, platform, problem, records, settings},
     ids::{
         ChatKey, EndpointKey, Epoch, HostId, Offset, PoolKey, TeamKey, WorkKey, chat_key, digest,
         endpoint_key, key_range, pool_key, team_key, work_key,
