--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -15,7 +15,7 @@
         retry::SendOutcome,
         server::Gateway,
     },
-    std::{rc::Rc, time::Instant},
+    std::{net::SocketAddr, rc::Rc, time::Instant},
 };
 
 /// Longest answer that is held until it is whole, in bytes.
@@ -28,17 +28,25 @@
     CallerLost,
 }
 
+/// Where one send goes.
+pub(super) struct Target<'a> {
+    pub(super) endpoint: &'a Rc<Endpoint>,
+    /// Endpoint that may hold the cache of the prompt's prefix.
+    pub(super) prefix_source: Option<SocketAddr>,
+}
+
 /// Sends a request to an endpoint and passes its answer on.
 pub(super) async fn attempt<P: Protocol>(
     gateway: &Gateway<P>,
     request: &AdmittedRequest,
-    endpoint: &Rc<Endpoint>,
+    target: &Target<'_>,
     progress: &mut StreamProgress,
     sink: &mut CallerSink<'_, P>,
 ) -> Result<Delivered, SendFailure> {
+    let endpoint = target.endpoint;
     let mut call = EndpointCall::open(gateway, endpoint).await?;
     let started_at = Instant::now();
-    let (head, meta) = exchange(gateway, request, endpoint, progress, &mut call).await?;
+    let (head, meta) = exchange(gateway, request, target, progress, &mut call).await?;
     if let Some(load) = meta.load {
         let mut estimate = endpoint.load.get();
         estimate.record(load, endpoint.in_flight(), Instant::now());
@@ -65,12 +73,12 @@
 async fn exchange<P: Protocol>(
     gateway: &Gateway<P>,
     request: &AdmittedRequest,
-    endpoint: &Rc<Endpoint>,
+    target: &Target<'_>,
     progress: &StreamProgress,
     call: &mut EndpointCall,
 ) -> Result<(ResponseHead, AnswerMeta), SendFailure> {
     let mut head_bytes = Vec::with_capacity(1_024);
-    let endpoint_id = endpoint.record.borrow().id.clone();
+    let endpoint_id = target.endpoint.record.borrow().id.clone();
     let endpoint_request = EndpointRequest {
         head: &request.head,
         endpoint_id: &endpoint_id,
@@ -78,6 +86,7 @@
         time_left: request.time_left(),
         priority: request.route.has_prompt_prefix.then_some(request.priority),
         last_event_id: progress.last_event_id,
+        prefix_source: target.prefix_source,
         body_bytes: request.body.len(),
     };
     gateway.protocol.write_endpoint_head(&endpoint_request, &mut head_bytes);
--- a/crates/gateway/src/dispatch/endpoint_request.rs
+++ b/crates/gateway/src/dispatch/endpoint_request.rs
@@ -1,4 +1,4 @@
-use {crate::http1::RequestHead, std::time::Duration};
+use {crate::http1::RequestHead, std::{net::SocketAddr, time::Duration}};
 
 /// What is said to an endpoint in front of the body.
 #[derive(Debug)]
@@ -13,5 +13,7 @@
     pub priority: Option<u8>,
     /// Events up to this one were delivered.
     pub last_event_id: Option<u64>,
+    /// Endpoint from which the cache of the prompt's prefix is to be fetched.
+    pub prefix_source: Option<SocketAddr>,
     pub body_bytes: usize,
 }
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        attempt::{Delivered, attempt},
+        attempt::{Delivered, Target, attempt},
         failure::{FailureCause, SendFailure},
         stream_progress::StreamProgress,
     },
@@ -16,6 +16,7 @@
     },
     mango_wire::Reason,
     std::{
+        net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -78,13 +79,14 @@
             if let Err(refusal) = self.check_allowed() {
                 return self.give_up(sink, refusal).await;
             }
-            let Some(endpoint) = self.choose() else {
+            let Some((endpoint, prefix_source)) = self.choose() else {
                 let refusal = Refusal::unavailable(Reason::NoCapacity, spread(REFUSED_RETRY));
                 return self.give_up(sink, refusal).await;
             };
             self.tried.push(endpoint.record.borrow().id.clone());
+            let target = Target { endpoint: &endpoint, prefix_source };
             let result =
-                attempt(self.gateway, self.request, &endpoint, &mut self.progress, sink).await;
+                attempt(self.gateway, self.request, &target, &mut self.progress, sink).await;
             let failure = match result {
                 Ok(delivered) => return self.delivered(sink, delivered),
                 Err(failure) => failure,
@@ -108,7 +110,7 @@
         )
     }
 
-    fn choose(&self) -> Option<Rc<Endpoint>> {
+    fn choose(&self) -> Option<(Rc<Endpoint>, Option<SocketAddr>)> {
         let now = Instant::now();
         let endpoints = self.gateway.directory.of_service(&self.request.service);
         let records: Vec<_> = endpoints.iter().map(|endpoint| endpoint.record.borrow()).collect();
@@ -131,6 +133,8 @@
                     failure_share: health.failure_share(now),
                     is_paused: health.is_paused(now),
                     is_excluded: self.tried.contains(&record.id),
+                    is_leaving: endpoint.is_leaving(),
+                    is_young: endpoint.is_young(now),
                     is_same_zone: *record.zone == *self.gateway.settings.zone,
                 }
             })
@@ -139,12 +143,13 @@
             prefix_hash: self.request.caller.prefix.map(|prefix| prefix.hash),
             tie_breaker: rand::random(),
         };
-        let index = choose_endpoint(&placement, &candidates)?;
-        let chosen = &candidates[index];
+        let placement = choose_endpoint(&placement, &candidates)?;
+        let chosen = &candidates[placement.target];
+        let source = placement.prefix_source.map(|index| candidates[index].id);
         event!(
             "request_placed",
             "id={} route={} kind={} endpoint={} load={:.1} failures={:.2} slowness={:.2} \
-             candidates={} config_version={} sends={} time_left_ms={}",
+             waiting={} candidates={} prefix_source={} config_version={} sends={} time_left_ms={}",
             self.request.caller.id,
             self.request.route.name,
             self.request.route.kind,
@@ -152,12 +157,15 @@
             chosen.requests,
             chosen.failure_share,
             chosen.slowness,
+            chosen.waiting,
             candidates.len(),
+            source.unwrap_or("-"),
             self.request.config_version,
             self.tried.len(),
             self.request.time_left().as_millis()
         );
-        Some(endpoints[index].clone())
+        let prefix_source = placement.prefix_source.map(|index| records[index].address);
+        Some((endpoints[placement.target].clone(), prefix_source))
     }
 
     fn delivered(&mut self, sink: &CallerSink<'_, P>, delivered: Delivered) -> bool {
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -6,7 +6,7 @@
     crate::telemetry::event,
     mango_wire::gossip::EndpointLoad,
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
         rc::Rc,
         time::Instant,
@@ -19,6 +19,7 @@
     by_id: RefCell<BTreeMap<EndpointId, Rc<Endpoint>>>,
     /// Endpoints whose record vanished while the store was away, until when they stay.
     missing_until: RefCell<HashMap<EndpointId, Instant>>,
+    is_listed: Cell<bool>,
 }
 
 impl Directory {
@@ -29,7 +30,7 @@
         let mut by_id = self.by_id.borrow_mut();
         let Some(known) = by_id.get(&record.id) else {
             event!("endpoint_added", "endpoint={} service={} address={} zone={} state={} sequence={}", record.id, record.service, record.address, record.zone, record.state, record.sequence);
-            by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record)));
+            by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.joining_time())));
             return true;
         };
         let is_replaced = {
@@ -44,7 +45,7 @@
         if is_replaced {
             event!("endpoint_restarted", "endpoint={} service={} address={} state={} sequence={}", record.id, record.service, record.address, record.state, record.sequence);
             known.set_leaving();
-            by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record)));
+            by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.joining_time())));
             return true;
         }
         let starts_draining = record.state == EndpointState::Draining && !known.is_leaving();
@@ -89,6 +90,7 @@
         for record in records {
             self.upsert(record);
         }
+        self.is_listed.set(true);
     }
 
     /// Drops endpoints whose time to come back is over, and connections past their
@@ -110,6 +112,11 @@
         self.missing_until.borrow().values().min().copied()
     }
 
+    /// Time to remember for an endpoint that joins; none during the first listing.
+    fn joining_time(&self) -> Option<Instant> {
+        self.is_listed.get().then(Instant::now)
+    }
+
     /// Requests of this process at each endpoint that has any.
     pub(crate) fn loads(&self, hash: impl Fn(&str) -> u32) -> Vec<EndpointLoad> {
         self.by_id
@@ -123,14 +130,12 @@
             .collect()
     }
 
-    /// Endpoints of a service that take new work.
+    /// Endpoints of a service, with those that take no new work.
     pub(crate) fn of_service(&self, service: &str) -> Vec<Rc<Endpoint>> {
         self.by_id
             .borrow()
             .values()
-            .filter(|endpoint| {
-                !endpoint.is_leaving() && *endpoint.record.borrow().service == *service
-            })
+            .filter(|endpoint| *endpoint.record.borrow().service == *service)
             .cloned()
             .collect()
     }
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -8,10 +8,12 @@
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
+/// How long other endpoints may hold what a new one is to cache.
+const YOUTH: Duration = Duration::from_secs(30);
 /// Idle connections kept to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -22,11 +24,13 @@
     pub(crate) load: Cell<LoadEstimate>,
     in_flight: Cell<u32>,
     is_leaving: Cell<bool>,
+    /// When the endpoint joined; None if it was in the first listing.
+    joined_at: Option<Instant>,
     idle: RefCell<Vec<IdleConnection>>,
 }
 
 impl Endpoint {
-    pub(crate) fn new(record: EndpointRecord) -> Endpoint {
+    pub(crate) fn new(record: EndpointRecord, joined_at: Option<Instant>) -> Endpoint {
         let is_leaving = record.state == EndpointState::Draining;
         Endpoint {
             record: RefCell::new(record),
@@ -34,6 +38,7 @@
             load: Cell::default(),
             in_flight: Cell::new(0),
             is_leaving: Cell::new(is_leaving),
+            joined_at,
             idle: RefCell::default(),
         }
     }
@@ -47,6 +52,10 @@
         self.is_leaving.get()
     }
 
+    pub(crate) fn is_young(&self, now: Instant) -> bool {
+        self.joined_at.is_some_and(|at| now.saturating_duration_since(at) < YOUTH)
+    }
+
     pub(crate) fn set_leaving(&self) {
         self.is_leaving.set(true);
         self.idle.borrow_mut().clear();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,7 +29,7 @@
         RequestHead, ResponseHead,
     },
     peers::{HostRegistry, RegistryError},
-    placement::{Candidate, PlacementRequest, choose_endpoint},
+    placement::{Candidate, Placement, PlacementRequest, choose_endpoint},
     retry::{AttemptHistory, NextStep, RetryBudget, RetryRule, SendOutcome, next_step},
     server::{PlatformAccess, run},
     settings::{Bounds, GatewaySettings, load_settings},
--- a/crates/gateway/src/peers/relay_client.rs
+++ b/crates/gateway/src/peers/relay_client.rs
@@ -39,14 +39,26 @@
     }
 
     async fn exchange(&mut self, address: SocketAddr, from: Offset) -> io::Result<Vec<u8>> {
-        // taken out, so that a call that fails or is dropped leaves no connection behind
-        let kept = self.connection.take().filter(|(known, _)| *known == address);
-        let mut connection = match kept {
-            Some((_, connection)) => connection,
-            None => ClientConnection::open(address, CONNECT_TIMEOUT).await?,
-        };
         let request =
             format!("GET /relay/{}?from={from} HTTP/1.1\r\nHost: {address}\r\n\r\n", self.kind);
+        // taken out, so that a call that fails or is dropped leaves no connection behind
+        if let Some((known, connection)) = self.connection.take()
+            && known == address
+            && let Ok(body) = self.call(address, connection, &request).await
+        {
+            return Ok(body);
+        }
+        // the relay may have closed a connection that was idle
+        let connection = ClientConnection::open(address, CONNECT_TIMEOUT).await?;
+        self.call(address, connection, &request).await
+    }
+
+    async fn call(
+        &mut self,
+        address: SocketAddr,
+        mut connection: ClientConnection,
+        request: &str,
+    ) -> io::Result<Vec<u8>> {
         let (head, body) =
             connection.call("GET", request.as_bytes(), MAX_CHANGES_BYTES).await?;
         if head.status != 200 {
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -17,6 +17,19 @@
     /// It was tried for this request before.
     pub is_excluded: bool,
     pub is_same_zone: bool,
+    /// Takes no new requests; its cache may still be read.
+    pub is_leaving: bool,
+    /// Joined a short while ago, so that others hold what it is to cache.
+    pub is_young: bool,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// Index of the candidate to send to.
+    pub target: usize,
+    /// Candidate from which the target may fetch the cache of the prompt's prefix.
+    pub prefix_source: Option<usize>,
 }
 
 /// What placement knows of a request.
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -7,7 +7,7 @@
 //! hot prefix spreads to as many endpoints as its load needs.
 
 use {
-    super::candidate::{Candidate, PlacementRequest},
+    super::candidate::{Candidate, Placement, PlacementRequest},
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -17,6 +17,8 @@
 const LOAD_ALLOWANCE: f64 = 2.0;
 /// Endpoints that fail more of their requests than this are used last.
 const MAX_FAILURE_SHARE: f64 = 0.2;
+/// A cache is not fetched from an endpoint that fails more of its requests than this.
+const MAX_SOURCE_FAILURES: f64 = 0.6;
 /// Endpoints slower than this multiple of the median are used last.
 const MAX_SLOWNESS: f64 = 2.5;
 /// Cost of a failed request, in requests that wait.
@@ -24,29 +26,59 @@
 /// Cost of another availability zone, in requests that wait.
 const ZONE_COST: f64 = 0.3;
 
-/// Index of the endpoint to send to; nothing if no candidate may be used.
+/// The endpoint to send to; nothing if no candidate may be used.
 pub fn choose_endpoint(
     request: &PlacementRequest,
     candidates: &[Candidate<'_>],
-) -> Option<usize> {
+) -> Option<Placement> {
     let usable: Vec<usize> = usable(candidates);
     let costs = Costs::new(candidates, &usable);
-    if let Some(prefix) = request.prefix_hash
-        && let Some(warm) = first_with_room(prefix, candidates, &usable, &costs)
-    {
-        return Some(warm);
-    }
+    let Some(prefix) = request.prefix_hash else {
+        let target = cheapest(request, candidates, &usable, &costs)?;
+        return Some(Placement { target, prefix_source: None });
+    };
+    let target = first_with_room(prefix, candidates, &usable, &costs)
+        .or_else(|| cheapest(request, candidates, &usable, &costs))?;
+    Some(Placement { target, prefix_source: prefix_source(prefix, candidates, target) })
+}
+
+fn cheapest(
+    request: &PlacementRequest,
+    candidates: &[Candidate<'_>],
+    usable: &[usize],
+    costs: &Costs,
+) -> Option<usize> {
     usable
-        .into_iter()
-        .map(|index| (costs.cost(&candidates[index], request.tie_breaker), index))
+        .iter()
+        .map(|&index| (costs.cost(&candidates[index], request.tie_breaker), index))
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, index)| index)
 }
 
+/// The endpoint that most likely caches a prefix that the target does not cache: the
+/// first of the prefix's order, or the second if the target is first but just joined.
+fn prefix_source(prefix: u64, candidates: &[Candidate<'_>], target: usize) -> Option<usize> {
+    let source = (0..candidates.len())
+        .filter(|&index| index != target && !candidates[index].is_young)
+        .max_by_key(|&index| prefix_rank(prefix, &candidates[index]))?;
+    let is_first = prefix_rank(prefix, &candidates[source]) < prefix_rank(prefix, &candidates[target]);
+    let is_cached = is_first && !candidates[target].is_young;
+    let is_reachable =
+        !candidates[source].is_paused && candidates[source].failure_share <= MAX_SOURCE_FAILURES;
+    (!is_cached && is_reachable).then_some(source)
+}
+
+/// Place of an endpoint in a prefix's order; the highest comes first.
+fn prefix_rank(prefix: u64, candidate: &Candidate<'_>) -> u64 {
+    xxh3_64_with_seed(candidate.id.as_bytes(), prefix)
+}
+
 /// Untried endpoints first; a paused one only if there is no other.
 fn usable(candidates: &[Candidate<'_>]) -> Vec<usize> {
     let select = |accept: &dyn Fn(&Candidate<'_>) -> bool| -> Vec<usize> {
-        (0..candidates.len()).filter(|&index| accept(&candidates[index])).collect()
+        (0..candidates.len())
+            .filter(|&index| !candidates[index].is_leaving && accept(&candidates[index]))
+            .collect()
     };
     let fresh = select(&|c| !c.is_excluded && !c.is_paused);
     if !fresh.is_empty() {
@@ -68,9 +100,8 @@
     usable
         .iter()
         .filter(|&&index| costs.has_room(&candidates[index]))
-        .map(|&index| (xxh3_64_with_seed(candidates[index].id.as_bytes(), prefix), index))
-        .max()
-        .map(|(_, index)| index)
+        .copied()
+        .max_by_key(|&index| prefix_rank(prefix, &candidates[index]))
 }
 
 struct Costs {
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -2,6 +2,6 @@
 mod choose;
 
 pub use {
-    candidate::{Candidate, PlacementRequest},
+    candidate::{Candidate, Placement, PlacementRequest},
     choose::choose_endpoint,
 };
