--- a/crates/gateway/src/config/mod.rs
+++ b/crates/gateway/src/config/mod.rs
@@ -5,6 +5,8 @@
 mod routing_config;
 mod service;
 mod team;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use config_state::ConfigState;
 pub use {
--- /dev/null
+++ b/crates/gateway/src/config/tests.rs
@@ -0,0 +1,64 @@
+use {
+    super::{CallerLimits, ConfigState, RequestKind, Route, RoutingConfig, ServiceShare, Team},
+    crate::clock::BootInstant,
+    std::{rc::Rc, time::Duration},
+};
+
+fn route(prefix: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        host_name: "h".into(),
+        path_prefix: prefix.into(),
+        shares: vec![ServiceShare { service: "s".into(), weight: 1 }],
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        max_attempts: 2,
+        priority: 0,
+        is_anonymous_allowed: false,
+        has_prompt_prefix: false,
+        is_resumable: false,
+    }
+}
+
+fn config(version: u64, prefixes: &[&str]) -> Rc<RoutingConfig> {
+    let routes = prefixes.iter().map(|prefix| route(prefix)).collect();
+    let team = Team { name: "t".into(), api_keys: vec!["k".into()], priority: None };
+    let limits = CallerLimits::default();
+    Rc::new(RoutingConfig::new(version, limits, routes, Vec::new(), Some(vec![team])))
+}
+
+/// Guards against a request on the route of a shorter prefix.
+#[test]
+fn the_longest_prefix_wins() {
+    let config = config(1, &["/a/", "/a/b/", "/"]);
+    let find = |path| config.find_route("h", path).map(|route| route.path_prefix.to_string());
+    assert_eq!(find("/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(find("/a/bc").as_deref(), Some("/a/"));
+    assert_eq!(find("/x").as_deref(), Some("/"));
+    assert!(config.find_route("other", "/a/").is_none());
+}
+
+/// Guards against a configuration that reverts within a process.
+#[test]
+fn an_older_version_is_never_taken() {
+    let state = ConfigState::new(Duration::from_secs(3));
+    assert!(state.offer(config(5, &["/a/"])));
+    assert!(!state.offer(config(4, &["/b/"])));
+    assert!(!state.offer(config(5, &["/b/"])));
+    assert_eq!(state.version(), 5);
+    assert!(state.offer(config(9, &["/b/"])));
+}
+
+/// Guards against keys that are trusted after the store was out of reach, also when
+/// confirmations arrive out of order.
+#[test]
+fn keys_are_trusted_only_while_confirmed() {
+    let state = ConfigState::new(Duration::from_secs(3));
+    let start = BootInstant::from_millis(10_000);
+    assert!(!state.is_confirmed(start));
+    state.confirm(start + Duration::from_secs(1));
+    state.confirm(start);
+    assert!(state.is_confirmed(start + Duration::from_secs(4)));
+    assert!(!state.is_confirmed(start + Duration::from_millis(4_001)));
+}
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -4,6 +4,8 @@
 mod health;
 mod idle_connection;
 mod load_estimate;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use {
     directory::Directory,
--- /dev/null
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -0,0 +1,108 @@
+use {
+    super::{Directory, EndpointRecord, EndpointState, LoadReport, health::Health, load_estimate::LoadEstimate},
+    std::time::{Duration, Instant},
+};
+
+fn record(id: &str, sequence: u64) -> EndpointRecord {
+    EndpointRecord {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "z".into(),
+        slots: 4,
+        state: EndpointState::Ready,
+        started_at_unix_ms: Some(1_000),
+        sequence,
+    }
+}
+
+fn takers(directory: &Directory) -> usize {
+    directory.of_service("s").iter().filter(|endpoint| !endpoint.is_leaving()).count()
+}
+
+/// Guards against new work for an endpoint that drains.
+#[test]
+fn a_draining_endpoint_takes_no_work_again() {
+    let directory = Directory::default();
+    directory.upsert(record("a", 1));
+    directory.upsert(EndpointRecord { state: EndpointState::Draining, ..record("a", 2) });
+    assert_eq!(takers(&directory), 0);
+    // a late record of before, and a later one that still says ready
+    directory.upsert(record("a", 1));
+    directory.upsert(record("a", 3));
+    assert_eq!(takers(&directory), 0);
+}
+
+/// Guards against records of before a restart that bring an old address back.
+#[test]
+fn a_restart_begins_anew_and_older_records_are_ignored() {
+    let directory = Directory::default();
+    directory.upsert(record("a", 7));
+    directory.upsert(EndpointRecord { state: EndpointState::Draining, ..record("a", 8) });
+    let restarted = EndpointRecord { started_at_unix_ms: Some(2_000), ..record("a", 1) };
+    assert!(directory.upsert(restarted));
+    assert_eq!(takers(&directory), 1);
+    let late = EndpointRecord { state: EndpointState::Draining, ..record("a", 9) };
+    assert!(!directory.upsert(late));
+    assert_eq!(takers(&directory), 1);
+}
+
+/// Guards against losing all endpoints whose records lapsed while the store was away,
+/// and against keeping those that do not come back.
+#[test]
+fn lapsed_endpoints_stay_until_their_time_is_over() {
+    let directory = Directory::default();
+    directory.upsert(record("a", 1));
+    directory.upsert(record("b", 1));
+    let now = Instant::now();
+    let until = now + Duration::from_secs(2);
+    directory.remove("a", Some(until));
+    directory.remove("b", Some(until));
+    assert_eq!((takers(&directory), directory.expire(now)), (2, Some(until)));
+    directory.upsert(record("b", 2));
+    assert_eq!(directory.expire(until), None);
+    assert_eq!(directory.of_service("s")[0].record.borrow().id.as_ref(), "b");
+    assert_eq!(takers(&directory), 1);
+}
+
+/// Guards against work for an endpoint that left without draining.
+#[test]
+fn a_removed_endpoint_is_gone_at_once() {
+    let directory = Directory::default();
+    directory.upsert(record("a", 1));
+    let endpoint = directory.of_service("s").remove(0);
+    assert!(directory.remove("a", None));
+    assert!(endpoint.is_leaving());
+    assert_eq!(directory.len(), 0);
+}
+
+/// Guards against an endpoint that is avoided for good, or used at once, after its
+/// connections failed.
+#[test]
+fn pauses_grow_and_failures_fade() {
+    let start = Instant::now();
+    let mut health = Health::default();
+    health.connect_failed(start);
+    assert!(health.is_paused(start + Duration::from_millis(400)));
+    assert!(!health.is_paused(start + Duration::from_millis(600)));
+    health.connect_failed(start);
+    assert!(health.is_paused(start + Duration::from_millis(900)));
+    let share = health.failure_share(start);
+    assert!(health.failure_share(start + Duration::from_secs(20)) < share / 8.0);
+    health.answered(Duration::from_millis(5), start);
+    assert!(!health.is_paused(start));
+}
+
+/// Guards against an old report that hides present load, or is believed for ever.
+#[test]
+fn estimates_prefer_peers_then_fresh_reports() {
+    let now = Instant::now();
+    let mut estimate = LoadEstimate::default();
+    let report = LoadReport { running: 10, waiting: 2, slots: 64, slowness: 1.5 };
+    estimate.record(report, 1, now);
+    assert_eq!(estimate.requests(3, None, now), 14.0);
+    assert_eq!(estimate.requests(3, Some(4), now), 7.0);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(estimate.requests(3, None, later), 3.0);
+    assert_eq!((estimate.waiting(later), estimate.slowness(later)), (0, 1.0));
+}
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -4,6 +4,8 @@
 mod follower;
 mod record_feed;
 mod record_sink;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use {
     config_sink::ConfigSink, endpoint_sink::EndpointSink, follower::Follower,
--- /dev/null
+++ b/crates/gateway/src/followers/tests.rs
@@ -0,0 +1,179 @@
+use {
+    super::{
+        Changes, ConfigSink, EndpointSink, FeedError, Follower, Newest, RawRecord, RecordFeed,
+        record_sink::RecordSink,
+    },
+    crate::{
+        clock::BootInstant,
+        config::{CallerLimits, ConfigState, RoutingConfig},
+        endpoints::{Directory, EndpointRecord, EndpointState},
+        peers::PeerState,
+        telemetry::GatewayMetrics,
+    },
+    mango_wire::gossip::HostRecord,
+    std::{cell::RefCell, collections::VecDeque, future::pending, rc::Rc, time::Duration},
+    tokio::{task::LocalSet, time::timeout},
+};
+
+/// A log that gives prepared answers and then none.
+#[derive(Clone, Default)]
+struct ScriptedFeed {
+    newest: Rc<RefCell<VecDeque<Result<Newest, FeedError>>>>,
+    changes: Rc<RefCell<VecDeque<Result<Changes, FeedError>>>>,
+}
+
+impl RecordFeed for ScriptedFeed {
+    async fn newest(&mut self) -> Result<Newest, FeedError> {
+        let next = self.newest.borrow_mut().pop_front();
+        match next {
+            Some(answer) => answer,
+            None => pending().await,
+        }
+    }
+
+    async fn changes(&mut self, _from: u64, _wait: Duration) -> Result<Changes, FeedError> {
+        let next = self.changes.borrow_mut().pop_front();
+        match next {
+            Some(answer) => answer,
+            None => pending().await,
+        }
+    }
+}
+
+fn raw(offset: u64, key: &str, value: &str) -> RawRecord {
+    RawRecord { offset, key: key.into(), value: value.as_bytes().to_vec() }
+}
+
+fn decode_version(_key: &str, bytes: &[u8]) -> Result<Rc<RoutingConfig>, Box<str>> {
+    let text = std::str::from_utf8(bytes).map_err(|_| "not text")?;
+    let version = text.parse().map_err(|_| "not a number")?;
+    let limits = CallerLimits::default();
+    Ok(Rc::new(RoutingConfig::new(version, limits, Vec::new(), Vec::new(), None)))
+}
+
+fn decode_endpoint(key: &str, bytes: &[u8]) -> Result<EndpointRecord, Box<str>> {
+    let text = std::str::from_utf8(bytes).map_err(|_| "not text")?;
+    Ok(EndpointRecord {
+        id: key.into(),
+        service: "s".into(),
+        address: "127.0.0.1:9".parse().map_err(|_| "address")?,
+        zone: "z".into(),
+        slots: 1,
+        state: EndpointState::Ready,
+        started_at_unix_ms: None,
+        sequence: text.parse().map_err(|_| "not a number")?,
+    })
+}
+
+fn peers() -> Rc<PeerState> {
+    Rc::new(PeerState::new(HostRecord {
+        host_id: "own".to_owned(),
+        zone: "z".to_owned(),
+        gossip_address: "127.0.0.1:1".to_owned(),
+        relay_address: "127.0.0.1:2".to_owned(),
+    }))
+}
+
+/// Runs a follower of the configuration until its script is over.
+fn follow_config(feed: ScriptedFeed) -> Rc<ConfigState> {
+    let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
+    let metrics = Rc::new(GatewayMetrics::new());
+    let sink = ConfigSink::new(state.clone(), decode_version, metrics.clone());
+    let follower = Follower::new(feed, sink, peers(), metrics);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let _ = timeout(Duration::from_millis(600), follower.run()).await;
+    });
+    state
+}
+
+fn newest(records: Vec<RawRecord>, end: u64) -> Result<Newest, FeedError> {
+    Ok(Newest { records, end })
+}
+
+/// Guards against a follower that stops after its records expired or the log went
+/// back, and against an older version in force after it.
+#[test]
+fn expired_and_rewound_logs_are_listed_again() {
+    let feed = ScriptedFeed::default();
+    feed.newest.borrow_mut().extend([
+        newest(vec![raw(4, "config", "7")], 5),
+        newest(vec![raw(1, "config", "6")], 2),
+        newest(vec![raw(2, "config", "9")], 3),
+    ]);
+    feed.changes.borrow_mut().extend([
+        Err(FeedError::Expired),
+        Ok(Changes { records: Vec::new(), next: 2, end: 1 }),
+    ]);
+    let state = follow_config(feed);
+    assert_eq!(state.version(), 9);
+    assert!(state.is_confirmed(BootInstant::now()));
+}
+
+/// Guards against a confirmation by a read that did not reach the end of the log, or
+/// whose newest record cannot be read.
+#[test]
+fn an_unread_or_unreadable_end_confirms_nothing() {
+    let feed = ScriptedFeed::default();
+    feed.newest.borrow_mut().push_back(newest(vec![raw(0, "config", "torn")], 1));
+    feed.changes.borrow_mut().push_back(Ok(Changes {
+        records: vec![raw(1, "config", "also torn")],
+        next: 2,
+        end: 2,
+    }));
+    let state = follow_config(feed);
+    assert!(!state.is_confirmed(BootInstant::now()));
+}
+
+/// Guards against a store that stays lost after one failed call.
+#[test]
+fn a_failed_call_is_repeated() {
+    let feed = ScriptedFeed::default();
+    let lost = || Err(FeedError::Unavailable("refused".into()));
+    feed.newest.borrow_mut().extend([Err(FeedError::Unavailable("refused".into())), newest(vec![raw(0, "config", "3")], 1)]);
+    feed.changes.borrow_mut().push_back(lost());
+    assert_eq!(follow_config(feed).version(), 3);
+}
+
+fn endpoint_sink(directory: &Rc<Directory>) -> EndpointSink {
+    let metrics = Rc::new(GatewayMetrics::new());
+    EndpointSink::new(directory.clone(), decode_endpoint, Duration::from_millis(1_000), metrics)
+}
+
+/// Guards against an empty directory after the store was down for longer than its
+/// records live.
+#[test]
+fn records_that_lapsed_with_the_store_are_kept_for_a_while() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
+    sink.store_returned(Duration::from_secs(6), 2);
+    sink.apply(&raw(2, "a", ""));
+    assert_eq!(directory.len(), 2);
+    assert!(sink.expire(std::time::Instant::now()).is_some());
+}
+
+/// Guards against work for endpoints that left while only this host was cut off: the
+/// log then holds the heartbeats of the others.
+#[test]
+fn removals_count_at_once_when_the_store_was_present() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
+    sink.store_returned(Duration::from_secs(6), 11);
+    sink.apply(&raw(2, "a", ""));
+    assert_eq!(directory.len(), 1);
+}
+
+/// Guards against records of other writers that stop the reading of good ones.
+#[test]
+fn unreadable_records_name_no_endpoint() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    sink.replace_all(&[raw(0, "a", "torn"), raw(1, "b", "1")]);
+    assert!(!sink.apply(&raw(2, "b", "\u{fffd}")));
+    assert_eq!(directory.len(), 1);
+}
--- a/crates/gateway/src/http1/mod.rs
+++ b/crates/gateway/src/http1/mod.rs
@@ -6,6 +6,8 @@
 mod headers;
 mod request_head;
 mod response_head;
+#[cfg(test)]
+mod tests;
 
 pub use {
     body_decoder::{BodyDecoder, FramingError},
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -8,6 +8,8 @@
 mod relay_client;
 mod relay_election;
 mod relay_view;
+#[cfg(test)]
+mod tests;
 
 pub use host_registry::{HostRegistry, RegistryError};
 pub(crate) use {
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -57,7 +57,7 @@
             own_rank: rank(&own.zone, &own.host_id),
             own,
             clock_base: rand::random::<u64>() >> 1,
-            started_at: BootInstant::now(),
+            started_at: BootInstant::from_millis(BootInstant::now().as_millis()),
             hosts: RefCell::default(),
             relay: RefCell::default(),
             better_relay_at: Cell::new(Instant::now()),
--- /dev/null
+++ b/crates/gateway/src/peers/tests.rs
@@ -0,0 +1,149 @@
+use {
+    super::{
+        load_sums::{LoadSums, endpoint_hash},
+        peer_state::{FeedKind, PeerState},
+        published_feed::{MAX_CHANGES_BYTES, PublishedFeed, encode_changes},
+        relay_election::{RelayInputs, rank, relays},
+    },
+    crate::{clock::BootInstant, followers::RawRecord},
+    mango_wire::{
+        decode_bounded,
+        gossip::{
+            EndpointLoad, FeedStatus, GossipMessage, HostRecord, RelayStatus, RelayedChanges,
+        },
+    },
+    std::time::Duration,
+};
+
+fn host(name: &str) -> HostRecord {
+    HostRecord {
+        host_id: name.to_owned(),
+        zone: "z".to_owned(),
+        gossip_address: "127.0.0.1:7001".to_owned(),
+        relay_address: "127.0.0.1:7002".to_owned(),
+    }
+}
+
+fn status(from: &str, echo_ms: Option<u64>, age_ms: u64, loads: Vec<EndpointLoad>) -> GossipMessage {
+    let feed = FeedStatus { position: 10, changed: Some(9), confirmed_age_ms: Some(age_ms) };
+    GossipMessage::RelayStatus(RelayStatus {
+        host: host(from),
+        echo_ms,
+        config: feed.clone(),
+        endpoints: feed,
+        fleet_hosts: 5,
+        loads,
+    })
+}
+
+/// The clock that a host writes into its reports.
+fn report_clock(state: &PeerState) -> u64 {
+    let messages = state.messages(&[], true);
+    let report = messages.into_iter().find_map(|(_, message)| match message {
+        GossipMessage::LoadReport(report) => Some(report.sent_at_ms),
+        _ => None,
+    });
+    report.expect("a report")
+}
+
+/// Guards against two hosts that relay for long, and against a zone without a relay.
+#[test]
+fn a_host_relays_only_while_no_better_relay_is_heard() {
+    let fresh = Some(Duration::from_millis(300));
+    let silent = RelayInputs { better_relay_silence: Duration::from_secs(1), own_age: fresh };
+    assert!(relays(&silent));
+    assert!(!relays(&RelayInputs { better_relay_silence: Duration::ZERO, ..silent }));
+    // a host that the store turns away must not speak for it
+    assert!(!relays(&RelayInputs { own_age: Some(Duration::from_secs(4)), ..silent }));
+    assert!(!relays(&RelayInputs { own_age: None, ..silent }));
+}
+
+/// Guards against a key that stays valid because a status was on its way for long:
+/// the confirmation counts from this host's own clock, before the relay wrote it.
+#[test]
+fn a_relayed_confirmation_is_no_younger_than_the_report_it_answers() {
+    let state = PeerState::new(host("own"));
+    state.receive(status("peer", None, 400, Vec::new()));
+    let relayed = state.relayed(FeedKind::Config).expect("a relay");
+    assert_eq!(relayed.confirmed_at, None, "no report was answered");
+    let sent_at_ms = report_clock(&state);
+    std::thread::sleep(Duration::from_millis(60));
+    state.receive(status("peer", Some(sent_at_ms), 0, Vec::new()));
+    let relayed = state.relayed(FeedKind::Config).expect("a relay");
+    let at = relayed.confirmed_at.expect("a confirmation");
+    let age = BootInstant::now().saturating_duration_since(at);
+    assert!(age >= Duration::from_millis(59), "{age:?}");
+}
+
+/// Guards against an echo of an earlier process of the host, or an invented one.
+#[test]
+fn a_foreign_echo_confirms_nothing() {
+    let state = PeerState::new(host("own"));
+    state.receive(status("peer", None, 0, Vec::new()));
+    let sent_at_ms = report_clock(&state);
+    for echo_ms in [0, sent_at_ms - 3_600_000, sent_at_ms + 3_600_000, u64::MAX] {
+        state.receive(status("peer", Some(echo_ms), 0, Vec::new()));
+        let relayed = state.relayed(FeedKind::Config).expect("a relay");
+        assert_eq!(relayed.confirmed_at, None, "echo {echo_ms}");
+    }
+}
+
+/// Guards against a relay that has lost the store and is still followed.
+#[test]
+fn a_relay_with_an_old_confirmation_is_not_chosen() {
+    let state = PeerState::new(host("own"));
+    state.receive(status("peer", None, 5_000, Vec::new()));
+    assert!(state.relayed(FeedKind::Config).is_none());
+}
+
+/// Guards against flapping between relays: the better-ranked one is kept.
+#[test]
+fn the_better_ranked_of_two_relays_is_followed() {
+    let state = PeerState::new(host("own"));
+    let load = |requests| vec![EndpointLoad { endpoint: endpoint_hash("e"), requests }];
+    let mut names = ["p", "q"];
+    names.sort_by_key(|name| rank("z", name));
+    state.receive(status(names[1], None, 100, load(2)));
+    state.receive(status(names[0], None, 100, load(5)));
+    state.receive(status(names[1], None, 100, load(2)));
+    assert_eq!(state.others_at("e"), Some(5));
+    assert_eq!(state.others_at("unknown"), Some(0));
+}
+
+/// Guards against own requests that are counted twice in the sums.
+#[test]
+fn sums_leave_out_what_is_subtracted() {
+    let loads = |requests| [EndpointLoad { endpoint: 1, requests }];
+    let mut sums = LoadSums::default();
+    sums.add(&loads(3));
+    sums.add(&loads(4));
+    sums.subtract(&loads(3));
+    assert_eq!(sums.requests(1), 4);
+    sums.subtract(&loads(9));
+    assert_eq!((sums.requests(1), sums.to_loads().len()), (0, 0));
+}
+
+/// Guards against a peer that misses a removal or a change.
+#[test]
+fn a_relay_returns_the_newest_record_of_each_changed_key() {
+    let record = |offset, key: &str, value: &[u8]| RawRecord {
+        offset,
+        key: key.into(),
+        value: value.to_vec(),
+    };
+    let mut feed = PublishedFeed::default();
+    feed.replace_all(&[record(1, "a", b"1"), record(2, "b", b"1")], 3);
+    feed.add(&record(5, "a", b"2"));
+    feed.add(&record(7, "b", b""));
+    feed.read_to(9);
+    let read = |from| -> RelayedChanges {
+        let bytes = encode_changes(&feed, from).expect("within the limit");
+        decode_bounded(&bytes, MAX_CHANGES_BYTES).expect("a message")
+    };
+    let keys = |changes: &RelayedChanges| -> Vec<(u64, String, usize)> {
+        changes.records.iter().map(|r| (r.offset, r.key.clone(), r.value.len())).collect()
+    };
+    assert_eq!(keys(&read(0)), [(5, "a".to_owned(), 1), (7, "b".to_owned(), 0)]);
+    assert_eq!(keys(&read(6)), [(7, "b".to_owned(), 0)]);
+    assert_eq!((keys(&read(8)).len(), read(8).position), (0, 9));
+}
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -1,5 +1,7 @@
 mod candidate;
 mod choose;
+#[cfg(test)]
+mod tests;
 
 pub use {
     candidate::{Candidate, Placement, PlacementRequest},
--- /dev/null
+++ b/crates/gateway/src/placement/tests.rs
@@ -0,0 +1,167 @@
+use super::{Candidate, PlacementRequest, choose_endpoint};
+
+fn candidate(id: &str, requests: f64) -> Candidate<'_> {
+    Candidate {
+        id,
+        requests,
+        waiting: 0,
+        slots: 64,
+        slowness: 1.0,
+        latency_ms: 0.0,
+        failure_share: 0.0,
+        is_paused: false,
+        is_excluded: false,
+        is_same_zone: true,
+        is_leaving: false,
+        is_young: false,
+    }
+}
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|index| format!("engine-{index}")).collect()
+}
+
+fn prefix(hash: u64) -> PlacementRequest {
+    PlacementRequest { prefix_hash: Some(hash), tie_breaker: hash }
+}
+
+/// Guards against a prefix that is read anew on every endpoint.
+#[test]
+fn a_prefix_stays_on_one_endpoint_while_it_has_room() {
+    let names = names(12);
+    for loads in [0.0, 1.0, 3.0] {
+        let candidates: Vec<_> = names.iter().map(|id| candidate(id, loads)).collect();
+        let first = choose_endpoint(&prefix(7), &candidates).map(|placement| placement.target);
+        for _ in 0..20 {
+            let next = choose_endpoint(&prefix(7), &candidates).map(|placement| placement.target);
+            assert_eq!(next, first);
+        }
+    }
+}
+
+/// Guards against losing most warm prefixes when one endpoint leaves.
+#[test]
+fn a_leaving_endpoint_moves_only_its_own_prefixes() {
+    let names = names(12);
+    let before: Vec<_> = names.iter().map(|id| candidate(id, 0.0)).collect();
+    let mut after = before.clone();
+    after[3].is_leaving = true;
+    for hash in 0..500 {
+        let old = choose_endpoint(&prefix(hash), &before).expect("a target");
+        let new = choose_endpoint(&prefix(hash), &after).expect("a target");
+        if old.target == 3 {
+            assert_ne!(new.target, 3);
+            assert_eq!(new.prefix_source, Some(3), "the leaving endpoint still holds the cache");
+        } else {
+            assert_eq!(new.target, old.target);
+            assert_eq!(new.prefix_source, None);
+        }
+    }
+}
+
+/// Guards against reading shared parts again on an endpoint that has just joined.
+#[test]
+fn an_endpoint_that_joined_fetches_from_the_former_first() {
+    let names = names(12);
+    let mut candidates: Vec<_> = names.iter().map(|id| candidate(id, 0.0)).collect();
+    candidates[5].is_young = true;
+    let without: Vec<_> = candidates.iter().filter(|c| !c.is_young).cloned().collect();
+    let mut moved = 0;
+    for hash in 0..500 {
+        let placement = choose_endpoint(&prefix(hash), &candidates).expect("a target");
+        if placement.target == 5 {
+            let former = choose_endpoint(&prefix(hash), &without).expect("a target").target;
+            let source = placement.prefix_source.map(|index| candidates[index].id);
+            assert_eq!(source, Some(without[former].id));
+            moved += 1;
+        }
+    }
+    assert!(moved > 10, "{moved} prefixes moved");
+}
+
+/// Guards against work for endpoints that were tried, are paused or fail.
+#[test]
+fn tried_paused_and_failing_endpoints_come_last() {
+    let names = names(4);
+    let mut candidates: Vec<_> = names.iter().map(|id| candidate(id, 0.0)).collect();
+    candidates[0].is_excluded = true;
+    candidates[1].is_paused = true;
+    candidates[2].failure_share = 0.6;
+    for hash in 0..100 {
+        let with_prefix = choose_endpoint(&prefix(hash), &candidates).expect("a target");
+        let plain = PlacementRequest { prefix_hash: None, tie_breaker: hash };
+        let without = choose_endpoint(&plain, &candidates).expect("a target");
+        assert_eq!((with_prefix.target, without.target), (3, 3));
+    }
+}
+
+/// Guards against refusing a request while any endpoint may take it.
+#[test]
+fn a_paused_endpoint_is_used_when_there_is_no_other() {
+    let mut only = candidate("engine-0", 0.0);
+    only.is_paused = true;
+    let placement = choose_endpoint(&prefix(1), &[only.clone()]);
+    assert_eq!(placement.map(|placement| placement.target), Some(0));
+    only.is_leaving = true;
+    assert_eq!(choose_endpoint(&prefix(1), &[only]), None);
+}
+
+/// Replays a hot prefix over many routers: each sees its own part of the requests.
+/// With the sums of the others the busiest endpoint stays within the cap of twice the
+/// mean plus 3; with own counts alone it did not.
+#[test]
+fn sums_of_other_routers_bound_the_load_of_a_hot_prefix() {
+    let with_sums = samples_over_cap(true);
+    let alone = samples_over_cap(false);
+    assert!(with_sums * 100 <= 3 * REQUESTS, "{with_sums} of {REQUESTS} over the cap");
+    assert!(alone > 3 * with_sums.max(1), "{alone} alone, {with_sums} with sums");
+}
+
+const REQUESTS: usize = 4_000;
+const ROUTERS: usize = 15;
+const ENDPOINTS: usize = 12;
+/// Requests between two rounds of reports.
+const REPORT_EVERY: usize = 16;
+/// Requests in flight at once.
+const IN_FLIGHT: usize = 90;
+
+fn samples_over_cap(uses_sums: bool) -> usize {
+    let names = names(ENDPOINTS);
+    let mut counts = vec![[0_u32; ENDPOINTS]; ROUTERS];
+    let mut reported = counts.clone();
+    let mut running = std::collections::VecDeque::new();
+    let mut over_cap = 0;
+    let mut state = 88_172_645_463_325_252_u64;
+    for step in 0..REQUESTS {
+        // xorshift, so that the replay is the same on every run
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        let router = (state % ROUTERS as u64) as usize;
+        let hash = if state >> 32 & 3 == 0 { 1 } else { (state >> 40) % 64 };
+        if step % REPORT_EVERY == 0 {
+            reported.clone_from(&counts);
+        }
+        let sum = |endpoint: usize, of: &Vec<[u32; ENDPOINTS]>| -> u32 {
+            of.iter().map(|counts| counts[endpoint]).sum()
+        };
+        let candidates: Vec<_> = (0..ENDPOINTS)
+            .map(|endpoint| {
+                let others = sum(endpoint, &reported) - reported[router][endpoint];
+                let others = if uses_sums { others } else { 0 };
+                candidate(&names[endpoint], f64::from(counts[router][endpoint] + others))
+            })
+            .collect();
+        let target = choose_endpoint(&prefix(hash), &candidates).expect("a target").target;
+        counts[router][target] += 1;
+        running.push_back((router, target));
+        if running.len() > IN_FLIGHT
+            && let Some((router, target)) = running.pop_front()
+        {
+            counts[router][target] -= 1;
+        }
+        let mean = running.len() as f64 / ENDPOINTS as f64;
+        over_cap += usize::from(f64::from(sum(target, &counts)) > 2.0 * mean + 3.0);
+    }
+    over_cap
+}
--- a/crates/gateway/src/retry/mod.rs
+++ b/crates/gateway/src/retry/mod.rs
@@ -1,5 +1,7 @@
 mod budget;
 mod rule;
+#[cfg(test)]
+mod tests;
 
 pub use {
     budget::RetryBudget,
--- /dev/null
+++ b/crates/gateway/src/retry/tests.rs
@@ -0,0 +1,86 @@
+use {
+    super::{AttemptHistory, NextStep, RetryBudget, RetryRule, SendOutcome, next_step},
+    std::time::{Duration, Instant},
+};
+
+const ONCE: RetryRule = RetryRule { may_rerun: false, max_attempts: 2 };
+const TWICE: RetryRule = RetryRule { may_rerun: true, max_attempts: 2 };
+
+fn after(rule: &RetryRule, outcomes: &[SendOutcome]) -> (NextStep, AttemptHistory) {
+    let mut history = AttemptHistory::default();
+    let mut step = NextStep::GiveUp;
+    for outcome in outcomes {
+        history.record(*outcome);
+        step = next_step(rule, &history, *outcome);
+    }
+    (step, history)
+}
+
+/// Guards against a booking that runs twice.
+#[test]
+fn what_may_have_run_is_not_sent_again_unless_it_may_rerun() {
+    assert_eq!(after(&ONCE, &[SendOutcome::MayHaveRun]).0, NextStep::GiveUp);
+    assert_eq!(after(&ONCE, &[SendOutcome::Failed]).0, NextStep::GiveUp);
+    let refused_later = [SendOutcome::MayHaveRun, SendOutcome::NotRun];
+    assert_eq!(after(&ONCE, &refused_later).0, NextStep::GiveUp);
+    assert_eq!(after(&TWICE, &[SendOutcome::MayHaveRun]).0, NextStep::Repeat);
+}
+
+/// Guards against more runs than the route allows.
+#[test]
+fn runs_are_bounded_by_the_route() {
+    let runs = [SendOutcome::MayHaveRun, SendOutcome::Failed];
+    assert_eq!(after(&TWICE, &runs).0, NextStep::GiveUp);
+}
+
+/// Guards against a false "not run", and against giving up what nobody ran.
+#[test]
+fn refused_and_unsent_requests_may_go_elsewhere() {
+    let (step, history) = after(&ONCE, &[SendOutcome::NotRun]);
+    assert_eq!((step, history.has_not_run()), (NextStep::Repeat, true));
+    let (step, history) = after(&ONCE, &[SendOutcome::NotSent, SendOutcome::NotSent]);
+    assert_eq!((step, history.has_not_run()), (NextStep::Reconnect, true));
+    let (_, history) = after(&ONCE, &[SendOutcome::NotSent, SendOutcome::MayHaveRun]);
+    assert!(!history.has_not_run());
+}
+
+/// Guards against endless tries while every endpoint refuses.
+#[test]
+fn refusals_and_failed_connections_are_bounded() {
+    assert_eq!(after(&ONCE, &[SendOutcome::NotRun; 4]).0, NextStep::GiveUp);
+    assert_eq!(after(&ONCE, &[SendOutcome::NotSent; 5]).0, NextStep::GiveUp);
+}
+
+/// Replays an outage in which every send fails: over any window the repeats of all
+/// routers stay within the ratio of their requests plus the shared allowance.
+#[test]
+fn repeats_of_a_fleet_stay_within_the_budget() {
+    const ROUTERS: u32 = 15;
+    const ALLOWANCE: u32 = 116;
+    let window = Duration::from_secs(10);
+    let start = Instant::now();
+    let mut budgets: Vec<_> = (0..ROUTERS)
+        .map(|_| RetryBudget::new(0.2, ALLOWANCE / ROUTERS, window))
+        .collect();
+    let mut repeats = Vec::new();
+    let mut requests = Vec::new();
+    for tick in 0..30_000_u32 {
+        let now = start + Duration::from_millis(u64::from(tick));
+        if tick % 10 == 0 {
+            let budget = &mut budgets[(tick / 10 % ROUTERS) as usize];
+            budget.count_request(now);
+            requests.push(now);
+            while budget.take_repeat(now) {
+                repeats.push(now);
+            }
+        }
+    }
+    for end in (10..30).map(|s| start + Duration::from_secs(s)) {
+        let within = |times: &[Instant]| {
+            times.iter().filter(|at| **at <= end && **at + window > end).count() as f64
+        };
+        let allowed = within(&requests) * 0.2 + f64::from(ALLOWANCE);
+        assert!(within(&repeats) <= allowed, "{} of {allowed}", within(&repeats));
+    }
+    assert!(repeats.len() > 300, "{} repeats: the budget is also used", repeats.len());
+}
