Follow a relay only while its word is fresh

Change: a relayed log is used while its confirmation, counted from this host's own report, is younger than 0.75 of the deployment's bound; reads are held 0.4 of it. Better-ranked hosts take over first, so that mostly one does. Ruled out: telling hosts of the first failed call, which makes all of them read. Tests: a_relay_is_followed_only_while_its_knowledge_is_fresh, and requests through router processes against stand-ins of the store and of endpoints.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -20,6 +20,9 @@
     state: Rc<ConfigState>,
     decode: Decode<Rc<RoutingConfig>>,
     metrics: Rc<GatewayMetrics>,
+    /// Each empty answer confirms the configuration, for peers too, so the wait stays
+    /// well under the time in which a change must be in force.
+    poll_wait: Duration,
     /// The newest record could be read, so that a confirmation holds for it.
     is_readable: bool,
 }
@@ -28,9 +31,10 @@
     pub(crate) fn new(
         state: Rc<ConfigState>,
         decode: Decode<Rc<RoutingConfig>>,
+        poll_wait: Duration,
         metrics: Rc<GatewayMetrics>,
     ) -> ConfigSink {
-        ConfigSink { state, decode, metrics, is_readable: false }
+        ConfigSink { state, decode, metrics, poll_wait, is_readable: false }
     }
 
     fn take(&self, config: Rc<RoutingConfig>, offset: u64) -> bool {
@@ -52,12 +56,12 @@
 impl RecordSink for ConfigSink {
     const KIND: FeedKind = FeedKind::Config;
 
-    /// Each empty answer confirms the configuration, so this stays well under the
-    /// time in which revoked keys must go.
-    const POLL_WAIT: Duration = Duration::from_millis(1_400);
-
     const POLL_PAUSE: Duration = Duration::ZERO;
 
+    fn poll_wait(&self) -> Duration {
+        self.poll_wait
+    }
+
     fn replace_all(&mut self, records: &[RawRecord]) {
         for record in records {
             self.apply(record);
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -66,11 +66,13 @@
 impl RecordSink for EndpointSink {
     const KIND: FeedKind = FeedKind::Endpoints;
 
-    /// Endpoints write several times a second together, so a wait would end at once.
-    const POLL_WAIT: Duration = Duration::ZERO;
-
     const POLL_PAUSE: Duration = Duration::from_millis(750);
 
+    /// Endpoints write several times a second together, so a wait would end at once.
+    fn poll_wait(&self) -> Duration {
+        Duration::ZERO
+    }
+
     fn replace_all(&mut self, records: &[RawRecord]) {
         let endpoints = records
             .iter()
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -89,9 +89,7 @@
             }
         }
         let reached = self.position.unwrap_or(0);
-        if reached >= relay.position
-            && let Some(at) = relay.confirmed_at
-        {
+        if let Some(at) = relay.confirmed_at.filter(|_| reached >= relay.position) {
             self.sink.confirmed(at);
             self.peers.published(self.kind).borrow_mut().confirm(at);
         }
@@ -118,7 +116,7 @@
             None => self.feed.newest().await.map(News::All),
             Some(from) => {
                 // after a failure the state is confirmed at once, not after a wait
-                let wait = if self.health.is_failing() { Duration::ZERO } else { S::POLL_WAIT };
+                let wait = if self.health.is_failing() { Duration::ZERO } else { self.sink.poll_wait() };
                 self.feed.changes(from, wait).await.map(|changes| News::Since(changes, from, wait))
             }
         };
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -11,12 +11,13 @@
 pub(crate) trait RecordSink {
     const KIND: FeedKind;
 
-    /// How long the store holds a read without news.
-    const POLL_WAIT: Duration;
 
     /// Pause after a read that reached the end of the log.
     const POLL_PAUSE: Duration;
 
+    /// How long the store holds a read without news.
+    fn poll_wait(&self) -> Duration;
+
     /// Takes the newest record of every key.
     fn replace_all(&mut self, records: &[RawRecord]);
 
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -7,7 +7,7 @@
         clock::BootInstant,
         config::{CallerLimits, ConfigState, RoutingConfig},
         endpoints::{Directory, EndpointRecord, EndpointState},
-        peers::PeerState,
+        peers::{MaxAges, PeerState},
         telemetry::GatewayMetrics,
     },
     mango_wire::gossip::HostRecord,
@@ -66,19 +66,21 @@
 }
 
 fn peers() -> Rc<PeerState> {
-    Rc::new(PeerState::new(HostRecord {
+    let own = HostRecord {
         host_id: "own".to_owned(),
         zone: "z".to_owned(),
         gossip_address: "127.0.0.1:1".to_owned(),
         relay_address: "127.0.0.1:2".to_owned(),
-    }))
+    };
+    let max_age = Duration::from_millis(1_500);
+    Rc::new(PeerState::new(own, MaxAges { config: max_age, endpoints: max_age }))
 }
 
 /// Runs a follower of the configuration until its script is over.
 fn follow_config(feed: ScriptedFeed) -> Rc<ConfigState> {
     let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
     let metrics = Rc::new(GatewayMetrics::new());
-    let sink = ConfigSink::new(state.clone(), decode_version, metrics.clone());
+    let sink = ConfigSink::new(state.clone(), decode_version, Duration::from_millis(100), metrics.clone());
     let follower = Follower::new(feed, sink, peers(), metrics);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
--- a/crates/gateway/src/peers/host_table.rs
+++ b/crates/gateway/src/peers/host_table.rs
@@ -179,6 +179,12 @@
         addresses
     }
 
+    /// Number of hosts of a zone whose rank is better.
+    pub(super) fn better_ranked(&self, zone: &str, own_rank: u64) -> u32 {
+        let in_zone = self.hosts.iter().filter(|(_, host)| host.zone == zone);
+        in_zone.filter(|(id, _)| rank(zone, id) < own_rank).count() as u32
+    }
+
     pub(super) fn len(&self) -> usize {
         self.hosts.len()
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) use {
     announcer::announce,
     gossip_task::{gossip, receive_gossip},
-    peer_state::{FeedKind, PeerState},
+    peer_state::{FeedKind, MaxAges, PeerState},
     published_feed::{PublishedFeed, encode_changes},
     relay_client::RelayClient,
     relay_view::RelayedFeed,
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -3,7 +3,7 @@
         host_table::HostTable,
         load_sums::{LoadSums, endpoint_hash},
         published_feed::PublishedFeed,
-        relay_election::{MAX_RELAY_AGE, RELAY_TIMEOUT, RelayInputs, rank, relays},
+        relay_election::{RELAY_TIMEOUT, RelayInputs, rank, relays},
         relay_view::{RelayView, RelayedFeed},
     },
     crate::{clock::BootInstant, telemetry::event},
@@ -29,10 +29,18 @@
 /// Sums of other hosts are used for this long without news.
 const SUMS_LIFETIME: Duration = Duration::from_millis(1_200);
 
+/// How old the relay's knowledge of a log may be for this host to go by it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MaxAges {
+    pub(crate) config: Duration,
+    pub(crate) endpoints: Duration,
+}
+
 /// What this host knows of its peers, and what it tells them.
 pub(crate) struct PeerState {
     own: HostRecord,
     own_rank: u64,
+    max_ages: MaxAges,
     /// Added to the clock in reports, so that an echo of an earlier process of this
     /// host is not taken for one of this process.
     clock_base: u64,
@@ -52,8 +60,9 @@
 }
 
 impl PeerState {
-    pub(crate) fn new(own: HostRecord) -> PeerState {
+    pub(crate) fn new(own: HostRecord, max_ages: MaxAges) -> PeerState {
         PeerState {
+            max_ages,
             own_rank: rank(&own.zone, &own.host_id),
             own,
             clock_base: rand::random::<u64>() >> 1,
@@ -118,7 +127,7 @@
 
     fn receive_status(&self, status: RelayStatus, now: Instant) {
         let sender_rank = rank(&status.host.zone, &status.host.host_id);
-        let is_fresh = age_of(&status).is_some_and(|age| age <= MAX_RELAY_AGE);
+        let is_fresh = age_of(&status).is_some_and(|age| age <= self.max_ages.config);
         if is_fresh && sender_rank < self.own_rank {
             self.better_relay_at.set(now);
         }
@@ -167,17 +176,19 @@
         self.fleet_hosts.set(fleet_hosts);
     }
 
-    /// The relay's view of a log, while the relay is heard and this host is none.
+    /// The relay's view of a log, while it is fresh and this host is no relay.
     pub(crate) fn relayed(&self, kind: FeedKind) -> Option<RelayedFeed> {
         if self.is_relay.get() {
             return None;
         }
         let relay = self.relay.borrow();
         let view = relay.as_ref().filter(|view| view.heard_at.elapsed() <= RELAY_TIMEOUT)?;
-        Some(match kind {
-            FeedKind::Config => view.feed(&view.config),
-            FeedKind::Endpoints => view.feed(&view.endpoints),
-        })
+        let (feed, max_age) = match kind {
+            FeedKind::Config => (view.feed(&view.config), self.max_ages.config),
+            FeedKind::Endpoints => (view.feed(&view.endpoints), self.max_ages.endpoints),
+        };
+        let age = BootInstant::now().saturating_duration_since(feed.confirmed_at?);
+        (age <= max_age).then_some(feed)
     }
 
     /// Requests of other hosts at an endpoint. None without recent news.
@@ -196,7 +207,9 @@
         let now = BootInstant::now();
         let is_relay = relays(&RelayInputs {
             better_relay_silence: self.better_relay_at.get().elapsed(),
+            better_hosts: self.hosts.borrow().better_ranked(&self.own.zone, self.own_rank),
             own_age: self.config.borrow().confirmed_age(now),
+            max_age: self.max_ages.config,
         });
         if self.is_relay.replace(is_relay) != is_relay {
             let age_ms = self.config.borrow().confirmed_age(now).map(|age| age.as_millis());
--- a/crates/gateway/src/peers/relay_election.rs
+++ b/crates/gateway/src/peers/relay_election.rs
@@ -9,8 +9,11 @@
 
 /// A relay that was not heard for this long is passed over.
 pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
-/// A relay whose confirmation of the store is older than this is passed over.
-pub(crate) const MAX_RELAY_AGE: Duration = Duration::from_millis(2_300);
+/// Each host waits this much longer than the next better-ranked one, so that mostly
+/// one takes over.
+const TURN: Duration = Duration::from_millis(150);
+/// Turns that a host waits at most.
+const MAX_TURNS: u32 = 12;
 
 /// Rank of a host in its zone; the lowest relays.
 pub(super) fn rank(zone: &str, host_id: &str) -> u64 {
@@ -23,12 +26,17 @@
     /// Time since a better-ranked relay with a fresh confirmation was heard, or since
     /// the start of the process.
     pub(super) better_relay_silence: Duration,
+    /// Better-ranked hosts of the zone that are known.
+    pub(super) better_hosts: u32,
     /// Age of the own confirmation of the store.
     pub(super) own_age: Option<Duration>,
+    /// A relay with an older confirmation is of no use.
+    pub(super) max_age: Duration,
 }
 
 /// Whether the host is to relay now.
 pub(super) fn relays(inputs: &RelayInputs) -> bool {
-    inputs.better_relay_silence > RELAY_TIMEOUT
-        && inputs.own_age.is_some_and(|age| age <= MAX_RELAY_AGE)
+    let turns = inputs.better_hosts.min(MAX_TURNS);
+    inputs.better_relay_silence > RELAY_TIMEOUT + TURN * turns
+        && inputs.own_age.is_some_and(|age| age <= inputs.max_age)
 }
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         load_sums::{LoadSums, endpoint_hash},
-        peer_state::{FeedKind, PeerState},
+        peer_state::{FeedKind, MaxAges, PeerState},
         published_feed::{MAX_CHANGES_BYTES, PublishedFeed, encode_changes},
         relay_election::{RelayInputs, rank, relays},
     },
@@ -24,6 +24,16 @@
     }
 }
 
+fn own_state() -> PeerState {
+    let max_age = Duration::from_millis(1_500);
+    PeerState::new(host("own"), MaxAges { config: max_age, endpoints: max_age })
+}
+
+/// A status that answers a report which was sent just now.
+fn answered_status(state: &PeerState, from: &str, age_ms: u64) -> GossipMessage {
+    status(from, Some(report_clock(state)), age_ms, Vec::new())
+}
+
 fn status(from: &str, echo_ms: Option<u64>, age_ms: u64, loads: Vec<EndpointLoad>) -> GossipMessage {
     let feed = FeedStatus { position: 10, changed: Some(9), confirmed_age_ms: Some(age_ms) };
     GossipMessage::RelayStatus(RelayStatus {
@@ -50,8 +60,15 @@
 #[test]
 fn a_host_relays_only_while_no_better_relay_is_heard() {
     let fresh = Some(Duration::from_millis(300));
-    let silent = RelayInputs { better_relay_silence: Duration::from_secs(1), own_age: fresh };
+    let silent = RelayInputs {
+        better_relay_silence: Duration::from_secs(1),
+        better_hosts: 0,
+        own_age: fresh,
+        max_age: Duration::from_millis(1_500),
+    };
     assert!(relays(&silent));
+    // the next in rank takes over first
+    assert!(!relays(&RelayInputs { better_hosts: 4, ..silent }));
     assert!(!relays(&RelayInputs { better_relay_silence: Duration::ZERO, ..silent }));
     // a host that the store turns away must not speak for it
     assert!(!relays(&RelayInputs { own_age: Some(Duration::from_secs(4)), ..silent }));
@@ -62,10 +79,9 @@
 /// the confirmation counts from this host's own clock, before the relay wrote it.
 #[test]
 fn a_relayed_confirmation_is_no_younger_than_the_report_it_answers() {
-    let state = PeerState::new(host("own"));
+    let state = own_state();
     state.receive(status("peer", None, 400, Vec::new()));
-    let relayed = state.relayed(FeedKind::Config).expect("a relay");
-    assert_eq!(relayed.confirmed_at, None, "no report was answered");
+    assert!(state.relayed(FeedKind::Config).is_none(), "no report was answered");
     let sent_at_ms = report_clock(&state);
     std::thread::sleep(Duration::from_millis(60));
     state.receive(status("peer", Some(sent_at_ms), 0, Vec::new()));
@@ -78,28 +94,34 @@
 /// Guards against an echo of an earlier process of the host, or an invented one.
 #[test]
 fn a_foreign_echo_confirms_nothing() {
-    let state = PeerState::new(host("own"));
+    let state = own_state();
     state.receive(status("peer", None, 0, Vec::new()));
     let sent_at_ms = report_clock(&state);
     for echo_ms in [0, sent_at_ms - 3_600_000, sent_at_ms + 3_600_000, u64::MAX] {
         state.receive(status("peer", Some(echo_ms), 0, Vec::new()));
-        let relayed = state.relayed(FeedKind::Config).expect("a relay");
-        assert_eq!(relayed.confirmed_at, None, "echo {echo_ms}");
+        assert!(state.relayed(FeedKind::Config).is_none(), "echo {echo_ms}");
     }
 }
 
-/// Guards against a relay that has lost the store and is still followed.
+/// Guards against a change that comes late because the relay lost the store, was
+/// killed or froze: what it said last is used only for part of the bound.
 #[test]
-fn a_relay_with_an_old_confirmation_is_not_chosen() {
-    let state = PeerState::new(host("own"));
-    state.receive(status("peer", None, 5_000, Vec::new()));
-    assert!(state.relayed(FeedKind::Config).is_none());
+fn a_relay_is_followed_only_while_its_knowledge_is_fresh() {
+    let state = own_state();
+    state.receive(status("peer", None, 100, Vec::new()));
+    state.receive(answered_status(&state, "peer", 5_000));
+    assert!(state.relayed(FeedKind::Config).is_none(), "it lost the store");
+    state.receive(answered_status(&state, "peer", 1_400));
+    assert!(state.relayed(FeedKind::Config).is_some());
+    // the relay falls silent before its silence alone would tell
+    std::thread::sleep(Duration::from_millis(150));
+    assert!(state.relayed(FeedKind::Config).is_none(), "its last word is too old");
 }
 
 /// Guards against flapping between relays: the better-ranked one is kept.
 #[test]
 fn the_better_ranked_of_two_relays_is_followed() {
-    let state = PeerState::new(host("own"));
+    let state = own_state();
     let load = |requests| vec![EndpointLoad { endpoint: endpoint_hash("e"), requests }];
     let mut names = ["p", "q"];
     names.sort_by_key(|name| rank("z", name));
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -5,9 +5,9 @@
         clock::BootInstant,
         config::{CallerLimits, ConfigState},
         endpoints::Directory,
-        peers::PeerState,
+        peers::{MaxAges, PeerState},
         retry::RetryBudget,
-        settings::GatewaySettings,
+        settings::{Bounds, GatewaySettings},
         telemetry::GatewayMetrics,
     },
     mango_wire::gossip::HostRecord,
@@ -26,6 +26,8 @@
 /// Part of the fleet's ratio that a router spends, for requests that it has counted
 /// and that the fleet's window no longer holds.
 const RATIO_SHARE: f64 = 0.9;
+/// Part of a bound for which the knowledge of a relay is good enough.
+const RELAY_AGE_SHARE: f64 = 0.75;
 /// Part of the revocation time after which unconfirmed keys are refused; the rest
 /// covers an answer of the store that was on its way.
 const CONFIRMATION_SHARE: f64 = 0.7;
@@ -47,7 +49,7 @@
     pub(crate) fn new(protocol: P, settings: GatewaySettings) -> Gateway<P> {
         let max_age = settings.bounds.key_revocation().mul_f64(CONFIRMATION_SHARE);
         Gateway {
-            peers: Rc::new(PeerState::new(own_record(&settings))),
+            peers: Rc::new(PeerState::new(own_record(&settings), max_ages(&settings.bounds))),
             protocol,
             settings,
             config: Rc::new(ConfigState::new(max_age)),
@@ -120,6 +122,14 @@
     }
 }
 
+/// What is left of each bound lets the host read the store itself in time.
+fn max_ages(bounds: &Bounds) -> MaxAges {
+    MaxAges {
+        config: bounds.config_apply().mul_f64(RELAY_AGE_SHARE),
+        endpoints: bounds.endpoint_drain().mul_f64(RELAY_AGE_SHARE),
+    }
+}
+
 fn own_record(settings: &GatewaySettings) -> HostRecord {
     HostRecord {
         host_id: settings.host.clone(),
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -27,6 +27,8 @@
 const BALANCER_TIME: Duration = Duration::from_millis(2_500);
 /// The process exits this much before it would be killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the time for a change during which the store may hold a read.
+const POLL_WAIT_SHARE: f64 = 0.4;
 /// Pause between two looks at whether the last connection has ended.
 const STOP_POLL: Duration = Duration::from_millis(100);
 
@@ -104,7 +106,8 @@
     E: RecordFeed,
 {
     let (peers, metrics) = (&gateway.peers, &gateway.metrics);
-    let sink = ConfigSink::new(gateway.config.clone(), decode_config, metrics.clone());
+    let poll_wait = gateway.settings.bounds.config_apply().mul_f64(POLL_WAIT_SHARE);
+    let sink = ConfigSink::new(gateway.config.clone(), decode_config, poll_wait, metrics.clone());
     spawn_local(Follower::new(config_feed, sink, peers.clone(), metrics.clone()).run());
     let heartbeat = Duration::from_millis(gateway.settings.endpoint_heartbeat_ms);
     let directory = gateway.directory.clone();
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -36,6 +36,10 @@
     pub refuses_unconfirmed_keys: bool,
     /// A key that was taken away must be refused after this time, in ms.
     pub key_revocation_ms: f64,
+    /// A change of the configuration must be in force after this time, in ms.
+    pub config_apply_ms: f64,
+    /// An endpoint that leaves must get no new work after this time, in ms.
+    pub endpoint_drain_ms: f64,
     /// Time from the signal to stop until the process is killed, in seconds.
     pub stop_grace_s: f64,
     /// Repeats per request that the whole fleet may make.
@@ -51,6 +55,14 @@
         Duration::from_secs_f64(self.key_revocation_ms.max(0.0) / 1_000.0)
     }
 
+    pub(crate) fn config_apply(&self) -> Duration {
+        Duration::from_secs_f64(self.config_apply_ms.max(0.0) / 1_000.0)
+    }
+
+    pub(crate) fn endpoint_drain(&self) -> Duration {
+        Duration::from_secs_f64(self.endpoint_drain_ms.max(0.0) / 1_000.0)
+    }
+
     pub(crate) fn stop_grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop_grace_s.max(0.0))
     }
--- a/crates/gateway/src/settings/load.rs
+++ b/crates/gateway/src/settings/load.rs
@@ -22,6 +22,8 @@
     let bounds = &settings.bounds;
     let numbers = [
         ("bounds.key_revocation_ms", bounds.key_revocation_ms),
+        ("bounds.config_apply_ms", bounds.config_apply_ms),
+        ("bounds.endpoint_drain_ms", bounds.endpoint_drain_ms),
         ("bounds.stop_grace_s", bounds.stop_grace_s),
         ("bounds.retry_budget_ratio", bounds.retry_budget_ratio),
         ("bounds.retry_budget_window_s", bounds.retry_budget_window_s),
