--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -146,10 +146,11 @@
         let placement = choose_endpoint(&placement, &candidates)?;
         let chosen = &candidates[placement.target];
         let source = placement.prefix_source.map(|index| candidates[index].id);
+        let prefix = self.request.caller.prefix;
         event!(
             "request_placed",
             "id={} route={} kind={} endpoint={} load={:.1} failures={:.2} slowness={:.2} \
-             waiting={} candidates={} prefix_source={} config_version={} sends={} time_left_ms={}",
+             waiting={} candidates={} prefix={:016x} shared_tokens={} prefix_source={} config_version={} sends={} time_left_ms={}",
             self.request.caller.id,
             self.request.route.name,
             self.request.route.kind,
@@ -159,6 +160,8 @@
             chosen.slowness,
             chosen.waiting,
             candidates.len(),
+            prefix.map_or(0, |prefix| prefix.hash),
+            prefix.map_or(0, |prefix| prefix.shared_tokens),
             source.unwrap_or("-"),
             self.request.config_version,
             self.tried.len(),
