--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -141,7 +141,13 @@
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::Connection)) => return Next::Close,
         Ok(Err(BodyError::Refused(refusal))) => {
-            event!("request_refused", "id={} status={} reason={}", caller.id, refusal.status, refusal.reason);
+            event!(
+                "request_refused",
+                "id={} status={} reason={}",
+                caller.id,
+                refusal.status,
+                refusal.reason
+            );
             refuse_unread::<P>(connection, &refusal).await;
             return Next::Close;
         }
@@ -155,7 +161,9 @@
     let closes = !head.keeps_alive || gateway.stop.is_stopping();
     let request = match admitted(gateway, head, body, caller, received_at) {
         Ok(request) => request,
-        Err((caller, refusal)) => return refuse(gateway, connection, &caller, &refusal, closes).await,
+        Err((caller, refusal)) => {
+            return refuse(gateway, connection, &caller, &refusal, closes).await;
+        }
     };
     answer(gateway, connection, &request, closes).await
 }
--- a/crates/gateway/src/callers/refusal.rs
+++ b/crates/gateway/src/callers/refusal.rs
@@ -23,12 +23,7 @@
 
     /// The request did not run and may be repeated later.
     pub(crate) fn unavailable(reason: Reason, retry_after: Duration) -> Refusal {
-        Refusal {
-            status: 503,
-            reason,
-            verdict: Verdict::NotRun,
-            retry_after: Some(retry_after),
-        }
+        Refusal { status: 503, reason, verdict: Verdict::NotRun, retry_after: Some(retry_after) }
     }
 
     /// The request may have run, and its outcome is not known.
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -139,9 +139,7 @@
         let mut decoder = BodyDecoder::new(head.framing);
         let mut skipped = Vec::new();
         loop {
-            decoder
-                .decode(&mut self.connection.input, &mut skipped)
-                .map_err(|_| bad_answer())?;
+            decoder.decode(&mut self.connection.input, &mut skipped).map_err(|_| bad_answer())?;
             if decoder.is_done() {
                 return Ok(());
             }
@@ -195,11 +193,7 @@
     }
 }
 
-async fn write_both(
-    writer: &mut OwnedWriteHalf,
-    head: &[u8],
-    body: &[u8],
-) -> std::io::Result<()> {
+async fn write_both(writer: &mut OwnedWriteHalf, head: &[u8], body: &[u8]) -> std::io::Result<()> {
     writer.write_all(head).await?;
     writer.write_all(body).await
 }
--- a/crates/gateway/src/dispatch/endpoint_request.rs
+++ b/crates/gateway/src/dispatch/endpoint_request.rs
@@ -1,4 +1,7 @@
-use {crate::http1::RequestHead, std::{net::SocketAddr, time::Duration}};
+use {
+    crate::http1::RequestHead,
+    std::{net::SocketAddr, time::Duration},
+};
 
 /// What is said to an endpoint in front of the body.
 #[derive(Debug)]
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -36,7 +36,7 @@
     sink: &mut CallerSink<'_, P>,
 ) -> bool {
     let mut run = Run::new(gateway, request);
-    let is_kept = match timeout(request.time_left() + DEADLINE_SLACK, run.to_answer(sink)).await {
+    let is_kept = match timeout(request.time_left() + DEADLINE_SLACK, run.answer(sink)).await {
         Ok(is_kept) => is_kept,
         Err(_) => run.out_of_time(sink).await,
     };
@@ -74,7 +74,7 @@
         }
     }
 
-    async fn to_answer(&mut self, sink: &mut CallerSink<'_, P>) -> bool {
+    async fn answer(&mut self, sink: &mut CallerSink<'_, P>) -> bool {
         loop {
             if let Err(refusal) = self.check_allowed() {
                 return self.give_up(sink, refusal).await;
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -29,7 +29,16 @@
         self.missing_until.borrow_mut().remove(&record.id);
         let mut by_id = self.by_id.borrow_mut();
         let Some(known) = by_id.get(&record.id) else {
-            event!("endpoint_added", "endpoint={} service={} address={} zone={} state={} sequence={}", record.id, record.service, record.address, record.zone, record.state, record.sequence);
+            event!(
+                "endpoint_added",
+                "endpoint={} service={} address={} zone={} state={} sequence={}",
+                record.id,
+                record.service,
+                record.address,
+                record.zone,
+                record.state,
+                record.sequence
+            );
             by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.joining_time())));
             return true;
         };
@@ -43,14 +52,28 @@
                 || record.service != current.service
         };
         if is_replaced {
-            event!("endpoint_restarted", "endpoint={} service={} address={} state={} sequence={}", record.id, record.service, record.address, record.state, record.sequence);
+            event!(
+                "endpoint_restarted",
+                "endpoint={} service={} address={} state={} sequence={}",
+                record.id,
+                record.service,
+                record.address,
+                record.state,
+                record.sequence
+            );
             known.set_leaving();
             by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.joining_time())));
             return true;
         }
         let starts_draining = record.state == EndpointState::Draining && !known.is_leaving();
         if starts_draining {
-            event!("endpoint_draining", "endpoint={} service={} sequence={}", record.id, record.service, record.sequence);
+            event!(
+                "endpoint_draining",
+                "endpoint={} service={} sequence={}",
+                record.id,
+                record.service,
+                record.sequence
+            );
             known.set_leaving();
         }
         known.record.replace(record);
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -1,5 +1,8 @@
 use {
-    super::{Directory, EndpointRecord, EndpointState, LoadReport, health::Health, load_estimate::LoadEstimate},
+    super::{
+        Directory, EndpointRecord, EndpointState, LoadReport, health::Health,
+        load_estimate::LoadEstimate,
+    },
     std::time::{Duration, Instant},
 };
 
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -116,7 +116,8 @@
             None => self.feed.newest().await.map(News::All),
             Some(from) => {
                 // after a failure the state is confirmed at once, not after a wait
-                let wait = if self.health.is_failing() { Duration::ZERO } else { self.sink.poll_wait() };
+                let wait =
+                    if self.health.is_failing() { Duration::ZERO } else { self.sink.poll_wait() };
                 self.feed.changes(from, wait).await.map(|changes| News::Since(changes, from, wait))
             }
         };
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -7,9 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use {
-    config_sink::ConfigSink, endpoint_sink::EndpointSink, follower::Follower,
-};
+pub(crate) use {config_sink::ConfigSink, endpoint_sink::EndpointSink, follower::Follower};
 pub use {
     record_feed::{Changes, FeedError, Newest, Offset, RawRecord, RecordFeed},
     record_sink::Decode,
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -11,7 +11,6 @@
 pub(crate) trait RecordSink {
     const KIND: FeedKind;
 
-
     /// Pause after a read that reached the end of the log.
     const POLL_PAUSE: Duration;
 
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -80,12 +80,11 @@
 fn follow_config(feed: ScriptedFeed) -> Rc<ConfigState> {
     let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
     let metrics = Rc::new(GatewayMetrics::new());
-    let sink = ConfigSink::new(state.clone(), decode_version, Duration::from_millis(100), metrics.clone());
+    let sink =
+        ConfigSink::new(state.clone(), decode_version, Duration::from_millis(100), metrics.clone());
     let follower = Follower::new(feed, sink, peers(), metrics);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .build()
-        .expect("a runtime");
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let _ = timeout(Duration::from_millis(600), follower.run()).await;
     });
@@ -106,10 +105,9 @@
         newest(vec![raw(1, "config", "6")], 2),
         newest(vec![raw(2, "config", "9")], 3),
     ]);
-    feed.changes.borrow_mut().extend([
-        Err(FeedError::Expired),
-        Ok(Changes { records: Vec::new(), next: 2, end: 1 }),
-    ]);
+    feed.changes
+        .borrow_mut()
+        .extend([Err(FeedError::Expired), Ok(Changes { records: Vec::new(), next: 2, end: 1 })]);
     let state = follow_config(feed);
     assert_eq!(state.version(), 9);
     assert!(state.is_confirmed(BootInstant::now()));
@@ -135,7 +133,10 @@
 fn a_failed_call_is_repeated() {
     let feed = ScriptedFeed::default();
     let lost = || Err(FeedError::Unavailable("refused".into()));
-    feed.newest.borrow_mut().extend([Err(FeedError::Unavailable("refused".into())), newest(vec![raw(0, "config", "3")], 1)]);
+    feed.newest.borrow_mut().extend([
+        Err(FeedError::Unavailable("refused".into())),
+        newest(vec![raw(0, "config", "3")], 1),
+    ]);
     feed.changes.borrow_mut().push_back(lost());
     assert_eq!(follow_config(feed).version(), 3);
 }
--- a/crates/gateway/src/http1/request_head.rs
+++ b/crates/gateway/src/http1/request_head.rs
@@ -14,10 +14,7 @@
 
 impl RequestHead {
     /// Takes a head from the start of the bytes; nothing while it is not whole.
-    pub fn take(
-        input: &mut Vec<u8>,
-        max_bytes: usize,
-    ) -> Result<Option<RequestHead>, HeadError> {
+    pub fn take(input: &mut Vec<u8>, max_bytes: usize) -> Result<Option<RequestHead>, HeadError> {
         let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut request = httparse::Request::new(&mut parsed);
         let length = match request.parse(input) {
--- a/crates/gateway/src/http1/tests.rs
+++ b/crates/gateway/src/http1/tests.rs
@@ -122,7 +122,8 @@
 /// Guards against an interim response that is taken for the answer.
 #[test]
 fn interim_responses_are_passed_over() {
-    let mut input = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_vec();
+    let mut input =
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_vec();
     let head = ResponseHead::take(&mut input, "POST").expect("valid").expect("whole");
     assert_eq!((head.status, head.framing), (200, BodyFraming::Length(2)));
     assert_eq!(input, b"ok");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,9 @@
 
 pub use {
     callers::{CallerRequest, PromptPrefix, Protocol, RequestError},
-    config::{ApiKey, CallerLimits, RequestKind, Route, RoutingConfig, Service, ServiceShare, Team},
+    config::{
+        ApiKey, CallerLimits, RequestKind, Route, RoutingConfig, Service, ServiceShare, Team,
+    },
     dispatch::{AnswerMeta, EndpointRequest},
     endpoints::{EndpointId, EndpointRecord, EndpointState, LoadReport},
     followers::{Changes, Decode, FeedError, Newest, Offset, RawRecord, RecordFeed},
--- a/crates/gateway/src/peers/host_table.rs
+++ b/crates/gateway/src/peers/host_table.rs
@@ -1,8 +1,5 @@
 use {
-    super::{
-        load_sums::LoadSums,
-        relay_election::rank,
-    },
+    super::{load_sums::LoadSums, relay_election::rank},
     mango_wire::gossip::{EndpointLoad, HostRecord, LoadReport, ZoneLoads},
     std::{
         collections::BTreeMap,
--- a/crates/gateway/src/peers/load_sums.rs
+++ b/crates/gateway/src/peers/load_sums.rs
@@ -4,9 +4,7 @@
 //! its own part, so that an endpoint can take several times the mean load while every
 //! router counts one or two requests there.
 
-use {
-    mango_wire::gossip::EndpointLoad, std::collections::BTreeMap, xxhash_rust::xxh3::xxh3_64,
-};
+use {mango_wire::gossip::EndpointLoad, std::collections::BTreeMap, xxhash_rust::xxh3::xxh3_64};
 
 /// Name of an endpoint in load reports.
 pub(crate) fn endpoint_hash(id: &str) -> u32 {
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -263,11 +263,8 @@
         let (reporting, mut sums) = hosts.zone_sums(now);
         let mut others = sums.clone();
         sums.add(own_loads);
-        let zone_loads = ZoneLoads {
-            host: self.own.clone(),
-            hosts: reporting + 1,
-            loads: sums.to_loads(),
-        };
+        let zone_loads =
+            ZoneLoads { host: self.own.clone(), hosts: reporting + 1, loads: sums.to_loads() };
         let fleet_hosts = reporting + 1 + hosts.add_other_zones(&mut sums, now);
         hosts.add_other_zones(&mut others, now);
         let mut messages: Vec<(SocketAddr, GossipMessage)> = hosts
--- a/crates/gateway/src/peers/relay_client.rs
+++ b/crates/gateway/src/peers/relay_client.rs
@@ -59,8 +59,7 @@
         mut connection: ClientConnection,
         request: &str,
     ) -> io::Result<Vec<u8>> {
-        let (head, body) =
-            connection.call("GET", request.as_bytes(), MAX_CHANGES_BYTES).await?;
+        let (head, body) = connection.call("GET", request.as_bytes(), MAX_CHANGES_BYTES).await?;
         if head.status != 200 {
             return Err(io::Error::other(format!("status {}", head.status)));
         }
--- a/crates/gateway/src/peers/relay_view.rs
+++ b/crates/gateway/src/peers/relay_view.rs
@@ -35,8 +35,7 @@
 impl RelayView {
     pub(super) fn feed(&self, status: &FeedStatus) -> RelayedFeed {
         let age = status.confirmed_age_ms.map(Duration::from_millis);
-        let confirmed_at =
-            self.echo.zip(age).and_then(|(echo, age)| echo.checked_sub(age));
+        let confirmed_at = self.echo.zip(age).and_then(|(echo, age)| echo.checked_sub(age));
         RelayedFeed {
             address: self.relay_address,
             position: status.position,
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -34,7 +34,12 @@
     status(from, Some(report_clock(state)), age_ms, Vec::new())
 }
 
-fn status(from: &str, echo_ms: Option<u64>, age_ms: u64, loads: Vec<EndpointLoad>) -> GossipMessage {
+fn status(
+    from: &str,
+    echo_ms: Option<u64>,
+    age_ms: u64,
+    loads: Vec<EndpointLoad>,
+) -> GossipMessage {
     let feed = FeedStatus { position: 10, changed: Some(9), confirmed_age_ms: Some(age_ms) };
     GossipMessage::RelayStatus(RelayStatus {
         host: host(from),
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -61,7 +61,8 @@
     let source = (0..candidates.len())
         .filter(|&index| index != target && !candidates[index].is_young)
         .max_by_key(|&index| prefix_rank(prefix, &candidates[index]))?;
-    let is_first = prefix_rank(prefix, &candidates[source]) < prefix_rank(prefix, &candidates[target]);
+    let is_first =
+        prefix_rank(prefix, &candidates[source]) < prefix_rank(prefix, &candidates[target]);
     let is_cached = is_first && !candidates[target].is_young;
     let is_reachable =
         !candidates[source].is_paused && candidates[source].failure_share <= MAX_SOURCE_FAILURES;
@@ -147,9 +148,6 @@
         let zone = if candidate.is_same_zone { 0.0 } else { ZONE_COST };
         // below one request, so that it only orders endpoints of about the same load
         let tie = xxh3_64_with_seed(candidate.id.as_bytes(), tie_breaker) as f64 / u64::MAX as f64;
-        load * self.slowness(candidate)
-            + FAILURE_COST * candidate.failure_share
-            + zone
-            + 0.5 * tie
+        load * self.slowness(candidate) + FAILURE_COST * candidate.failure_share + zone + 0.5 * tie
     }
 }
--- a/crates/gateway/src/retry/tests.rs
+++ b/crates/gateway/src/retry/tests.rs
@@ -59,9 +59,8 @@
     const ALLOWANCE: u32 = 116;
     let window = Duration::from_secs(10);
     let start = Instant::now();
-    let mut budgets: Vec<_> = (0..ROUTERS)
-        .map(|_| RetryBudget::new(0.2, ALLOWANCE / ROUTERS, window))
-        .collect();
+    let mut budgets: Vec<_> =
+        (0..ROUTERS).map(|_| RetryBudget::new(0.2, ALLOWANCE / ROUTERS, window)).collect();
     let mut repeats = Vec::new();
     let mut requests = Vec::new();
     for tick in 0..30_000_u32 {
--- a/crates/gateway/src/server/listeners.rs
+++ b/crates/gateway/src/server/listeners.rs
@@ -7,7 +7,11 @@
     },
     anyhow::{Context, Result},
     std::{net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{net::{TcpListener, UdpSocket}, task::spawn_local, time::sleep},
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        task::spawn_local,
+        time::sleep,
+    },
 };
 
 /// Pause after a failed accept, for instance without free descriptors.
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -130,11 +130,7 @@
 }
 
 /// Checks the settings file when a signal says that it has changed.
-async fn watch_settings(
-    mut hangup: Signal,
-    path: std::path::PathBuf,
-    current: GatewaySettings,
-) {
+async fn watch_settings(mut hangup: Signal, path: std::path::PathBuf, current: GatewaySettings) {
     while hangup.recv().await.is_some() {
         match load_settings(&path) {
             Ok(settings) if settings == current => event!("settings_reloaded", "changed=false"),
--- a/crates/gateway/src/telemetry/mod.rs
+++ b/crates/gateway/src/telemetry/mod.rs
@@ -3,8 +3,4 @@
 mod gateway_metrics;
 mod start_logging;
 
-pub(crate) use {
-    event::event,
-    gateway_metrics::GatewayMetrics,
-    start_logging::start_logging,
-};
+pub(crate) use {event::event, gateway_metrics::GatewayMetrics, start_logging::start_logging};
--- a/crates/router/src/app/args.rs
+++ b/crates/router/src/app/args.rs
@@ -1,5 +1,8 @@
 use {
-    crate::settings::load_settings, anyhow::{Context, Result}, clap::Parser, mango_wire::settings::Settings,
+    crate::settings::load_settings,
+    anyhow::{Context, Result},
+    clap::Parser,
+    mango_wire::settings::Settings,
     std::path::PathBuf,
 };
 
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -62,10 +62,7 @@
 }
 
 /// Encodes a message of up to `max_bytes`.
-pub fn encode_bounded<T: Serialize>(
-    message: &T,
-    max_bytes: usize,
-) -> Result<Vec<u8>, DecodeError> {
+pub fn encode_bounded<T: Serialize>(message: &T, max_bytes: usize) -> Result<Vec<u8>, DecodeError> {
     let bytes =
         encode_to_vec(message, standard()).map_err(|e| DecodeError::Malformed(e.to_string()))?;
     if bytes.len() > max_bytes {
