Remember which endpoints hold a prefix, and share it between hosts

Change: hosts tell each other new uses of prefixes with their reports; a holder with room is used first, and otherwise fetched from.

--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -113,6 +113,7 @@
     fn choose(&self) -> Option<(Rc<Endpoint>, Option<SocketAddr>)> {
         let now = Instant::now();
         let endpoints = self.gateway.directory.of_service(&self.request.service);
+        let prefix = self.request.caller.prefix;
         let records: Vec<_> = endpoints.iter().map(|endpoint| endpoint.record.borrow()).collect();
         let candidates: Vec<Candidate<'_>> = endpoints
             .iter()
@@ -123,7 +124,7 @@
                     id: &record.id,
                     requests: load.requests(
                         endpoint.in_flight(),
-                        self.gateway.peers.others_at(&record.id),
+                        self.gateway.peers.others_at(endpoint.hash),
                         now,
                     ),
                     waiting: load.waiting(now),
@@ -133,6 +134,8 @@
                     failure_share: health.failure_share(now),
                     is_paused: health.is_paused(now),
                     is_excluded: self.tried.contains(&record.id),
+                    holds_prefix: prefix
+                        .is_some_and(|prefix| self.gateway.peers.holds(prefix.hash, endpoint.hash)),
                     is_leaving: endpoint.is_leaving(),
                     is_young: endpoint.is_young(now),
                     is_same_zone: *record.zone == *self.gateway.settings.zone,
@@ -140,17 +143,19 @@
             })
             .collect();
         let placement = PlacementRequest {
-            prefix_hash: self.request.caller.prefix.map(|prefix| prefix.hash),
+            prefix_hash: prefix.map(|prefix| prefix.hash),
             tie_breaker: rand::random(),
         };
         let placement = choose_endpoint(&placement, &candidates)?;
         let chosen = &candidates[placement.target];
         let source = placement.prefix_source.map(|index| candidates[index].id);
-        let prefix = self.request.caller.prefix;
+        if let Some(prefix) = prefix {
+            self.gateway.peers.record_use(prefix.hash, endpoints[placement.target].hash);
+        }
         event!(
             "request_placed",
             "id={} route={} kind={} endpoint={} load={:.1} failures={:.2} slowness={:.2} \
-             waiting={} candidates={} prefix={:016x} shared_tokens={} prefix_source={} config_version={} sends={} time_left_ms={}",
+             waiting={} candidates={} prefix={:016x} shared_tokens={} holds_prefix={} prefix_source={} config_version={} sends={} time_left_ms={}",
             self.request.caller.id,
             self.request.route.name,
             self.request.route.kind,
@@ -162,6 +167,7 @@
             candidates.len(),
             prefix.map_or(0, |prefix| prefix.hash),
             prefix.map_or(0, |prefix| prefix.shared_tokens),
+            chosen.holds_prefix,
             source.unwrap_or("-"),
             self.request.config_version,
             self.tried.len(),
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -141,13 +141,13 @@
     }
 
     /// Requests of this process at each endpoint that has any.
-    pub(crate) fn loads(&self, hash: impl Fn(&str) -> u32) -> Vec<EndpointLoad> {
+    pub(crate) fn loads(&self) -> Vec<EndpointLoad> {
         self.by_id
             .borrow()
-            .iter()
-            .filter(|(_, endpoint)| endpoint.in_flight() > 0)
-            .map(|(id, endpoint)| EndpointLoad {
-                endpoint: hash(id),
+            .values()
+            .filter(|endpoint| endpoint.in_flight() > 0)
+            .map(|endpoint| EndpointLoad {
+                endpoint: endpoint.hash,
                 requests: endpoint.in_flight(),
             })
             .collect()
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -5,6 +5,7 @@
         idle_connection::IdleConnection,
         load_estimate::LoadEstimate,
     },
+    crate::peers::endpoint_hash,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -20,6 +21,8 @@
 /// An endpoint with what this process knows of it.
 pub(crate) struct Endpoint {
     pub(crate) record: RefCell<EndpointRecord>,
+    /// Name of the endpoint between hosts.
+    pub(crate) hash: u32,
     pub(crate) health: Cell<Health>,
     pub(crate) load: Cell<LoadEstimate>,
     in_flight: Cell<u32>,
@@ -33,6 +36,7 @@
     pub(crate) fn new(record: EndpointRecord, joined_at: Option<Instant>) -> Endpoint {
         let is_leaving = record.state == EndpointState::Draining;
         Endpoint {
+            hash: endpoint_hash(&record.id),
             record: RefCell::new(record),
             health: Cell::default(),
             load: Cell::default(),
--- a/crates/gateway/src/peers/gossip_task.rs
+++ b/crates/gateway/src/peers/gossip_task.rs
@@ -1,5 +1,5 @@
 use {
-    super::{load_sums::endpoint_hash, peer_state::PeerState},
+    super::peer_state::PeerState,
     crate::{endpoints::Directory, telemetry::event},
     mango_wire::{decode_bounded, encode_bounded},
     std::{rc::Rc, time::Duration},
@@ -26,7 +26,7 @@
     loop {
         rounds.tick().await;
         round = round.wrapping_add(1);
-        let loads = directory.loads(endpoint_hash);
+        let loads = directory.loads();
         for (address, message) in state.messages(&loads, round.is_multiple_of(SLOW_ROUNDS)) {
             match encode_bounded(&message, MAX_DATAGRAM_BYTES) {
                 // a lost datagram is followed by the next round's
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) use {
     announcer::announce,
     gossip_task::{gossip, receive_gossip},
+    load_sums::endpoint_hash,
     peer_state::{FeedKind, MaxAges, PeerState},
     published_feed::{PublishedFeed, encode_changes},
     relay_client::RelayClient,
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -1,14 +1,14 @@
 use {
     super::{
         host_table::HostTable,
-        load_sums::{LoadSums, endpoint_hash},
+        load_sums::LoadSums,
         published_feed::PublishedFeed,
         relay_election::{RELAY_TIMEOUT, RelayInputs, rank, relays},
         relay_view::{RelayView, RelayedFeed},
     },
-    crate::{clock::BootInstant, telemetry::event},
+    crate::{clock::BootInstant, placement::PrefixTable, telemetry::event},
     mango_wire::gossip::{
-        EndpointLoad, GossipMessage, HostRecord, LoadReport, RelayStatus, ZoneLoads,
+        EndpointLoad, GossipMessage, HostRecord, LoadReport, PrefixUse, RelayStatus, ZoneLoads,
     },
     std::{
         cell::{Cell, RefCell},
@@ -53,6 +53,13 @@
     others: RefCell<LoadSums>,
     others_at: Cell<Option<Instant>>,
     fleet_hosts: Cell<u32>,
+    prefixes: RefCell<PrefixTable>,
+    /// Uses by this host that the next round tells.
+    own_uses: RefCell<Vec<PrefixUse>>,
+    /// Uses by other hosts of the zone, while this host relays.
+    zone_uses: RefCell<Vec<PrefixUse>>,
+    /// Uses by hosts of other zones, while this host relays.
+    foreign_uses: RefCell<Vec<PrefixUse>>,
     pub(crate) config: RefCell<PublishedFeed>,
     pub(crate) endpoints: RefCell<PublishedFeed>,
     /// Wakes followers when a status has come.
@@ -74,6 +81,10 @@
             others: RefCell::default(),
             others_at: Cell::new(None),
             fleet_hosts: Cell::new(0),
+            prefixes: RefCell::default(),
+            own_uses: RefCell::default(),
+            zone_uses: RefCell::default(),
+            foreign_uses: RefCell::default(),
             config: RefCell::default(),
             endpoints: RefCell::default(),
             status_received: Notify::new(),
@@ -113,12 +124,14 @@
         }
         match message {
             GossipMessage::LoadReport(report) if report.host.zone == self.own.zone => {
+                self.learn_uses(&report.prefixes, true, now);
                 self.hosts.borrow_mut().add_report(report, now);
             }
             GossipMessage::RelayStatus(status) if status.host.zone == self.own.zone => {
                 self.receive_status(status, now);
             }
             GossipMessage::ZoneLoads(zone) if zone.host.zone != self.own.zone => {
+                self.learn_uses(&zone.prefixes, false, now);
                 self.hosts.borrow_mut().add_zone(zone, now);
             }
             _ => {}
@@ -126,6 +139,9 @@
     }
 
     fn receive_status(&self, status: RelayStatus, now: Instant) {
+        if !self.is_relay.get() {
+            self.learn_uses(&status.prefixes, true, now);
+        }
         let sender_rank = rank(&status.host.zone, &status.host.host_id);
         let is_fresh = age_of(&status).is_some_and(|age| age <= self.max_ages.config);
         if is_fresh && sender_rank < self.own_rank {
@@ -192,9 +208,33 @@
     }
 
     /// Requests of other hosts at an endpoint. None without recent news.
-    pub(crate) fn others_at(&self, endpoint_id: &str) -> Option<u32> {
+    pub(crate) fn others_at(&self, endpoint: u32) -> Option<u32> {
         let is_recent = self.others_at.get().is_some_and(|at| at.elapsed() <= SUMS_LIFETIME);
-        is_recent.then(|| self.others.borrow().requests(endpoint_hash(endpoint_id)))
+        is_recent.then(|| self.others.borrow().requests(endpoint))
+    }
+
+    /// Whether a prefix was sent to an endpoint a short while ago, by any host.
+    pub(crate) fn holds(&self, prefix: u64, endpoint: u32) -> bool {
+        self.prefixes.borrow().holds(prefix, endpoint, Instant::now())
+    }
+
+    /// Records that this host sends a prefix to an endpoint.
+    pub(crate) fn record_use(&self, prefix: u64, endpoint: u32) {
+        if self.prefixes.borrow_mut().record(prefix, endpoint, Instant::now()) {
+            self.own_uses.borrow_mut().push(PrefixUse { prefix, endpoint });
+        }
+    }
+
+    /// Keeps uses that other hosts told, and passes them on if this host relays.
+    fn learn_uses(&self, uses: &[PrefixUse], is_from_zone: bool, now: Instant) {
+        let mut prefixes = self.prefixes.borrow_mut();
+        for PrefixUse { prefix, endpoint } in uses {
+            prefixes.learn(*prefix, *endpoint, now);
+        }
+        if self.is_relay.get() {
+            let queue = if is_from_zone { &self.zone_uses } else { &self.foreign_uses };
+            queue.borrow_mut().extend_from_slice(uses);
+        }
     }
 
     /// Hosts of the fleet that report, this one included; 0 while unknown.
@@ -225,7 +265,9 @@
         own_loads: &[EndpointLoad],
         is_slow_round: bool,
     ) -> Vec<(SocketAddr, GossipMessage)> {
-        self.hosts.borrow_mut().expire(Instant::now());
+        let now = Instant::now();
+        self.hosts.borrow_mut().expire(now);
+        self.prefixes.borrow_mut().expire(now);
         if self.elect() {
             self.relay_messages(own_loads, is_slow_round)
         } else {
@@ -248,6 +290,7 @@
             host: self.own.clone(),
             sent_at_ms: self.clock_base + BootInstant::now().as_millis(),
             loads: own_loads.to_vec(),
+            prefixes: self.own_uses.take(),
         };
         let message = GossipMessage::LoadReport(report);
         targets.into_iter().map(|address| (address, message.clone())).collect()
@@ -263,8 +306,15 @@
         let (reporting, mut sums) = hosts.zone_sums(now);
         let mut others = sums.clone();
         sums.add(own_loads);
-        let zone_loads =
-            ZoneLoads { host: self.own.clone(), hosts: reporting + 1, loads: sums.to_loads() };
+        let mut uses = self.own_uses.take();
+        uses.append(&mut self.zone_uses.borrow_mut());
+        let zone_loads = ZoneLoads {
+            host: self.own.clone(),
+            hosts: reporting + 1,
+            loads: sums.to_loads(),
+            prefixes: uses.clone(),
+        };
+        uses.append(&mut self.foreign_uses.borrow_mut());
         let fleet_hosts = reporting + 1 + hosts.add_other_zones(&mut sums, now);
         hosts.add_other_zones(&mut others, now);
         let mut messages: Vec<(SocketAddr, GossipMessage)> = hosts
@@ -283,6 +333,7 @@
                 endpoints: self.endpoints.borrow().status(boot_now),
                 fleet_hosts,
                 loads: loads.to_loads(),
+                prefixes: uses.clone(),
             };
             messages.push((target.address, GossipMessage::RelayStatus(status)));
         }
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -48,6 +48,7 @@
         endpoints: feed,
         fleet_hosts: 5,
         loads,
+        prefixes: Vec::new(),
     })
 }
 
@@ -133,8 +134,8 @@
     state.receive(status(names[1], None, 100, load(2)));
     state.receive(status(names[0], None, 100, load(5)));
     state.receive(status(names[1], None, 100, load(2)));
-    assert_eq!(state.others_at("e"), Some(5));
-    assert_eq!(state.others_at("unknown"), Some(0));
+    assert_eq!(state.others_at(endpoint_hash("e")), Some(5));
+    assert_eq!(state.others_at(endpoint_hash("unknown")), Some(0));
 }
 
 /// Guards against own requests that are counted twice in the sums.
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -17,6 +17,8 @@
     /// It was tried for this request before.
     pub is_excluded: bool,
     pub is_same_zone: bool,
+    /// The prompt's prefix was sent to it a short while ago.
+    pub holds_prefix: bool,
     /// Takes no new requests; its cache may still be read.
     pub is_leaving: bool,
     /// Joined a short while ago, so that others hold what it is to cache.
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -37,6 +37,11 @@
         let target = cheapest(request, candidates, &usable, &costs)?;
         return Some(Placement { target, prefix_source: None });
     };
+    let holders: Vec<usize> =
+        usable.iter().copied().filter(|&index| candidates[index].holds_prefix).collect();
+    if let Some(target) = first_with_room(prefix, candidates, &holders, &costs) {
+        return Some(Placement { target, prefix_source: None });
+    }
     let target = first_with_room(prefix, candidates, &usable, &costs)
         .or_else(|| cheapest(request, candidates, &usable, &costs))?;
     Some(Placement { target, prefix_source: prefix_source(prefix, candidates, target) })
@@ -55,18 +60,31 @@
         .map(|(_, index)| index)
 }
 
-/// The endpoint that most likely caches a prefix that the target does not cache: the
-/// first of the prefix's order, or the second if the target is first but just joined.
+/// The endpoint from which the target may fetch the cache of a prefix: one that is
+/// known to hold it, or else the first of the prefix's order, or the second if the
+/// target is first but has just joined.
 fn prefix_source(prefix: u64, candidates: &[Candidate<'_>], target: usize) -> Option<usize> {
-    let source = (0..candidates.len())
-        .filter(|&index| index != target && !candidates[index].is_young)
-        .max_by_key(|&index| prefix_rank(prefix, &candidates[index]))?;
-    let is_first =
-        prefix_rank(prefix, &candidates[source]) < prefix_rank(prefix, &candidates[target]);
-    let is_cached = is_first && !candidates[target].is_young;
-    let is_reachable =
-        !candidates[source].is_paused && candidates[source].failure_share <= MAX_SOURCE_FAILURES;
-    (!is_cached && is_reachable).then_some(source)
+    if candidates[target].holds_prefix {
+        return None;
+    }
+    let first_of = |accept: &dyn Fn(&Candidate<'_>) -> bool| {
+        (0..candidates.len())
+            .filter(|&index| {
+                let candidate = &candidates[index];
+                index != target
+                    && !candidate.is_paused
+                    && candidate.failure_share <= MAX_SOURCE_FAILURES
+                    && accept(candidate)
+            })
+            .max_by_key(|&index| prefix_rank(prefix, &candidates[index]))
+    };
+    if let Some(holder) = first_of(&|candidate| candidate.holds_prefix) {
+        return Some(holder);
+    }
+    let first = first_of(&|candidate| !candidate.is_young)?;
+    let target = &candidates[target];
+    let is_first = prefix_rank(prefix, target) > prefix_rank(prefix, &candidates[first]);
+    (!is_first || target.is_young).then_some(first)
 }
 
 /// Place of an endpoint in a prefix's order; the highest comes first.
--- a/crates/gateway/src/placement/tests.rs
+++ b/crates/gateway/src/placement/tests.rs
@@ -1,4 +1,7 @@
-use super::{Candidate, PlacementRequest, choose_endpoint};
+use {
+    super::{Candidate, PlacementRequest, PrefixTable, choose_endpoint},
+    std::time::{Duration, Instant},
+};
 
 fn candidate(id: &str, requests: f64) -> Candidate<'_> {
     Candidate {
@@ -12,6 +15,7 @@
         is_paused: false,
         is_excluded: false,
         is_same_zone: true,
+        holds_prefix: false,
         is_leaving: false,
         is_young: false,
     }
@@ -165,3 +169,38 @@
     }
     over_cap
 }
+
+/// Guards against a prefix that leaves the endpoint which holds it, because the order
+/// of the prefix changed meanwhile.
+#[test]
+fn a_known_holder_is_used_or_fetched_from() {
+    let names = names(12);
+    for hash in 0..100 {
+        let mut candidates: Vec<_> = names.iter().map(|id| candidate(id, 1.0)).collect();
+        let first = choose_endpoint(&prefix(hash), &candidates).expect("a target").target;
+        let holder = (first + 5) % names.len();
+        candidates[holder].holds_prefix = true;
+        let placement = choose_endpoint(&prefix(hash), &candidates).expect("a target");
+        assert_eq!((placement.target, placement.prefix_source), (holder, None));
+        // a holder without room still gives its cache to the first of the order
+        candidates[holder].requests = 20.0;
+        let placement = choose_endpoint(&prefix(hash), &candidates).expect("a target");
+        assert_eq!((placement.target, placement.prefix_source), (first, Some(holder)));
+    }
+}
+
+/// Guards against a table that believes in evicted caches, grows for ever, or tells
+/// every use to every host.
+#[test]
+fn uses_are_shared_sparsely_and_forgotten() {
+    let start = Instant::now();
+    let mut table = PrefixTable::default();
+    assert!(table.record(1, 7, start));
+    assert!(!table.record(1, 7, start + Duration::from_secs(1)));
+    assert!(table.record(1, 7, start + Duration::from_secs(5)));
+    table.learn(1, 8, start);
+    assert!(table.holds(1, 8, start + Duration::from_secs(11)));
+    assert!(!table.holds(1, 8, start + Duration::from_secs(13)));
+    table.expire(start + Duration::from_secs(30));
+    assert!(!table.holds(1, 7, start), "expired uses are gone");
+}
