--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -50,6 +50,7 @@
     history: AttemptHistory,
     progress: StreamProgress,
     tried: Vec<EndpointId>,
+    refused_by: Vec<EndpointId>,
     /// A failure that an endpoint signed, to be passed on if nothing better follows.
     failed_answer: Option<(ResponseHead, Vec<u8>)>,
     last_cause: Option<FailureCause>,
@@ -67,6 +68,7 @@
             history: AttemptHistory::default(),
             progress: StreamProgress { has_started: false, last_event_id },
             tried: Vec::new(),
+            refused_by: Vec::new(),
             failed_answer: None,
             last_cause: None,
             outcome: "unfinished",
@@ -80,7 +82,10 @@
                 return self.give_up(sink, refusal).await;
             }
             let Some((endpoint, prefix_source)) = self.choose() else {
-                let refusal = Refusal::unavailable(Reason::NoCapacity, spread(REFUSED_RETRY));
+                let refusal = match self.last_cause {
+                    None => Refusal::unavailable(Reason::NoCapacity, spread(REFUSED_RETRY)),
+                    Some(_) => self.final_refusal(),
+                };
                 return self.give_up(sink, refusal).await;
             };
             self.tried.push(endpoint.record.borrow().id.clone());
@@ -134,6 +139,7 @@
                     failure_share: health.failure_share(now),
                     is_paused: health.is_paused(now),
                     is_excluded: self.tried.contains(&record.id),
+                    has_refused: self.refused_by.contains(&record.id),
                     holds_prefix: prefix
                         .is_some_and(|prefix| self.gateway.peers.holds(prefix.hash, endpoint.hash)),
                     is_leaving: endpoint.is_leaving(),
@@ -199,6 +205,9 @@
         if !matches!(cause, FailureCause::ConnectFailed | FailureCause::Misdirected) {
             endpoint.update_health(|health| health.failed(Instant::now()));
         }
+        if outcome == SendOutcome::NotRun {
+            self.refused_by.push(endpoint.record.borrow().id.clone());
+        }
         self.history.record(outcome);
         self.last_cause = Some(cause);
         if answer.is_some() {
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -36,6 +36,9 @@
     pub(crate) endpoints: Duration,
 }
 
+/// How long the largest number of hosts is kept.
+const FLEET_PEAK_LIFETIME: Duration = Duration::from_secs(20);
+
 /// What this host knows of its peers, and what it tells them.
 pub(crate) struct PeerState {
     own: HostRecord,
@@ -52,7 +55,10 @@
     is_relay: Cell<bool>,
     others: RefCell<LoadSums>,
     others_at: Cell<Option<Instant>>,
+    /// Largest number of hosts reported a short while ago: a relay that has not heard
+    /// the other zones yet counts too few.
     fleet_hosts: Cell<u32>,
+    fleet_peak_until: Cell<Instant>,
     prefixes: RefCell<PrefixTable>,
     /// Uses by this host that the next round tells.
     own_uses: RefCell<Vec<PrefixUse>>,
@@ -81,6 +87,7 @@
             others: RefCell::default(),
             others_at: Cell::new(None),
             fleet_hosts: Cell::new(0),
+            fleet_peak_until: Cell::new(Instant::now()),
             prefixes: RefCell::default(),
             own_uses: RefCell::default(),
             zone_uses: RefCell::default(),
@@ -189,7 +196,11 @@
     fn set_others(&self, sums: LoadSums, fleet_hosts: u32, now: Instant) {
         self.others.replace(sums);
         self.others_at.set(Some(now));
-        self.fleet_hosts.set(fleet_hosts);
+        let is_peak = fleet_hosts >= self.fleet_hosts.get();
+        if is_peak || now > self.fleet_peak_until.get() {
+            self.fleet_hosts.set(fleet_hosts);
+            self.fleet_peak_until.set(now + FLEET_PEAK_LIFETIME);
+        }
     }
 
     /// The relay's view of a log, while it is fresh and this host is no relay.
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -34,6 +34,15 @@
     status(from, Some(report_clock(state)), age_ms, Vec::new())
 }
 
+fn status_of_fleet(from: &str, fleet_hosts: u32) -> GossipMessage {
+    match status(from, None, 100, Vec::new()) {
+        GossipMessage::RelayStatus(status) => {
+            GossipMessage::RelayStatus(RelayStatus { fleet_hosts, ..status })
+        }
+        other => other,
+    }
+}
+
 fn status(
     from: &str,
     echo_ms: Option<u64>,
@@ -175,3 +184,15 @@
     assert_eq!(keys(&read(6)), [(7, "b".to_owned(), 0)]);
     assert_eq!((keys(&read(8)).len(), read(8).position), (0, 9));
 }
+
+/// Guards against shares of the retry budget that add up to more than the budget: a
+/// new relay that has heard one zone only must not make every share larger.
+#[test]
+fn the_number_of_hosts_does_not_fall_at_once() {
+    let state = own_state();
+    state.receive(status_of_fleet("peer", 103));
+    state.receive(status_of_fleet("peer", 35));
+    assert_eq!(state.fleet_hosts(), 103);
+    state.receive(status_of_fleet("peer", 104));
+    assert_eq!(state.fleet_hosts(), 104);
+}
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -16,6 +16,8 @@
     pub is_paused: bool,
     /// It was tried for this request before.
     pub is_excluded: bool,
+    /// It refused this request, so it is full and not asked again.
+    pub has_refused: bool,
     pub is_same_zone: bool,
     /// The prompt's prefix was sent to it a short while ago.
     pub holds_prefix: bool,
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -96,7 +96,10 @@
 fn usable(candidates: &[Candidate<'_>]) -> Vec<usize> {
     let select = |accept: &dyn Fn(&Candidate<'_>) -> bool| -> Vec<usize> {
         (0..candidates.len())
-            .filter(|&index| !candidates[index].is_leaving && accept(&candidates[index]))
+            .filter(|&index| {
+                let candidate = &candidates[index];
+                !candidate.is_leaving && !candidate.has_refused && accept(candidate)
+            })
             .collect()
     };
     let fresh = select(&|c| !c.is_excluded && !c.is_paused);
--- a/crates/gateway/src/placement/tests.rs
+++ b/crates/gateway/src/placement/tests.rs
@@ -14,6 +14,7 @@
         failure_share: 0.0,
         is_paused: false,
         is_excluded: false,
+        has_refused: false,
         is_same_zone: true,
         holds_prefix: false,
         is_leaving: false,
@@ -204,3 +205,18 @@
     table.expire(start + Duration::from_secs(30));
     assert!(!table.holds(1, 7, start), "expired uses are gone");
 }
+
+/// Replays an overload in which every endpoint is full: a request is not sent to an
+/// endpoint that refused it, which only uses up the budget of repeats.
+#[test]
+fn an_endpoint_that_refused_a_request_is_not_asked_again() {
+    let mut only = candidate("plain-0", 30.0);
+    only.has_refused = true;
+    only.is_excluded = true;
+    let plain = PlacementRequest { prefix_hash: None, tie_breaker: 1 };
+    assert_eq!(choose_endpoint(&plain, &[only.clone()]), None);
+    // one that only failed is better than none
+    let failed = Candidate { has_refused: false, ..only.clone() };
+    let placement = choose_endpoint(&plain, &[only, failed]).expect("a target");
+    assert_eq!(placement.target, 1);
+}
