Rank relays by bandwidth, and bound what a small link carries

Change: hosts with twice the bandwidth rank first; an answer above 1 KB per Mbit/s is left to the store.

--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -83,7 +83,7 @@
                 Ok(changes) => self.apply_relayed(changes, position),
                 Err(error) => {
                     event!("relay_failed", "feed={} reason={:?}", self.kind, error.to_string());
-                    self.relay_paused_until = Some(Instant::now() + RELAY_CHECK * 4);
+                    self.relay_paused_until = Some(Instant::now() + RELAY_CHECK);
                     return;
                 }
             }
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -71,6 +71,7 @@
         zone: "z".to_owned(),
         gossip_address: "127.0.0.1:1".to_owned(),
         relay_address: "127.0.0.1:2".to_owned(),
+        link_mbps: 100,
     };
     let max_age = Duration::from_millis(1_500);
     Rc::new(PeerState::new(own, MaxAges { config: max_age, endpoints: max_age }))
--- a/crates/gateway/src/peers/host_table.rs
+++ b/crates/gateway/src/peers/host_table.rs
@@ -23,6 +23,7 @@
 #[derive(Debug)]
 struct KnownHost {
     zone: String,
+    rank: u64,
     gossip_address: SocketAddr,
     heard_at: Instant,
     report: Option<HostReport>,
@@ -60,12 +61,14 @@
         let is_new = known.is_none();
         match known {
             Some(known) => {
+                known.rank = rank(host);
                 known.gossip_address = gossip_address;
                 known.heard_at = now;
             }
             None => {
                 let zone = host.zone.clone();
-                let known = KnownHost { zone, gossip_address, heard_at: now, report: None };
+                let rank = rank(host);
+                let known = KnownHost { zone, rank, gossip_address, heard_at: now, report: None };
                 self.hosts.insert(host.host_id.clone(), known);
             }
         }
@@ -149,9 +152,9 @@
     pub(super) fn report_targets(&self, zone: &str, to_all: bool) -> Vec<SocketAddr> {
         let mut in_zone: Vec<(u64, SocketAddr)> = self
             .hosts
-            .iter()
-            .filter(|(_, host)| host.zone == zone)
-            .map(|(id, host)| (rank(zone, id), host.gossip_address))
+            .values()
+            .filter(|host| host.zone == zone)
+            .map(|host| (host.rank, host.gossip_address))
             .collect();
         in_zone.sort_unstable();
         let count = if to_all { in_zone.len() } else { 1 };
@@ -178,8 +181,8 @@
 
     /// Number of hosts of a zone whose rank is better.
     pub(super) fn better_ranked(&self, zone: &str, own_rank: u64) -> u32 {
-        let in_zone = self.hosts.iter().filter(|(_, host)| host.zone == zone);
-        in_zone.filter(|(id, _)| rank(zone, id) < own_rank).count() as u32
+        let in_zone = self.hosts.values().filter(|host| host.zone == zone);
+        in_zone.filter(|host| host.rank < own_rank).count() as u32
     }
 
     pub(super) fn len(&self) -> usize {
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -76,7 +76,7 @@
     pub(crate) fn new(own: HostRecord, max_ages: MaxAges) -> PeerState {
         PeerState {
             max_ages,
-            own_rank: rank(&own.zone, &own.host_id),
+            own_rank: rank(&own),
             own,
             clock_base: rand::random::<u64>() >> 1,
             started_at: BootInstant::from_millis(BootInstant::now().as_millis()),
@@ -149,7 +149,7 @@
         if !self.is_relay.get() {
             self.learn_uses(&status.prefixes, true, now);
         }
-        let sender_rank = rank(&status.host.zone, &status.host.host_id);
+        let sender_rank = rank(&status.host);
         let is_fresh = age_of(&status).is_some_and(|age| age <= self.max_ages.config);
         if is_fresh && sender_rank < self.own_rank {
             self.better_relay_at.set(now);
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -1,4 +1,5 @@
 use {
+    super::relay_election::max_answer_bytes,
     crate::{
         clock::BootInstant,
         followers::{Offset, RawRecord},
@@ -95,7 +96,13 @@
     }
 }
 
-/// The records from an offset on, as peers read them. None: there are too many.
-pub(crate) fn encode_changes(feed: &PublishedFeed, from: Offset) -> Option<Vec<u8>> {
-    encode_bounded(&feed.changes(from), MAX_CHANGES_BYTES).ok()
+/// The records from an offset on, as peers read them. None: they are too many for
+/// this host's link, and the peer reads the store itself.
+pub(crate) fn encode_changes(
+    feed: &PublishedFeed,
+    from: Offset,
+    link_mbps: u32,
+) -> Option<Vec<u8>> {
+    let max_bytes = max_answer_bytes(link_mbps).min(MAX_CHANGES_BYTES);
+    encode_bounded(&feed.changes(from), max_bytes).ok()
 }
--- a/crates/gateway/src/peers/relay_election.rs
+++ b/crates/gateway/src/peers/relay_election.rs
@@ -5,7 +5,11 @@
 //! host relays while it hears no better-ranked relay, so two may relay for a moment,
 //! which only costs calls.
 
-use {std::time::Duration, xxhash_rust::xxh3::xxh3_64_with_seed};
+use {
+    mango_wire::gossip::HostRecord,
+    std::time::Duration,
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
+};
 
 /// A relay that was not heard for this long is passed over.
 pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
@@ -15,9 +19,18 @@
 /// Turns that a host waits at most.
 const MAX_TURNS: u32 = 12;
 
-/// Rank of a host in its zone; the lowest relays.
-pub(super) fn rank(zone: &str, host_id: &str) -> u64 {
-    xxh3_64_with_seed(host_id.as_bytes(), xxhash_rust::xxh3::xxh3_64(zone.as_bytes()))
+/// Rank of a host in its zone; the lowest relays. A host with at least twice the
+/// bandwidth comes first: the others read from its link.
+pub(super) fn rank(host: &HostRecord) -> u64 {
+    let doublings = u64::from(host.link_mbps.max(1).ilog2());
+    let hash = xxh3_64_with_seed(host.host_id.as_bytes(), xxh3_64(host.zone.as_bytes()));
+    (63 - doublings) << 58 | hash >> 6
+}
+
+/// Largest answer to a peer, in bytes: small enough that a zone of some 25 hosts reads
+/// it within about 0.2 s.
+pub(super) fn max_answer_bytes(link_mbps: u32) -> usize {
+    link_mbps as usize * 1_024
 }
 
 /// What a host knows when it decides whether to relay.
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -21,6 +21,7 @@
         zone: "z".to_owned(),
         gossip_address: "127.0.0.1:7001".to_owned(),
         relay_address: "127.0.0.1:7002".to_owned(),
+        link_mbps: 100,
     }
 }
 
@@ -139,7 +140,7 @@
     let state = own_state();
     let load = |requests| vec![EndpointLoad { endpoint: endpoint_hash("e"), requests }];
     let mut names = ["p", "q"];
-    names.sort_by_key(|name| rank("z", name));
+    names.sort_by_key(|name| rank(&host(name)));
     state.receive(status(names[1], None, 100, load(2)));
     state.receive(status(names[0], None, 100, load(5)));
     state.receive(status(names[1], None, 100, load(2)));
@@ -174,7 +175,7 @@
     feed.add(&record(7, "b", b""));
     feed.read_to(9);
     let read = |from| -> RelayedChanges {
-        let bytes = encode_changes(&feed, from).expect("within the limit");
+        let bytes = encode_changes(&feed, from, 100).expect("within the limit");
         decode_bounded(&bytes, MAX_CHANGES_BYTES).expect("a message")
     };
     let keys = |changes: &RelayedChanges| -> Vec<(u64, String, usize)> {
@@ -196,3 +197,18 @@
     state.receive(status_of_fleet("peer", 104));
     assert_eq!(state.fleet_hosts(), 104);
 }
+
+/// Guards against a relay whose link is too small for its zone: on a link of 10 Mbit/s,
+/// a configuration of 100 KB for 25 hosts took two seconds and delayed all else.
+#[test]
+fn hosts_with_more_bandwidth_relay_and_small_links_carry_little() {
+    let slow = |name| HostRecord { link_mbps: 10, ..host(name) };
+    for name in ["a", "b", "c", "d"] {
+        assert!(rank(&host("big")) < rank(&slow(name)));
+    }
+    let mut feed = PublishedFeed::default();
+    let value = vec![7; 20_000];
+    feed.add(&RawRecord { offset: 1, key: "config".into(), value });
+    assert!(encode_changes(&feed, 0, 10).is_none());
+    assert!(encode_changes(&feed, 0, 100).is_some());
+}
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -136,6 +136,7 @@
         zone: settings.zone.clone(),
         gossip_address: settings.gossip_address.to_string(),
         relay_address: settings.side_address.to_string(),
+        link_mbps: settings.link_mbps as u32,
     }
 }
 
--- a/crates/gateway/src/server/side_server.rs
+++ b/crates/gateway/src/server/side_server.rs
@@ -81,16 +81,21 @@
     }
     match path {
         METRICS_PATH => metrics(gateway),
-        CONFIG_PATH => relayed(&gateway.peers.config.borrow(), query),
-        ENDPOINTS_PATH => relayed(&gateway.peers.endpoints.borrow(), query),
+        CONFIG_PATH => relayed(gateway, &gateway.peers.config.borrow(), query),
+        ENDPOINTS_PATH => relayed(gateway, &gateway.peers.endpoints.borrow(), query),
         _ => (NOT_FOUND, Vec::new()),
     }
 }
 
 /// Records of the store for a peer of the zone.
-fn relayed(feed: &PublishedFeed, query: &str) -> (&'static str, Vec<u8>) {
+fn relayed<P: Protocol>(
+    gateway: &Gateway<P>,
+    feed: &PublishedFeed,
+    query: &str,
+) -> (&'static str, Vec<u8>) {
+    let link_mbps = gateway.peers.own().link_mbps;
     let from = query.strip_prefix("from=").and_then(|from| from.parse().ok());
-    match from.and_then(|from| encode_changes(feed, from)) {
+    match from.and_then(|from| encode_changes(feed, from, link_mbps)) {
         Some(body) => (OK, body),
         None => (NOT_FOUND, Vec::new()),
     }
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -21,6 +21,8 @@
     /// Most open files and sockets of the process.
     #[serde(default = "default_max_open_files")]
     pub max_open_files: u32,
+    /// Bandwidth of the host's link, in megabits per second.
+    pub link_mbps: f64,
     /// Pause between two records of an endpoint, in ms.
     pub endpoint_heartbeat_ms: u64,
     pub bounds: Bounds,
--- a/crates/gateway/src/settings/load.rs
+++ b/crates/gateway/src/settings/load.rs
@@ -21,6 +21,7 @@
 fn check(settings: &GatewaySettings) -> Result<()> {
     let bounds = &settings.bounds;
     let numbers = [
+        ("link_mbps", settings.link_mbps),
         ("bounds.key_revocation_ms", bounds.key_revocation_ms),
         ("bounds.config_apply_ms", bounds.config_apply_ms),
         ("bounds.endpoint_drain_ms", bounds.endpoint_drain_ms),
