Add mangoctl trace, and a metrics address of its own

trace tells the story of a request or an endpoint from the log files of any number of routers, with what the host had learnt of the store before, and names hosts whose lines do not cover its time. The deploy file names the metrics address.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -130,6 +130,32 @@
         #[arg(long)]
         chat: Option<String>,
     },
+    /// Tell the story of a request or an endpoint from log files.
+    #[command(after_help = "\
+Shows the lines of a request with what its host learnt of the store, of the relay and
+of the request's endpoints in the 6 s before it. Times count from the first line.
+Hosts whose lines do not cover that time are named at the end.
+
+Examples:
+  mangoctl trace --request 8e4b4fb3e841e255 --log logs/*.log
+  mangoctl trace --endpoint i-f26ca27d79 --from-ms 1767865657000 --log logs/*.log")]
+    Trace {
+        /// Id of a request.
+        #[arg(long, required_unless_present = "endpoint")]
+        request: Option<String>,
+        /// Id of an endpoint.
+        #[arg(long)]
+        endpoint: Option<String>,
+        /// Earliest time stamp, in Unix milliseconds.
+        #[arg(long, value_name = "MS")]
+        from_ms: Option<u64>,
+        /// Latest time stamp, in Unix milliseconds.
+        #[arg(long, value_name = "MS")]
+        to_ms: Option<u64>,
+        /// Log files of any number of routers.
+        #[arg(long, required = true, num_args = 1.., value_name = "FILE")]
+        log: Vec<PathBuf>,
+    },
     /// Show the state of the router.
     State,
     /// Start a planned stop of the router.
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -4,6 +4,7 @@
         client::Client,
         failure::Failure,
         output,
+        trace::{TraceQuery, trace},
     },
     clap::Parser,
     mango_config::{
@@ -76,9 +77,18 @@
     if let Command::Check { file } = &args.command {
         return check(file, output).map(Done::from);
     }
+    if let Command::Trace { request, endpoint, from_ms, to_ms, log } = &args.command {
+        let query = TraceQuery {
+            request: request.clone(),
+            endpoint: endpoint.clone(),
+            from_ms: *from_ms,
+            to_ms: *to_ms,
+        };
+        return trace(log, &query).map(Done::from);
+    }
     let client = connect(args)?;
     match &args.command {
-        Command::Check { .. } => Ok(String::new().into()),
+        Command::Check { .. } | Command::Trace { .. } => Ok(String::new().into()),
         Command::Apply { file, change } => apply(&client, file, change, output),
         Command::Get { kind, id } => get(&client, *kind, id.as_deref(), output).map(Done::from),
         Command::Delete { kind, id, change } => delete(&client, *kind, id, change, output),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,5 +5,6 @@
 mod commands;
 mod failure;
 mod output;
+mod trace;
 
 pub use {args::Args, commands::run};
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -104,3 +104,39 @@
     let code = mangoctl::run(args, &mut out, &mut err);
     assert_eq!(code, 3, "{}", String::from_utf8_lossy(&err));
 }
+
+/// On-call engineers find the cause of a failed request by its id, in the lines of the
+/// request and in what its host had learnt before.
+#[test]
+fn trace_tells_the_story_of_a_request() {
+    let (_file, path) = file_with(
+        "  1.0 host-a ts_ms=1000 level=info event=store_lost feed=config reason=\"reset\"\n\
+           1.1 host-b ts_ms=1100 level=info event=store_lost feed=config reason=\"reset\"\n\
+           5.0 host-a ts_ms=5000 level=info event=request_refused id=r1 status=503 \
+         reason=log_unavailable config_age_ms=4000\n\
+           5.2 host-a ts_ms=5200 level=info event=request_refused id=r2 status=503\n\
+         not a line of a router\n",
+    );
+    check(
+        &["trace", "--request", "r1", "--log", &path],
+        0,
+        expect![[r#"
+              -4000 ms  host-a  store_lost feed=config reason="reset"
+                 +0 ms  host-a  request_refused id=r1 status=503 reason=log_unavailable config_age_ms=4000
+            missing: host-b has lines from 1100 to 1100 only
+        "#]],
+    );
+}
+
+/// Scripts tell a request without lines from one that was found.
+#[test]
+fn trace_without_a_line_fails() {
+    let (_file, path) = file_with("ts_ms=1 level=info event=started host=a\n");
+    check(
+        &["trace", "--request", "r1", "--log", &path],
+        1,
+        expect![[r#"
+            mangoctl: no line matches
+        "#]],
+    );
+}
--- a/crates/gateway/src/server/listeners.rs
+++ b/crates/gateway/src/server/listeners.rs
@@ -24,12 +24,18 @@
     pub(super) callers: TcpListener,
     pub(super) ready: TcpListener,
     pub(super) side: TcpListener,
+    pub(super) metrics: Option<TcpListener>,
     pub(super) gossip: Rc<UdpSocket>,
 }
 
 impl Listeners {
     pub(super) async fn bind(settings: &GatewaySettings) -> Result<Listeners> {
+        let metrics = match settings.metrics_address {
+            Some(address) => Some(bind("metrics_address", address).await?),
+            None => None,
+        };
         Ok(Listeners {
+            metrics,
             callers: bind("callers_address", settings.callers_address).await?,
             ready: bind("ready_address", settings.ready_address).await?,
             side: bind("side_address", settings.side_address).await?,
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -89,6 +89,9 @@
     spawn_local(gossip(gateway.peers.clone(), gateway.directory.clone(), gossip_socket));
     spawn_local(serve_side(gateway.clone(), listeners.ready));
     spawn_local(serve_side(gateway.clone(), listeners.side));
+    if let Some(metrics) = listeners.metrics {
+        spawn_local(serve_side(gateway.clone(), metrics));
+    }
     spawn_local(accept_callers(gateway.clone(), listeners.callers));
     spawn_local(watch_settings(hangup, settings_path.to_owned(), gateway.settings.clone()));
     terminate.recv().await;
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -13,6 +13,9 @@
     pub callers_address: SocketAddr,
     /// Tells the balancer whether new connections are wanted.
     pub ready_address: SocketAddr,
+    /// Serves metrics to the operators; without it only the side address does.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
     /// Serves metrics, and records of the store to peers.
     pub side_address: SocketAddr,
     /// Datagrams between hosts.
