--- a/crates/gateway/src/followers/feed_health.rs
+++ b/crates/gateway/src/followers/feed_health.rs
@@ -27,7 +27,8 @@
         FeedHealth { name, metrics, last_success: None, failures: 0 }
     }
 
-    /// Records a success. Returns how long the store was away, if calls had failed.
+    /// Records a success. Returns how long the store was away, if calls had failed and
+    /// the store had answered before.
     pub(super) fn succeeded(&mut self) -> Option<Duration> {
         let now = BootInstant::now();
         self.metrics.feed_called(self.name, "ok");
@@ -36,14 +37,10 @@
         if failures == 0 {
             return None;
         }
-        let away = last.map(|at| now.saturating_duration_since(at)).unwrap_or(Duration::MAX);
-        event!(
-            "store_regained",
-            "feed={} failures={failures} away_ms={}",
-            self.name,
-            away.as_millis()
-        );
-        Some(away)
+        let away = last.map(|at| now.saturating_duration_since(at));
+        let away_ms = away.map(|away| away.as_millis());
+        event!("store_regained", "feed={} failures={failures} away_ms={away_ms:?}", self.name);
+        away
     }
 
     /// Records a failure. Returns the pause before the next call.
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -53,6 +53,7 @@
     /// A better-ranked relay was heard then; at first the start of the process.
     better_relay_at: Cell<Instant>,
     is_relay: Cell<bool>,
+    is_stopping: Cell<bool>,
     others: RefCell<LoadSums>,
     others_at: Cell<Option<Instant>>,
     /// Largest number of hosts reported a short while ago: a relay that has not heard
@@ -84,6 +85,7 @@
             relay: RefCell::default(),
             better_relay_at: Cell::new(Instant::now()),
             is_relay: Cell::new(false),
+            is_stopping: Cell::new(false),
             others: RefCell::default(),
             others_at: Cell::new(None),
             fleet_hosts: Cell::new(0),
@@ -102,6 +104,11 @@
         &self.own
     }
 
+    /// Leaves the reading for the zone to another host, before this one stops.
+    pub(crate) fn stop_relaying(&self) {
+        self.is_stopping.set(true);
+    }
+
     pub(crate) fn published(&self, kind: FeedKind) -> &RefCell<PublishedFeed> {
         match kind {
             FeedKind::Config => &self.config,
@@ -259,6 +266,7 @@
         let is_relay = relays(&RelayInputs {
             better_relay_silence: self.better_relay_at.get().elapsed(),
             better_hosts: self.hosts.borrow().better_ranked(&self.own.zone, self.own_rank),
+            is_stopping: self.is_stopping.get(),
             own_age: self.config.borrow().confirmed_age(now),
             max_age: self.max_ages.config,
         });
--- a/crates/gateway/src/peers/relay_election.rs
+++ b/crates/gateway/src/peers/relay_election.rs
@@ -41,6 +41,8 @@
     pub(super) better_relay_silence: Duration,
     /// Better-ranked hosts of the zone that are known.
     pub(super) better_hosts: u32,
+    /// This host is about to stop.
+    pub(super) is_stopping: bool,
     /// Age of the own confirmation of the store.
     pub(super) own_age: Option<Duration>,
     /// A relay with an older confirmation is of no use.
@@ -50,6 +52,7 @@
 /// Whether the host is to relay now.
 pub(super) fn relays(inputs: &RelayInputs) -> bool {
     let turns = inputs.better_hosts.min(MAX_TURNS);
-    inputs.better_relay_silence > RELAY_TIMEOUT + TURN * turns
+    !inputs.is_stopping
+        && inputs.better_relay_silence > RELAY_TIMEOUT + TURN * turns
         && inputs.own_age.is_some_and(|age| age <= inputs.max_age)
 }
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -79,10 +79,13 @@
     let silent = RelayInputs {
         better_relay_silence: Duration::from_secs(1),
         better_hosts: 0,
+        is_stopping: false,
         own_age: fresh,
         max_age: Duration::from_millis(1_500),
     };
     assert!(relays(&silent));
+    // a host that stops would leave the zone without a relay once more
+    assert!(!relays(&RelayInputs { is_stopping: true, ..silent }));
     // the next in rank takes over first
     assert!(!relays(&RelayInputs { better_hosts: 4, ..silent }));
     assert!(!relays(&RelayInputs { better_relay_silence: Duration::ZERO, ..silent }));
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -124,6 +124,7 @@
     let exit_at = Instant::now() + gateway.settings.bounds.stop_grace().saturating_sub(EXIT_MARGIN);
     event!("stop_started", "connections={}", gateway.connection_count());
     gateway.stop.begin();
+    gateway.peers.stop_relaying();
     sleep(BALANCER_TIME.min(exit_at - Instant::now())).await;
     gateway.stop.close_idle();
     while gateway.connection_count() > 0 && Instant::now() < exit_at {
--- a/crates/gateway/src/telemetry/bounded_writer.rs
+++ b/crates/gateway/src/telemetry/bounded_writer.rs
@@ -20,10 +20,19 @@
 /// Pause after each write, in which lines collect for the next one.
 const WRITE_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest wait for the writing thread when the process ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+enum Entry {
+    Line(String),
+    /// Answered once all earlier lines are written.
+    Flush(Sender<()>),
+}
+
 /// Writes log lines to standard output from a thread of its own, so that the
 /// request path never waits for a reader.
 pub(crate) struct BoundedWriter {
-    lines: Sender<String>,
+    entries: Sender<Entry>,
     dropped: Arc<AtomicU64>,
     second: AtomicU64,
     lines_this_second: AtomicU64,
@@ -31,7 +40,7 @@
 
 impl BoundedWriter {
     pub(crate) fn spawn() -> io::Result<BoundedWriter> {
-        let (lines, queue) = bounded(QUEUE_LINES);
+        let (entries, queue) = bounded(QUEUE_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
         let counter = dropped.clone();
         thread::Builder::new()
@@ -39,7 +48,7 @@
             .stack_size(64 * 1024)
             .spawn(move || write_lines(&queue, &counter))?;
         Ok(BoundedWriter {
-            lines,
+            entries,
             dropped,
             second: AtomicU64::new(0),
             lines_this_second: AtomicU64::new(0),
@@ -66,22 +75,33 @@
         // a line break in a message must not start a new event
         let message = record.args().to_string().replace(['\n', '\r'], " ");
         let line = format!("ts_ms={unix_ms} level={level} {message}\n");
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+        if let Err(TrySendError::Full(_)) = self.entries.try_send(Entry::Line(line)) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
+    /// Waits for earlier lines, but not for long: nobody may be reading them.
     fn flush(&self) -> io::Result<()> {
-        Ok(())
+        let (done, is_done) = bounded(1);
+        let is_queued = self.entries.send_timeout(Entry::Flush(done), FLUSH_TIMEOUT).is_ok();
+        match is_queued && is_done.recv_timeout(FLUSH_TIMEOUT).is_ok() {
+            true => Ok(()),
+            false => Err(io::ErrorKind::TimedOut.into()),
+        }
     }
 }
 
-fn write_lines(queue: &Receiver<String>, dropped: &AtomicU64) {
+fn write_lines(queue: &Receiver<Entry>, dropped: &AtomicU64) {
     let mut text = String::new();
-    while let Ok(line) = queue.recv() {
-        text.push_str(&line);
-        text.extend(queue.try_iter());
+    while let Ok(first) = queue.recv() {
+        let mut flushes = Vec::new();
+        for entry in std::iter::once(first).chain(queue.try_iter()) {
+            match entry {
+                Entry::Line(line) => text.push_str(&line),
+                Entry::Flush(done) => flushes.push(done),
+            }
+        }
         let count = dropped.swap(0, Ordering::Relaxed);
         if count > 0 {
             text.push_str(&format!("level=warn event=log_lines_dropped count={count}\n"));
@@ -90,6 +110,12 @@
         let _ = io::stdout().write_all(text.as_bytes());
         text.clear();
         text.shrink_to(4_096);
-        thread::sleep(WRITE_PAUSE);
+        if flushes.is_empty() {
+            thread::sleep(WRITE_PAUSE);
+        }
+        for done in flushes {
+            // whoever asked may have given up waiting
+            let _ = done.send(());
+        }
     }
 }
