Tell peers of removals before a listing, and of drains known otherwise

Change: an answer to a peer that has read less than the relay's last listing is the whole listing; a record's change of state is always passed on.

--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -65,8 +65,9 @@
             by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.joining_time())));
             return true;
         }
-        let starts_draining = record.state == EndpointState::Draining && !known.is_leaving();
-        if starts_draining {
+        // an endpoint may be leaving already by its own answers; peers learn it from the record
+        let is_changed = record.state != known.record.borrow().state;
+        if record.state == EndpointState::Draining && !known.is_leaving() {
             event!(
                 "endpoint_draining",
                 "endpoint={} service={} sequence={}",
@@ -77,7 +78,7 @@
             known.set_leaving();
         }
         known.record.replace(record);
-        starts_draining
+        is_changed
     }
 
     /// Removes an endpoint whose record is gone. With a time, it stays in use until
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -109,3 +109,13 @@
     assert_eq!(estimate.requests(3, None, later), 3.0);
     assert_eq!((estimate.waiting(later), estimate.slowness(later)), (0, 1.0));
 }
+
+/// Guards against a drain that a relay does not pass on, because the endpoint had
+/// already refused its own requests as another's.
+#[test]
+fn a_drain_is_news_though_the_endpoint_is_avoided_already() {
+    let directory = Directory::default();
+    directory.upsert(record("a", 1));
+    directory.of_service("s")[0].set_leaving();
+    assert!(directory.upsert(EndpointRecord { state: EndpointState::Draining, ..record("a", 2) }));
+}
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -103,9 +103,19 @@
     }
 
     fn apply_relayed(&mut self, changes: RelayedChanges, position: Offset) {
-        for record in changes.records {
-            let RelayedRecord { offset, key, value } = record;
-            self.apply(&RawRecord { offset, key: key.into(), value });
+        let records: Vec<RawRecord> = changes
+            .records
+            .into_iter()
+            .map(|RelayedRecord { offset, key, value }| RawRecord {
+                offset,
+                key: key.into(),
+                value,
+            })
+            .collect();
+        if changes.is_complete {
+            self.replace_all(&records, changes.position);
+        } else {
+            records.iter().for_each(|record| self.apply(record));
         }
         self.move_to(changes.position.max(position));
     }
@@ -149,8 +159,7 @@
                 if let Some(away) = away {
                     self.sink.store_returned(away, 0);
                 }
-                self.sink.replace_all(&records);
-                self.peers.published(self.kind).borrow_mut().replace_all(&records, end);
+                self.replace_all(&records, end);
                 self.move_to(end);
                 self.confirm(sent_at);
                 // what changed while the pages were read comes next
@@ -177,6 +186,11 @@
         }
     }
 
+    fn replace_all(&mut self, records: &[RawRecord], end: Offset) {
+        self.sink.replace_all(records);
+        self.peers.published(self.kind).borrow_mut().replace_all(records, end);
+    }
+
     fn apply(&mut self, record: &RawRecord) {
         if self.sink.apply(record) {
             self.peers.published(self.kind).borrow_mut().add(record);
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -22,6 +22,8 @@
 pub(crate) struct PublishedFeed {
     position: Option<Offset>,
     changed: Option<Offset>,
+    /// End of the last whole listing. Keys that were removed before it are not known.
+    listed_at: Offset,
     confirmed_at: Option<BootInstant>,
     records: BTreeMap<Box<str>, (Offset, Vec<u8>)>,
 }
@@ -51,8 +53,9 @@
 
     /// Starts anew from a whole listing.
     pub(crate) fn replace_all(&mut self, records: &[RawRecord], end: Offset) {
-        self.records.retain(|_, (_, value)| value.is_empty());
+        self.records.clear();
         self.changed = None;
+        self.listed_at = end;
         for record in records {
             self.add(record);
         }
@@ -81,10 +84,15 @@
     }
 
     fn changes(&self, from: Offset) -> RelayedChanges {
+        // a peer that has read less than the listing may have missed a removal
+        let is_complete = from < self.listed_at;
         let mut records: Vec<RelayedRecord> = self
             .records
             .iter()
-            .filter(|(_, (offset, _))| *offset >= from)
+            .filter(|(_, (offset, value))| match is_complete {
+                true => !value.is_empty(),
+                false => *offset >= from,
+            })
             .map(|(key, (offset, value))| RelayedRecord {
                 offset: *offset,
                 key: key.to_string(),
@@ -92,7 +100,7 @@
             })
             .collect();
         records.sort_by_key(|record| record.offset);
-        RelayedChanges { position: self.position.unwrap_or(0), records }
+        RelayedChanges { position: self.position.unwrap_or(0), records, is_complete }
     }
 }
 
