--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -143,7 +143,7 @@
                     holds_prefix: prefix
                         .is_some_and(|prefix| self.gateway.peers.holds(prefix.hash, endpoint.hash)),
                     is_leaving: endpoint.is_leaving(),
-                    is_young: endpoint.is_young(now),
+                    is_recently_added: endpoint.is_recently_added(now),
                     is_same_zone: *record.zone == *self.gateway.settings.zone,
                 }
             })
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -14,7 +14,7 @@
 };
 
 /// How long other endpoints may hold what a new one is to cache.
-const YOUTH: Duration = Duration::from_secs(30);
+const RECENTLY_ADDED: Duration = Duration::from_secs(30);
 /// Idle connections kept to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -56,8 +56,8 @@
         self.is_leaving.get()
     }
 
-    pub(crate) fn is_young(&self, now: Instant) -> bool {
-        self.joined_at.is_some_and(|at| now.saturating_duration_since(at) < YOUTH)
+    pub(crate) fn is_recently_added(&self, now: Instant) -> bool {
+        self.joined_at.is_some_and(|at| now.saturating_duration_since(at) < RECENTLY_ADDED)
     }
 
     pub(crate) fn set_leaving(&self) {
--- a/crates/gateway/src/peers/relay_election.rs
+++ b/crates/gateway/src/peers/relay_election.rs
@@ -15,9 +15,9 @@
 pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
 /// Each host waits this much longer than the next better-ranked one, so that mostly
 /// one takes over.
-const TURN: Duration = Duration::from_millis(150);
-/// Turns that a host waits at most.
-const MAX_TURNS: u32 = 12;
+const RANK_DELAY: Duration = Duration::from_millis(150);
+/// Delays that a host waits at most.
+const MAX_RANK_DELAYS: u32 = 12;
 
 /// Rank of a host in its zone; the lowest relays. A host with at least twice the
 /// bandwidth comes first: the others read from its link.
@@ -51,8 +51,8 @@
 
 /// Whether the host is to relay now.
 pub(super) fn relays(inputs: &RelayInputs) -> bool {
-    let turns = inputs.better_hosts.min(MAX_TURNS);
+    let delays = inputs.better_hosts.min(MAX_RANK_DELAYS);
     !inputs.is_stopping
-        && inputs.better_relay_silence > RELAY_TIMEOUT + TURN * turns
+        && inputs.better_relay_silence > RELAY_TIMEOUT + RANK_DELAY * delays
         && inputs.own_age.is_some_and(|age| age <= inputs.max_age)
 }
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -24,7 +24,7 @@
     /// Takes no new requests; its cache may still be read.
     pub is_leaving: bool,
     /// Joined a short while ago, so that others hold what it is to cache.
-    pub is_young: bool,
+    pub is_recently_added: bool,
 }
 
 /// Where a request goes.
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -81,10 +81,10 @@
     if let Some(holder) = first_of(&|candidate| candidate.holds_prefix) {
         return Some(holder);
     }
-    let first = first_of(&|candidate| !candidate.is_young)?;
+    let first = first_of(&|candidate| !candidate.is_recently_added)?;
     let target = &candidates[target];
     let is_first = prefix_rank(prefix, target) > prefix_rank(prefix, &candidates[first]);
-    (!is_first || target.is_young).then_some(first)
+    (!is_first || target.is_recently_added).then_some(first)
 }
 
 /// Place of an endpoint in a prefix's order; the highest comes first.
--- a/crates/gateway/src/placement/tests.rs
+++ b/crates/gateway/src/placement/tests.rs
@@ -18,7 +18,7 @@
         is_same_zone: true,
         holds_prefix: false,
         is_leaving: false,
-        is_young: false,
+        is_recently_added: false,
     }
 }
 
@@ -69,8 +69,8 @@
 fn an_endpoint_that_joined_fetches_from_the_former_first() {
     let names = names(12);
     let mut candidates: Vec<_> = names.iter().map(|id| candidate(id, 0.0)).collect();
-    candidates[5].is_young = true;
-    let without: Vec<_> = candidates.iter().filter(|c| !c.is_young).cloned().collect();
+    candidates[5].is_recently_added = true;
+    let without: Vec<_> = candidates.iter().filter(|c| !c.is_recently_added).cloned().collect();
     let mut moved = 0;
     for hash in 0..500 {
         let placement = choose_endpoint(&prefix(hash), &candidates).expect("a target");
