Open a new connection where endpoints forget the rested ones

What is sent next is reset and may have run, so bookings and streams that may not resume were answered 502.

Change: a router remembers, by service, after what rest a reused connection broke at once. Requests then use connections that rested for less, or new ones; requests that may run again try longer rests after 5 s, so that they find out when it is over. Such a break no longer counts against the endpoint's health.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -14,6 +14,7 @@
         http1::ResponseHead,
         retry::SendOutcome,
         server::Gateway,
+        telemetry::event,
     },
     std::{net::SocketAddr, rc::Rc, time::Instant},
 };
@@ -44,9 +45,11 @@
     sink: &mut CallerSink<'_, P>,
 ) -> Result<Delivered, SendFailure> {
     let endpoint = target.endpoint;
-    let mut call = EndpointCall::open(gateway, endpoint).await?;
+    let mut call = EndpointCall::open(gateway, endpoint, request).await?;
     let started_at = Instant::now();
-    let (head, meta) = exchange(gateway, request, target, progress, &mut call).await?;
+    let (head, meta) = exchange(gateway, request, target, progress, &mut call)
+        .await
+        .map_err(|failure| explain_break(gateway, request, &call, failure))?;
     if let Some(load) = meta.load {
         let mut estimate = endpoint.load.get();
         estimate.record(load, endpoint.in_flight(), Instant::now());
@@ -94,6 +97,32 @@
     call.read_head(&gateway.protocol, &request.head.method, &request.caller.id).await
 }
 
+/// Tells a connection that the endpoint had forgotten from one that broke at work.
+fn explain_break<P: Protocol>(
+    gateway: &Gateway<P>,
+    request: &AdmittedRequest,
+    call: &EndpointCall,
+    failure: SendFailure,
+) -> SendFailure {
+    let rest = match failure.cause {
+        FailureCause::ConnectionBroken => call.rest_before_break(),
+        _ => None,
+    };
+    let Some(rest) = rest else { return failure };
+    let (id, now) = (&request.caller.id, Instant::now());
+    let mut limit = gateway.rest_limit(&request.service);
+    limit.record_break(rest, now);
+    gateway.set_rest_limit(&request.service, limit);
+    let max_rest_ms = limit.max_rest(false, now).map(|rest| rest.as_millis());
+    event!(
+        "rested_connection_broken",
+        "id={id} service={} rest_ms={} max_rest_ms={max_rest_ms:?}",
+        request.service,
+        rest.as_millis()
+    );
+    SendFailure { cause: FailureCause::RestedConnectionBroken, ..failure }
+}
+
 /// Only an answer that the endpoint vouches for may be passed on.
 fn check_answer(
     head: &ResponseHead,
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -4,7 +4,7 @@
         failure::{FailureCause, SendFailure},
     },
     crate::{
-        callers::Protocol,
+        callers::{AdmittedRequest, Protocol},
         endpoints::{Endpoint, IdleConnection, InFlight},
         http1::{BodyDecoder, Connection, ResponseHead, connect, read_into},
         retry::SendOutcome,
@@ -23,6 +23,8 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(3_000);
 /// An idle connection is given up this much before the endpoint would close it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(600);
+/// A rested connection that the endpoint has forgotten breaks within about a round trip.
+const EARLY_BREAK: Duration = Duration::from_millis(60);
 /// Answers to earlier requests that may come before the awaited one.
 const MAX_STRAY_ANSWERS: u32 = 3;
 /// Longest stray answer that is read to reach the awaited one, in bytes.
@@ -36,25 +38,36 @@
     decoder: Option<BodyDecoder>,
     is_reusable: bool,
     keep_alive: Duration,
+    /// Time for which the connection rested before this request; None if it is new.
+    rest: Option<Duration>,
+    opened_at: Instant,
     _in_flight: InFlight,
 }
 
 impl EndpointCall {
-    /// Takes an idle connection or opens one.
+    /// Takes an idle connection that did not rest for too long, or opens one.
     pub(super) async fn open<P: Protocol>(
         gateway: &Gateway<P>,
         endpoint: &Rc<Endpoint>,
+        request: &AdmittedRequest,
     ) -> Result<EndpointCall, SendFailure> {
         let in_flight = endpoint.start_request();
-        let connection = match endpoint.take_idle(Instant::now()) {
-            Some(idle) => idle.connection,
+        let now = Instant::now();
+        let max_rest =
+            gateway.rest_limit(&request.service).max_rest(request.route.may_rerun(), now);
+        let (connection, rest) = match endpoint.take_idle(max_rest, now) {
+            Some(idle) => {
+                let rest = idle.rest(now);
+                (idle.connection, Some(rest))
+            }
             None => {
                 let address = endpoint.record.borrow().address;
                 gateway.metrics.new_endpoint_connections.inc();
-                connect(address, CONNECT_TIMEOUT).await.map_err(|_| {
+                let connected = connect(address, CONNECT_TIMEOUT).await.map_err(|_| {
                     endpoint.update_health(|health| health.connect_failed(Instant::now()));
                     SendFailure::new(SendOutcome::NotSent, FailureCause::ConnectFailed)
-                })?
+                });
+                (connected?, None)
             }
         };
         Ok(EndpointCall {
@@ -63,6 +76,8 @@
             decoder: None,
             is_reusable: true,
             keep_alive: DEFAULT_KEEP_ALIVE,
+            rest,
+            opened_at: Instant::now(),
             _in_flight: in_flight,
         })
     }
@@ -88,6 +103,12 @@
         }
     }
 
+    /// How long the connection had rested, if it broke as soon as it was used again.
+    pub(super) fn rest_before_break(&self) -> Option<Duration> {
+        let is_early = self.opened_at.elapsed() <= EARLY_BREAK;
+        self.rest.filter(|_| is_early && self.connection.input.is_empty())
+    }
+
     /// Reads the head of the answer to this request.
     pub(super) async fn read_head<P: Protocol>(
         &mut self,
@@ -187,6 +208,7 @@
         if is_done && self.is_reusable && self.connection.input.is_empty() {
             self.endpoint.put_idle(IdleConnection {
                 connection: self.connection,
+                rests_since: Instant::now(),
                 usable_until: Instant::now() + keep_alive,
             });
         }
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -202,7 +202,13 @@
     fn continues_after(&mut self, failure: SendFailure, endpoint: &Endpoint) -> bool {
         let SendFailure { outcome, cause, answer } = failure;
         self.gateway.metrics.send_ended(outcome.into());
-        if !matches!(cause, FailureCause::ConnectFailed | FailureCause::Misdirected) {
+        let says_nothing_of_health = matches!(
+            cause,
+            FailureCause::ConnectFailed
+                | FailureCause::Misdirected
+                | FailureCause::RestedConnectionBroken
+        );
+        if !says_nothing_of_health {
             endpoint.update_health(|health| health.failed(Instant::now()));
         }
         if outcome == SendOutcome::NotRun {
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -71,9 +71,19 @@
         InFlight(self.clone())
     }
 
-    pub(crate) fn take_idle(&self, now: Instant) -> Option<IdleConnection> {
+    /// Takes the connection that rested for the shortest time, if it is usable and did
+    /// not rest for longer than `max_rest`.
+    pub(crate) fn take_idle(
+        &self,
+        max_rest: Option<Duration>,
+        now: Instant,
+    ) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         while let Some(connection) = idle.pop() {
+            if max_rest.is_some_and(|max_rest| connection.rest(now) > max_rest) {
+                idle.push(connection);
+                return None;
+            }
             if connection.is_usable(now) {
                 return Some(connection);
             }
--- a/crates/gateway/src/endpoints/idle_connection.rs
+++ b/crates/gateway/src/endpoints/idle_connection.rs
@@ -1,13 +1,22 @@
-use {crate::http1::Connection, std::time::Instant};
+use {
+    crate::http1::Connection,
+    std::time::{Duration, Instant},
+};
 
 /// Open connection to an endpoint without a request.
 pub(crate) struct IdleConnection {
     pub(crate) connection: Connection,
+    /// End of the last answer on it.
+    pub(crate) rests_since: Instant,
     /// The endpoint may close the connection after this time.
     pub(crate) usable_until: Instant,
 }
 
 impl IdleConnection {
+    pub(crate) fn rest(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.rests_since)
+    }
+
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
         now < self.usable_until && self.connection.is_clean()
     }
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Directory, EndpointRecord, EndpointState, LoadReport, health::Health,
-        load_estimate::LoadEstimate,
+        load_estimate::LoadEstimate, rest_limit::RestLimit,
     },
     std::time::{Duration, Instant},
 };
@@ -119,3 +119,41 @@
     directory.of_service("s")[0].set_leaving();
     assert!(directory.upsert(EndpointRecord { state: EndpointState::Draining, ..record("a", 2) }));
 }
+
+/// Replays endpoints that forget connections after a rest of 300 ms, while a router sends
+/// to them after rests of up to 3 s. Guards against bookings lost on such connections: the
+/// limit loses a fraction of what is lost without it, and new connections are not opened
+/// for longer than endpoints forget.
+#[test]
+fn few_requests_meet_a_forgotten_connection() {
+    let start = Instant::now();
+    let is_forgetful = |at: Duration| at < Duration::from_secs(9);
+    let mut limit = RestLimit::default();
+    let (mut lost, mut lost_without, mut opened_late) = (0, 0, 0);
+    for step in 0..2_000_u64 {
+        let at = Duration::from_millis(20 * step);
+        let now = start + at;
+        let may_rerun = step % 3 != 0;
+        let rest = Duration::from_millis(step * 7_919 % 3_000);
+        let is_used = limit.max_rest(may_rerun, now).is_none_or(|max_rest| rest <= max_rest);
+        let is_broken = is_forgetful(at) && rest > Duration::from_millis(300);
+        lost_without += u32::from(is_broken && !may_rerun);
+        if is_used && is_broken {
+            limit.record_break(rest, now);
+            lost += u32::from(!may_rerun);
+        }
+        opened_late += u32::from(!is_used && may_rerun && at > Duration::from_secs(15));
+    }
+    assert!(lost_without > 100, "{lost_without}");
+    assert!(lost * 20 <= lost_without, "{lost} of {lost_without}");
+    assert_eq!(opened_late, 0);
+}
+
+/// Guards against one crash that makes a router distrust all its connections.
+#[test]
+fn a_break_right_after_an_answer_sets_no_limit() {
+    let now = Instant::now();
+    let mut limit = RestLimit::default();
+    limit.record_break(Duration::from_millis(40), now);
+    assert_eq!(limit.max_rest(false, now), None);
+}
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -4,7 +4,7 @@
         callers::Protocol,
         clock::BootInstant,
         config::{CallerLimits, ConfigState},
-        endpoints::Directory,
+        endpoints::{Directory, RestLimit},
         peers::{MaxAges, PeerState},
         retry::RetryBudget,
         settings::{Bounds, GatewaySettings},
@@ -42,6 +42,7 @@
     pub(crate) stop: StopState,
     pub(crate) peers: Rc<PeerState>,
     budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
+    rest_limits: RefCell<HashMap<Rc<str>, RestLimit>>,
     connections: Rc<Cell<u32>>,
 }
 
@@ -57,6 +58,7 @@
             metrics: Rc::new(GatewayMetrics::new()),
             stop: StopState::new(),
             budgets: RefCell::default(),
+            rest_limits: RefCell::default(),
             connections: Rc::default(),
         }
     }
@@ -110,6 +112,15 @@
         action(budget, Instant::now())
     }
 
+    /// How long connections to the endpoints of a service may have rested.
+    pub(crate) fn rest_limit(&self, service: &str) -> RestLimit {
+        self.rest_limits.borrow().get(service).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn set_rest_limit(&self, service: &Rc<str>, limit: RestLimit) {
+        self.rest_limits.borrow_mut().insert(service.clone(), limit);
+    }
+
     pub(crate) fn connection_count(&self) -> u32 {
         self.connections.get()
     }
