Weigh the load that other routers report by how long work lasts

Cause: reported sums are 0.2 to 0.4 s old, calls to plain services last 30 to 60 ms. Every router therefore believed in differences between endpoints that were long gone, and all of them sent to the endpoint that had been free. With three endpoints of 6 slots behind 103 routers, late bookings were 5 to 10% in windows without any trouble.

Change: differences between endpoints count by the share of work of the usual latency that is still running after the age of a report. Engines, whose latency is not measured by whole answers, are placed as before.

--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -125,13 +125,11 @@
             .zip(&records)
             .map(|(endpoint, record)| {
                 let (health, load) = (endpoint.health.get(), endpoint.load.get());
+                let others = self.gateway.peers.others_at(endpoint.hash);
                 Candidate {
                     id: &record.id,
-                    requests: load.requests(
-                        endpoint.in_flight(),
-                        self.gateway.peers.others_at(endpoint.hash),
-                        now,
-                    ),
+                    requests: load.requests(endpoint.in_flight(), others, now),
+                    reported_requests: f64::from(others.unwrap_or(0)),
                     waiting: load.waiting(now),
                     slots: record.slots,
                     slowness: load.slowness(now),
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -4,6 +4,8 @@
     pub id: &'a str,
     /// Requests at the endpoint, of all routers, as far as known.
     pub requests: f64,
+    /// The part of them that other routers reported a short while ago.
+    pub reported_requests: f64,
     /// Requests that wait there for a slot or for memory.
     pub waiting: u32,
     pub slots: u32,
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -5,9 +5,15 @@
 //! their requests. Requests with one prefix go to the first endpoint of the prefix's
 //! order that is neither overloaded nor unhealthy, so that its cache is reused and a
 //! hot prefix spreads to as many endpoints as its load needs.
+//!
+//! What other routers report is some hundred milliseconds old. For short work that is
+//! longer than the work itself: the endpoint that was free is no longer, and all routers
+//! would send to it together. Differences between endpoints therefore count only as far
+//! as work of their usual length still lasts.
 
 use {
     super::candidate::{Candidate, Placement, PlacementRequest},
+    std::time::Duration,
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -26,6 +32,10 @@
 /// Cost of another availability zone, in requests that wait.
 const ZONE_COST: f64 = 0.3;
 
+/// Usual age of what other routers report: up to a round of 200 ms each to the relay and
+/// back.
+const REPORT_AGE: Duration = Duration::from_millis(250);
+
 /// The endpoint to send to; nothing if no candidate may be used.
 pub fn choose_endpoint(
     request: &PlacementRequest,
@@ -129,6 +139,9 @@
 struct Costs {
     max_requests: f64,
     median_latency_ms: f64,
+    mean_reported: f64,
+    /// Part of the reported differences that still holds.
+    lasting_share: f64,
 }
 
 impl Costs {
@@ -141,12 +154,22 @@
             .filter(|latency| *latency > 0.0)
             .collect();
         latencies.sort_by(f64::total_cmp);
+        let median_latency_ms = latencies.get(latencies.len() / 2).copied().unwrap_or(0.0);
+        let reported: f64 = usable.iter().map(|&index| candidates[index].reported_requests).sum();
         Costs {
             max_requests: mean * MAX_LOAD_FACTOR + LOAD_ALLOWANCE,
-            median_latency_ms: latencies.get(latencies.len() / 2).copied().unwrap_or(0.0),
+            median_latency_ms,
+            mean_reported: reported / usable.len().max(1) as f64,
+            lasting_share: lasting_share(median_latency_ms),
         }
     }
 
+    /// Requests that are likely to be at an endpoint now.
+    fn requests(&self, candidate: &Candidate<'_>) -> f64 {
+        let difference = candidate.reported_requests - self.mean_reported;
+        candidate.requests - difference * (1.0 - self.lasting_share)
+    }
+
     /// How slow an endpoint is, by its own report and by its answers against the median.
     fn slowness(&self, candidate: &Candidate<'_>) -> f64 {
         let observed = if candidate.latency_ms > 0.0 && self.median_latency_ms > 0.0 {
@@ -158,17 +181,23 @@
     }
 
     fn has_room(&self, candidate: &Candidate<'_>) -> bool {
-        candidate.requests < self.max_requests.min(f64::from(candidate.slots))
+        self.requests(candidate) < self.max_requests.min(f64::from(candidate.slots))
             && candidate.waiting <= 1
             && candidate.failure_share <= MAX_FAILURE_SHARE
             && self.slowness(candidate) <= MAX_SLOWNESS
     }
 
     fn cost(&self, candidate: &Candidate<'_>, tie_breaker: u64) -> f64 {
-        let load = candidate.requests + f64::from(candidate.waiting) + 1.0;
+        let load = self.requests(candidate) + f64::from(candidate.waiting) + 1.0;
         let zone = if candidate.is_same_zone { 0.0 } else { ZONE_COST };
         // below one request, so that it only orders endpoints of about the same load
         let tie = xxh3_64_with_seed(candidate.id.as_bytes(), tie_breaker) as f64 / u64::MAX as f64;
         load * self.slowness(candidate) + FAILURE_COST * candidate.failure_share + zone + 0.5 * tie
     }
 }
+
+/// Part of the work that was there when the others reported and has not ended since.
+/// Without a known latency all of it counts.
+fn lasting_share(latency_ms: f64) -> f64 {
+    if latency_ms > 0.0 { (-(REPORT_AGE.as_millis() as f64) / latency_ms).exp() } else { 1.0 }
+}
--- a/crates/gateway/src/placement/tests.rs
+++ b/crates/gateway/src/placement/tests.rs
@@ -7,6 +7,7 @@
     Candidate {
         id,
         requests,
+        reported_requests: 0.0,
         waiting: 0,
         slots: 64,
         slowness: 1.0,
@@ -220,3 +221,60 @@
     let placement = choose_endpoint(&plain, &[only, failed]).expect("a target");
     assert_eq!(placement.target, 1);
 }
+
+/// Replays short calls at a peak from a large fleet to three endpoints, while every router learns
+/// the others' load 0.2 to 0.4 s late. Guards against routers that all send to the endpoint
+/// which was free a moment ago.
+#[test]
+fn a_fleet_does_not_crowd_the_endpoint_that_was_free() {
+    const WORK_MS: f64 = 30.0;
+    let weighed = crowded_calls(WORK_MS);
+    let as_reported = crowded_calls(0.0);
+    assert!(as_reported > CALLS / 10, "{as_reported} of {CALLS} wait when reports are believed");
+    assert!(weighed * 5 <= as_reported, "{weighed} of {CALLS}, {as_reported} before");
+}
+
+const CALLS: usize = 6_000;
+
+/// Calls that find every slot of their endpoint taken.
+fn crowded_calls(known_latency_ms: f64) -> usize {
+    const CALLERS: usize = 103;
+    const PLAIN: usize = 3;
+    const SLOTS: usize = 6;
+    const WORK_MS: usize = 30;
+    const ROUND_MS: usize = 200;
+    let names = names(PLAIN);
+    let mut state = 88_172_645_463_325_252_u64;
+    // starts of calls by endpoint, with the router that sent them
+    let mut sent: Vec<Vec<(usize, usize)>> = vec![Vec::new(); PLAIN];
+    let mut crowded = 0;
+    for call in 0..CALLS {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        let now = 1_000 + call * 5 / 2;
+        let router = (state % CALLERS as u64) as usize;
+        let reported_at = (now / ROUND_MS - 1) * ROUND_MS;
+        let at = |calls: &[(usize, usize)], time: usize, accept: &dyn Fn(usize) -> bool| {
+            let is_running = |start: usize| start <= time && time < start + WORK_MS;
+            calls.iter().filter(|(start, by)| is_running(*start) && accept(*by)).count()
+        };
+        let candidates: Vec<_> = (0..PLAIN)
+            .map(|endpoint| {
+                let others = at(&sent[endpoint], reported_at, &|by| by != router) as f64;
+                let own = at(&sent[endpoint], now, &|by| by == router) as f64;
+                Candidate {
+                    reported_requests: others,
+                    latency_ms: known_latency_ms,
+                    slots: SLOTS as u32,
+                    ..candidate(&names[endpoint], own + others)
+                }
+            })
+            .collect();
+        let plain = PlacementRequest { prefix_hash: None, tie_breaker: state };
+        let target = choose_endpoint(&plain, &candidates).expect("a target").target;
+        crowded += usize::from(at(&sent[target], now, &|_| true) >= SLOTS);
+        sent[target].push((now, router));
+    }
+    crowded
+}
