--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,6 +14,6 @@
     },
     load::{EngineLoad, LoadReading, LoadTracker},
     platform::{LogCounters, Outage, PlatformStandin},
-    proxy::FaultProxy,
+    proxy::{Direction, FaultProxy},
     service::{ServiceExecution, ServiceOptions, ServiceStandin},
 };
--- /dev/null
+++ b/crates/standins/src/proxy/direction.rs
@@ -0,0 +1,6 @@
+/// Way of data through a proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    ToTarget,
+    ToCaller,
+}
--- a/crates/standins/src/proxy/fault_proxy.rs
+++ b/crates/standins/src/proxy/fault_proxy.rs
@@ -1,6 +1,7 @@
 use {
-    crate::proxy::{ProxyFaults, ProxyLink},
+    crate::proxy::{Direction, ProxyFaults, ProxyLink},
     parking_lot::Mutex,
+    socket2::SockRef,
     std::{
         io,
         net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
@@ -53,18 +54,35 @@
     /// Holds all data back in both directions; connections stay open and new
     /// ones are accepted.
     pub fn freeze(&self) {
-        self.shared.faults.set_frozen(true);
+        self.silence(Direction::ToTarget);
+        self.silence(Direction::ToCaller);
     }
 
-    /// Lets data pass again, that held back first.
+    /// Holds all data back in one direction.
+    pub fn silence(&self, direction: Direction) {
+        self.shared.faults.set_frozen(direction, true);
+    }
+
+    /// Lets data pass again in both directions, that held back first.
     pub fn resume(&self) {
-        self.shared.faults.set_frozen(false);
+        self.shared.faults.set_frozen(Direction::ToTarget, false);
+        self.shared.faults.set_frozen(Direction::ToCaller, false);
     }
 
     /// Closes all connections and drops data in transit; new connections are
     /// accepted.
     pub fn cut(&self) {
-        self.shared.cut();
+        self.shared.cut(Shutdown::Both);
+    }
+
+    /// Resets all connections and drops data in transit; new connections are
+    /// accepted.
+    pub fn reset(&self) {
+        for stream in self.shared.open.lock().iter() {
+            // a socket that is closed already needs no reset
+            let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        }
+        self.shared.cut(Shutdown::Read);
     }
 
     /// Closes new connections at once, or accepts them again.
@@ -83,17 +101,17 @@
         self.shared.stopped.store(true, Ordering::SeqCst);
         // wakes the accept loop, which then ends and closes the listener
         let _ = TcpStream::connect(self.address);
-        self.shared.cut();
+        self.shared.cut(Shutdown::Both);
     }
 }
 
 impl Shared {
-    fn cut(&self) {
+    fn cut(&self, shutdown: Shutdown) {
         let mut open = self.open.lock();
-        self.faults.cut();
+        self.faults.cut(shutdown);
         for stream in open.drain(..) {
             // an error means that the connection is closed already
-            let _ = stream.shutdown(Shutdown::Both);
+            let _ = stream.shutdown(shutdown);
         }
     }
 
--- a/crates/standins/src/proxy/proxy_link.rs
+++ b/crates/standins/src/proxy/proxy_link.rs
@@ -1,5 +1,5 @@
 use {
-    crate::proxy::ProxyFaults,
+    crate::proxy::{Direction, ProxyFaults},
     crossbeam::channel::{Receiver, Sender, bounded},
     std::{
         io::{self, Read, Write},
@@ -26,6 +26,7 @@
     from: TcpStream,
     to: TcpStream,
     faults: Arc<ProxyFaults>,
+    direction: Direction,
     cuts: u64,
 }
 
@@ -36,25 +37,20 @@
         faults: &Arc<ProxyFaults>,
         cuts: u64,
     ) -> io::Result<()> {
-        for (from, to) in [(caller, target), (target, caller)] {
+        let ways = [(Direction::ToTarget, caller, target), (Direction::ToCaller, target, caller)];
+        for (direction, from, to) in ways {
             let (sender, receiver) = bounded(MAX_CHUNKS);
-            let reader = Self::new(from, to, faults, cuts)?;
-            let writer = Self::new(from, to, faults, cuts)?;
+            let new = || -> io::Result<Self> {
+                let (from, to) = (from.try_clone()?, to.try_clone()?);
+                Ok(Self { from, to, faults: faults.clone(), direction, cuts })
+            };
+            let (reader, writer) = (new()?, new()?);
             spawn("proxy-read", move || reader.read(&sender))?;
             spawn("proxy-write", move || writer.write(&receiver))?;
         }
         Ok(())
     }
 
-    fn new(
-        from: &TcpStream,
-        to: &TcpStream,
-        faults: &Arc<ProxyFaults>,
-        cuts: u64,
-    ) -> io::Result<Self> {
-        Ok(Self { from: from.try_clone()?, to: to.try_clone()?, faults: faults.clone(), cuts })
-    }
-
     fn read(mut self, sender: &Sender<Chunk>) {
         let mut buffer = vec![0; CHUNK_BYTES];
         loop {
@@ -69,7 +65,7 @@
 
     fn write(mut self, receiver: &Receiver<Chunk>) {
         for chunk in receiver {
-            if !self.faults.pass(chunk.due, self.cuts) {
+            if !self.faults.pass(self.direction, chunk.due, self.cuts) {
                 break;
             }
             if chunk.bytes.is_empty() {
@@ -81,8 +77,9 @@
             }
         }
         // errors mean that the connections are closed already
-        let _ = self.to.shutdown(Shutdown::Both);
-        let _ = self.from.shutdown(Shutdown::Both);
+        let shutdown = self.faults.shutdown(self.cuts);
+        let _ = self.to.shutdown(shutdown);
+        let _ = self.from.shutdown(shutdown);
     }
 }
 
--- a/crates/standins/tests/proxy.rs
+++ b/crates/standins/tests/proxy.rs
@@ -1,5 +1,5 @@
 use {
-    mango_standins::FaultProxy,
+    mango_standins::{Direction, FaultProxy},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
@@ -98,3 +98,32 @@
     proxy.set_delay(Duration::from_millis(40));
     assert!(round_trip(&mut stream).unwrap() >= Duration::from_millis(80));
 }
+
+/// Guards against a one-way fault that also stops, or loses, data of the other way.
+#[test]
+fn one_direction_can_be_silent() {
+    let proxy = FaultProxy::spawn(echo());
+    let mut stream = connect(&proxy);
+    round_trip(&mut stream).unwrap();
+    proxy.silence(Direction::ToCaller);
+    stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    assert!(round_trip(&mut stream).is_err());
+    proxy.resume();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let mut reply = [0; 4];
+    stream.read_exact(&mut reply).unwrap();
+    round_trip(&mut stream).unwrap();
+}
+
+/// Guards against a reset that leaves a connection open.
+#[test]
+fn a_reset_ends_connections() {
+    let proxy = FaultProxy::spawn(echo());
+    let mut stream = connect(&proxy);
+    round_trip(&mut stream).unwrap();
+    proxy.reset();
+    let mut byte = [0];
+    let error = stream.read(&mut byte).unwrap_err();
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+    round_trip(&mut connect(&proxy)).unwrap();
+}
