Tell a router's state, explain a request, count teams and own resources

Change: the side and metrics addresses answer `/state` (configuration and its age, feeds, relay, endpoints with load and health, budgets; no keys) and `/explain?host=&path=` (route, kind, services, and the placement that would be chosen now). Metrics: requests by team (at most 100 teams by name, so that 24,000 teams fill no memory), resident memory, processor time. The candidates of a placement are gathered in one function that both use. Times in log lines that are not known are `-` instead of `None`.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -112,17 +112,29 @@
         file: PathBuf,
     },
     /// Say where a piece of work may run, and which condition decided it.
+    ///
+    /// On the users' platform, a request is named by its host name and path.
     #[command(
         after_help = "Examples:\n  mangoctl explain --team tartu --work doorstep-question\n  \
-                            mangoctl explain --team tartu --work visit-booking --service broneering"
+                            mangoctl explain --team tartu --work visit-booking --service broneering\n  \
+                            mangoctl explain --host-name ficu95.example --path /lohu930/2f"
     )]
     Explain {
         /// Team id.
-        #[arg(long)]
-        team: String,
+        #[arg(long, required_unless_present = "host_name")]
+        team: Option<String>,
         /// Id of the kind of work.
-        #[arg(long)]
-        work: String,
+        #[arg(long, required_unless_present = "host_name")]
+        work: Option<String>,
+        /// Host name of a request on the users' platform.
+        #[arg(long, requires = "path", conflicts_with_all = ["team", "work"])]
+        host_name: Option<String>,
+        /// Path of the request.
+        #[arg(long, requires = "host_name")]
+        path: Option<String>,
+        /// Hash of the prompt's prefix, as log lines name it.
+        #[arg(long, requires = "host_name", value_name = "HEX")]
+        prefix: Option<String>,
         /// Service in the request path; omitted for model work.
         #[arg(long)]
         service: Option<String>,
@@ -168,6 +180,13 @@
     },
 }
 
+impl Command {
+    /// Whether a router on the users' platform answers the command too.
+    pub(crate) fn only_reads_a_router(&self) -> bool {
+        matches!(self, Command::State | Command::Explain { host_name: Some(_), .. })
+    }
+}
+
 /// Arguments of commands that change the configuration.
 #[derive(Clone, Debug, clap::Args)]
 pub struct ChangeArgs {
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -81,6 +81,16 @@
         self.get("explain", &query)
     }
 
+    /// Asks a router on the users' platform about a request.
+    pub(crate) fn explain_request(
+        &self,
+        host_name: &str,
+        path: &str,
+        prefix: Option<&str>,
+    ) -> Result<Value, Failure> {
+        self.get("explain", &[("host", Some(host_name)), ("path", Some(path)), ("prefix", prefix)])
+    }
+
     pub(crate) fn history(&self, limit: u32) -> Result<HistoryListing, Failure> {
         self.get("history", &[("limit", Some(&limit.to_string()))])
     }
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -95,7 +95,13 @@
         Command::Label { kind, id, labels, change } => {
             label(&client, (*kind, id), labels, change, output)
         }
-        Command::Explain { team, work, service, chat } => {
+        Command::Explain { host_name: Some(host_name), path: Some(path), prefix, .. } => {
+            show(&client.explain_request(host_name, path, prefix.as_deref())?, output)
+                .map(Done::from)
+        }
+        Command::Explain { team, work, service, chat, .. } => {
+            // the command line makes sure that both are there
+            let (team, work) = (team.as_deref().unwrap_or(""), work.as_deref().unwrap_or(""));
             let explanation = client.explain(team, work, service.as_deref(), chat.as_deref())?;
             let text = match output {
                 Output::Json => output::json(&explanation)?,
@@ -124,9 +130,15 @@
     let token = match &args.token_file {
         Some(path) => fs::read_to_string(path)
             .map_err(|e| Failure::Usage(format!("token file {}: {e}", path.display())))?,
-        None => env::var("MANGOCTL_TOKEN").map_err(|_| {
-            Failure::Usage("no token, expected --token-file or MANGOCTL_TOKEN".to_owned())
-        })?,
+        None => match env::var("MANGOCTL_TOKEN") {
+            Ok(token) => token,
+            // routers on the users' platform ask for none
+            Err(_) if args.command.only_reads_a_router() => String::new(),
+            Err(_) => {
+                let text = "no token, expected --token-file or MANGOCTL_TOKEN";
+                return Err(Failure::Usage(text.to_owned()));
+            }
+        },
     };
     Client::new(router.as_deref().unwrap_or(DEFAULT_ROUTER), token.trim())
 }
--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -13,7 +13,7 @@
         dispatch::run_request,
         http1::{BodyDecoder, Connection, HeadError, RequestHead, set_user_timeout},
         server::Gateway,
-        telemetry::event,
+        telemetry::{ShownMs, event},
     },
     mango_wire::Reason,
     std::{io, pin::pin, rc::Rc, time::Duration},
@@ -247,16 +247,17 @@
     refusal: &Refusal,
     closes: bool,
 ) -> Next {
-    let age_ms = gateway.config.confirmation_age(BootInstant::now()).map(|age| age.as_millis());
+    let age = gateway.config.confirmation_age(BootInstant::now());
     event!(
         "request_refused",
-        "id={} status={} reason={} config_version={} config_age_ms={age_ms:?}",
+        "id={} status={} reason={} config_version={} config_age_ms={}",
         caller.id,
         refusal.status,
         refusal.reason,
-        gateway.config.version()
+        gateway.config.version(),
+        ShownMs(age)
     );
-    gateway.metrics.request_ended("unrouted", refusal.reason.into());
+    gateway.metrics.request_ended("unrouted", None, refusal.reason.into());
     let mut sink = CallerSink::<P>::new(&mut connection.writer, &caller.id, "", closes);
     match sink.refuse(refusal).await {
         Ok(()) if sink.keeps_connection() => Next::KeepAlive,
@@ -290,7 +291,8 @@
                     }
                     Ok(0) | Err(_) => {
                         event!("caller_left", "id={id} elapsed_ms={}", request.elapsed().as_millis());
-                        gateway.metrics.request_ended(request.route.kind.into(), "caller_left");
+                        let (kind, team) = (request.route.kind.into(), request.team.as_deref());
+                        gateway.metrics.request_ended(kind, team, "caller_left");
                         return Next::Close;
                     }
                 },
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -14,7 +14,7 @@
         http1::ResponseHead,
         retry::SendOutcome,
         server::Gateway,
-        telemetry::event,
+        telemetry::{ShownMs, event},
     },
     std::{net::SocketAddr, rc::Rc, time::Instant},
 };
@@ -113,12 +113,12 @@
     let mut limit = gateway.rest_limit(&request.service);
     limit.record_break(rest, now);
     gateway.set_rest_limit(&request.service, limit);
-    let max_rest_ms = limit.max_rest(false, now).map(|rest| rest.as_millis());
     event!(
         "rested_connection_broken",
-        "id={id} service={} rest_ms={} max_rest_ms={max_rest_ms:?}",
+        "id={id} service={} rest_ms={} max_rest_ms={}",
         request.service,
-        rest.as_millis()
+        rest.as_millis(),
+        ShownMs(limit.max_rest(false, now))
     );
     SendFailure { cause: FailureCause::RestedConnectionBroken, ..failure }
 }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 mod answer_meta;
 mod attempt;
+mod candidates;
 mod endpoint_call;
 mod endpoint_request;
 mod event_splitter;
@@ -9,5 +10,8 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use run_request::run_request;
 pub use {answer_meta::AnswerMeta, endpoint_request::EndpointRequest};
+pub(crate) use {
+    candidates::{Asked, with_candidates},
+    run_request::run_request,
+};
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         attempt::{Delivered, Target, attempt},
+        candidates::{Asked, Candidates, with_candidates},
         failure::{FailureCause, SendFailure},
         stream_progress::StreamProgress,
     },
@@ -9,7 +10,7 @@
         clock::BootInstant,
         endpoints::{Endpoint, EndpointId},
         http1::ResponseHead,
-        placement::{Candidate, PlacementRequest, choose_endpoint},
+        placement::{Placement, PlacementRequest, choose_endpoint},
         retry::{AttemptHistory, NextStep, RetryRule, SendOutcome, next_step},
         server::Gateway,
         telemetry::event,
@@ -116,59 +117,43 @@
     }
 
     fn choose(&self) -> Option<(Rc<Endpoint>, Option<SocketAddr>)> {
-        let now = Instant::now();
-        let endpoints = self.gateway.directory.of_service(&self.request.service);
         let prefix = self.request.caller.prefix;
-        let records: Vec<_> = endpoints.iter().map(|endpoint| endpoint.record.borrow()).collect();
-        let candidates: Vec<Candidate<'_>> = endpoints
-            .iter()
-            .zip(&records)
-            .map(|(endpoint, record)| {
-                let (health, load) = (endpoint.health.get(), endpoint.load.get());
-                let others = self.gateway.peers.others_at(endpoint.hash);
-                Candidate {
-                    id: &record.id,
-                    requests: load.requests(endpoint.in_flight(), others, now),
-                    reported_requests: f64::from(others.unwrap_or(0)),
-                    waiting: load.waiting(now),
-                    slots: record.slots,
-                    slowness: load.slowness(now),
-                    latency_ms: health.latency_ms(now),
-                    failure_share: health.failure_share(now),
-                    is_paused: health.is_paused(now),
-                    is_excluded: self.tried.contains(&record.id),
-                    has_refused: self.refused_by.contains(&record.id),
-                    holds_prefix: prefix
-                        .is_some_and(|prefix| self.gateway.peers.holds(prefix.hash, endpoint.hash)),
-                    is_leaving: endpoint.is_leaving(),
-                    is_recently_added: endpoint.is_recently_added(now),
-                    is_same_zone: *record.zone == *self.gateway.settings.zone,
-                }
-            })
-            .collect();
-        let placement = PlacementRequest {
-            prefix_hash: prefix.map(|prefix| prefix.hash),
-            tie_breaker: rand::random(),
-        };
-        let placement = choose_endpoint(&placement, &candidates)?;
-        let chosen = &candidates[placement.target];
-        let source = placement.prefix_source.map(|index| candidates[index].id);
-        if let Some(prefix) = prefix {
-            self.gateway.peers.record_use(prefix.hash, endpoints[placement.target].hash);
-        }
+        let asked = Asked { tried: &self.tried, refused_by: &self.refused_by };
+        with_candidates(self.gateway, &self.request.service, prefix, asked, |candidates| {
+            let placement = PlacementRequest {
+                prefix_hash: prefix.map(|prefix| prefix.hash),
+                tie_breaker: rand::random(),
+            };
+            let placement = choose_endpoint(&placement, &candidates.list)?;
+            let endpoint = &candidates.endpoints[placement.target];
+            if let Some(prefix) = prefix {
+                self.gateway.peers.record_use(prefix.hash, endpoint.hash);
+            }
+            self.log_placement(candidates, &placement);
+            let source = placement.prefix_source.map(|index| candidates.records[index].address);
+            Some((endpoint.clone(), source))
+        })
+    }
+
+    fn log_placement(&self, candidates: &Candidates<'_>, placement: &Placement) {
+        let chosen = &candidates.list[placement.target];
+        let source = placement.prefix_source.map(|index| candidates.list[index].id);
+        let prefix = self.request.caller.prefix;
         event!(
             "request_placed",
-            "id={} route={} kind={} endpoint={} load={:.1} failures={:.2} slowness={:.2} \
-             waiting={} candidates={} prefix={:016x} shared_tokens={} holds_prefix={} prefix_source={} config_version={} sends={} time_left_ms={}",
+            "id={} route={} kind={} endpoint={} load={:.1} reported={:.0} failures={:.2} \
+             slowness={:.2} waiting={} candidates={} prefix={:016x} shared_tokens={} \
+             holds_prefix={} prefix_source={} config_version={} sends={} time_left_ms={}",
             self.request.caller.id,
             self.request.route.name,
             self.request.route.kind,
             chosen.id,
             chosen.requests,
+            chosen.reported_requests,
             chosen.failure_share,
             chosen.slowness,
             chosen.waiting,
-            candidates.len(),
+            candidates.list.len(),
             prefix.map_or(0, |prefix| prefix.hash),
             prefix.map_or(0, |prefix| prefix.shared_tokens),
             chosen.holds_prefix,
@@ -177,8 +162,6 @@
             self.tried.len(),
             self.request.time_left().as_millis()
         );
-        let prefix_source = placement.prefix_source.map(|index| records[index].address);
-        Some((endpoints[placement.target].clone(), prefix_source))
     }
 
     fn delivered(&mut self, sink: &CallerSink<'_, P>, delivered: Delivered) -> bool {
@@ -278,7 +261,8 @@
 
     fn log_end(&self) {
         let kind = self.request.route.kind;
-        self.gateway.metrics.request_ended(kind.into(), self.outcome);
+        let team = self.request.team.as_deref();
+        self.gateway.metrics.request_ended(kind.into(), team, self.outcome);
         let age = self.gateway.config.confirmation_age(BootInstant::now());
         event!(
             "request_ended",
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -89,7 +89,11 @@
             && let Some((id, endpoint)) = self.by_id.borrow().get_key_value(id)
             && !endpoint.is_leaving()
         {
-            self.missing_until.borrow_mut().entry(id.clone()).or_insert(until);
+            self.missing_until.borrow_mut().entry(id.clone()).or_insert_with(|| {
+                let kept_ms = until.saturating_duration_since(Instant::now()).as_millis();
+                event!("endpoint_missing", "endpoint={id} kept_ms={kept_ms}");
+                until
+            });
             return true;
         }
         self.missing_until.borrow_mut().remove(id);
@@ -164,6 +168,10 @@
             .collect()
     }
 
+    pub(crate) fn all(&self) -> Vec<Rc<Endpoint>> {
+        self.by_id.borrow().values().cloned().collect()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.by_id.borrow().len()
     }
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -98,6 +98,10 @@
         }
     }
 
+    pub(crate) fn idle_count(&self) -> usize {
+        self.idle.borrow().len()
+    }
+
     /// Closes idle connections that the endpoint has closed or soon will.
     pub(crate) fn prune_idle(&self, now: Instant) {
         self.idle.borrow_mut().retain(|connection| connection.is_usable(now));
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -6,7 +6,11 @@
         relay_election::{RELAY_TIMEOUT, RelayInputs, rank, relays},
         relay_view::{RelayView, RelayedFeed},
     },
-    crate::{clock::BootInstant, placement::PrefixTable, telemetry::event},
+    crate::{
+        clock::BootInstant,
+        placement::PrefixTable,
+        telemetry::{ShownMs, event},
+    },
     mango_wire::gossip::{
         EndpointLoad, GossipMessage, HostRecord, LoadReport, PrefixUse, RelayStatus, ZoneLoads,
     },
@@ -173,7 +177,8 @@
             return;
         }
         if relay.as_ref().is_none_or(|known| known.host_id != status.host.host_id) {
-            event!("relay_chosen", "host={} age_ms={:?}", status.host.host_id, age_of(&status));
+            let age = ShownMs(age_of(&status));
+            event!("relay_chosen", "host={} age_ms={age}", status.host.host_id);
         }
         if !self.is_relay.get() {
             let mut others = LoadSums::default();
@@ -255,6 +260,19 @@
         }
     }
 
+    pub(crate) fn is_relay(&self) -> bool {
+        self.is_relay.get()
+    }
+
+    /// Host whose status is followed.
+    pub(crate) fn relay_host(&self) -> Option<String> {
+        self.relay.borrow().as_ref().map(|view| view.host_id.clone())
+    }
+
+    pub(crate) fn known_hosts(&self) -> usize {
+        self.hosts.borrow().len()
+    }
+
     /// Hosts of the fleet that report, this one included; 0 while unknown.
     pub(crate) fn fleet_hosts(&self) -> u32 {
         self.fleet_hosts.get()
@@ -271,9 +289,9 @@
             max_age: self.max_ages.config,
         });
         if self.is_relay.replace(is_relay) != is_relay {
-            let age_ms = self.config.borrow().confirmed_age(now).map(|age| age.as_millis());
+            let age = ShownMs(self.config.borrow().confirmed_age(now));
             let hosts = self.hosts.borrow().len();
-            event!("relay_changed", "relays={is_relay} config_age_ms={age_ms:?} hosts={hosts}");
+            event!("relay_changed", "relays={is_relay} config_age_ms={age} hosts={hosts}");
         }
         is_relay
     }
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -75,7 +75,7 @@
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
     }
 
-    pub(super) fn status(&self, now: BootInstant) -> FeedStatus {
+    pub(crate) fn status(&self, now: BootInstant) -> FeedStatus {
         FeedStatus {
             position: self.position.unwrap_or(0),
             changed: self.changed,
--- /dev/null
+++ b/crates/gateway/src/server/explain.rs
@@ -0,0 +1,75 @@
+use {
+    super::gateway::Gateway,
+    crate::{
+        callers::{PromptPrefix, Protocol},
+        config::Route,
+        dispatch::{Asked, with_candidates},
+        placement::{PlacementRequest, choose_endpoint},
+    },
+    serde_json::{Value, json},
+};
+
+/// What a request would meet on this host now. Nothing is sent.
+pub(super) struct Question<'a> {
+    pub(super) host_name: &'a str,
+    pub(super) path: &'a str,
+    /// Hash of the prompt's prefix, as log lines name it.
+    pub(super) prefix_hash: Option<u64>,
+}
+
+/// Says which route holds for a request and where each of its services would place it.
+pub(super) fn explain<P: Protocol>(gateway: &Gateway<P>, question: &Question<'_>) -> Value {
+    let Some(config) = gateway.config.current() else {
+        return json!({ "refused": "not_ready", "status": 503 });
+    };
+    let Some(route) = config.find_route(question.host_name, question.path) else {
+        return json!({ "refused": "no_route", "status": 404, "config_version": config.version });
+    };
+    let shares: Vec<Value> = route
+        .shares
+        .iter()
+        .map(|share| {
+            json!({
+                "service": &*share.service,
+                "weight": share.weight,
+                "placement": placement(gateway, &share.service, question.prefix_hash),
+            })
+        })
+        .collect();
+    json!({
+        "config_version": config.version,
+        "route": route_state(route),
+        "needs_key": config.has_teams() && !route.is_anonymous_allowed,
+        "services": shares,
+    })
+}
+
+fn route_state(route: &Route) -> Value {
+    json!({
+        "name": &*route.name,
+        "path_prefix": &*route.path_prefix,
+        "kind": route.kind.to_string(),
+        "timeout_ms": route.timeout_ms,
+        "target_latency_ms": route.target_latency_ms,
+        "max_attempts": route.max_attempts,
+        "priority": route.priority,
+        "may_rerun": route.may_rerun(),
+    })
+}
+
+fn placement<P>(gateway: &Gateway<P>, service: &str, prefix_hash: Option<u64>) -> Value {
+    let prefix = prefix_hash.map(|hash| PromptPrefix { hash, shared_tokens: 0 });
+    with_candidates(gateway, service, prefix, Asked::default(), |candidates| {
+        let request = PlacementRequest { prefix_hash, tie_breaker: 0 };
+        let list = &candidates.list;
+        match choose_endpoint(&request, list) {
+            Some(placement) => json!({
+                "endpoint": list[placement.target].id,
+                "holds_prefix": list[placement.target].holds_prefix,
+                "prefix_source": placement.prefix_source.map(|index| list[index].id),
+                "candidates": list.len(),
+            }),
+            None => json!({ "refused": "no_capacity", "status": 503, "candidates": list.len() }),
+        }
+    })
+}
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -11,6 +11,7 @@
         telemetry::GatewayMetrics,
     },
     mango_wire::gossip::HostRecord,
+    serde_json::{Map, Value, json},
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -121,6 +122,24 @@
         self.rest_limits.borrow_mut().insert(service.clone(), limit);
     }
 
+    /// What is kept for each service.
+    pub(crate) fn service_states(&self) -> Value {
+        let now = Instant::now();
+        let mut budgets = self.budgets.borrow_mut();
+        let states: Map<String, Value> = budgets
+            .iter_mut()
+            .map(|(service, budget)| {
+                let max_rest = self.rest_limit(service).max_rest(false, now);
+                let state = json!({
+                    "repeats_left": budget.left(now),
+                    "max_rest_ms": max_rest.map(|rest| rest.as_millis()),
+                });
+                (service.to_string(), state)
+            })
+            .collect();
+        states.into()
+    }
+
     pub(crate) fn connection_count(&self) -> u32 {
         self.connections.get()
     }
--- a/crates/gateway/src/server/side_server.rs
+++ b/crates/gateway/src/server/side_server.rs
@@ -1,12 +1,17 @@
 use {
+    super::{
+        explain::{Question, explain},
+        state_dump::state_dump,
+    },
     crate::{
         callers::Protocol,
         clock::BootInstant,
         http1::{Connection, RequestHead},
         peers::{PublishedFeed, encode_changes},
         server::Gateway,
-        telemetry::event,
+        telemetry::{ProcessUsage, event},
     },
+    percent_encoding::percent_decode_str,
     std::{rc::Rc, time::Duration},
     tokio::{
         io::AsyncWriteExt,
@@ -17,10 +22,13 @@
 };
 
 const METRICS_PATH: &str = "/metrics";
+const STATE_PATH: &str = "/state";
+const EXPLAIN_PATH: &str = "/explain";
 const CONFIG_PATH: &str = "/relay/config";
 const ENDPOINTS_PATH: &str = "/relay/endpoints";
 const OK: &str = "200 OK";
 const NOT_FOUND: &str = "404 Not Found";
+const BAD_REQUEST: &str = "400 Bad Request";
 const MAX_HEAD_BYTES: usize = 8_192;
 /// A connection without a question for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -81,12 +89,32 @@
     }
     match path {
         METRICS_PATH => metrics(gateway),
+        STATE_PATH => (OK, state_dump(gateway).to_string().into_bytes()),
+        EXPLAIN_PATH => explained(gateway, query),
         CONFIG_PATH => relayed(gateway, &gateway.peers.config.borrow(), query),
         ENDPOINTS_PATH => relayed(gateway, &gateway.peers.endpoints.borrow(), query),
         _ => (NOT_FOUND, Vec::new()),
     }
 }
 
+/// Answer to `host=NAME&path=PATH` and, if need be, `prefix=HASH` in hexadecimal.
+fn explained<P: Protocol>(gateway: &Gateway<P>, query: &str) -> (&'static str, Vec<u8>) {
+    let decode = |text| percent_decode_str(text).decode_utf8_lossy();
+    let pairs: Vec<_> = query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name, decode(value)))
+        .collect();
+    let value = |name| pairs.iter().find(|(known, _)| *known == name).map(|(_, value)| &**value);
+    let (Some(host_name), Some(path)) = (value("host"), value("path")) else {
+        let text = r#"{"reason":"bad_query","detail":"expected host=NAME&path=PATH"}"#;
+        return (BAD_REQUEST, text.into());
+    };
+    let prefix_hash = value("prefix").and_then(|hash| u64::from_str_radix(hash, 16).ok());
+    let question = Question { host_name, path, prefix_hash };
+    (OK, explain(gateway, &question).to_string().into_bytes())
+}
+
 /// Records of the store for a peer of the zone.
 fn relayed<P: Protocol>(
     gateway: &Gateway<P>,
@@ -104,6 +132,13 @@
 fn metrics<P: Protocol>(gateway: &Gateway<P>) -> (&'static str, Vec<u8>) {
     let age = gateway.config.confirmation_age(BootInstant::now()).unwrap_or_default();
     gateway.metrics.config_age_ms.set(age.as_millis() as i64);
+    match ProcessUsage::read() {
+        Ok(usage) => {
+            gateway.metrics.resident_bytes.set(usage.resident_bytes as i64);
+            gateway.metrics.processor_s.set(usage.processor_time.as_secs_f64());
+        }
+        Err(error) => event!("usage_failed", "reason={:?}", format!("{error:#}")),
+    }
     match gateway.metrics.encode() {
         Ok(text) => (OK, text.into_bytes()),
         Err(error) => {
--- /dev/null
+++ b/crates/gateway/src/server/state_dump.rs
@@ -0,0 +1,62 @@
+use {
+    super::gateway::Gateway,
+    crate::{callers::Protocol, clock::BootInstant, endpoints::Endpoint, peers::FeedKind},
+    serde_json::{Value, json},
+    std::time::Instant,
+};
+
+/// State of the process for operators. Holds no keys.
+pub(super) fn state_dump<P: Protocol>(gateway: &Gateway<P>) -> Value {
+    let now = BootInstant::now();
+    let (settings, peers) = (&gateway.settings, &gateway.peers);
+    let config = gateway.config.current();
+    let feed = |kind: FeedKind| peers.published(kind).borrow().status(now);
+    let endpoints: Vec<Value> =
+        gateway.directory.all().iter().map(|endpoint| endpoint_state(gateway, endpoint)).collect();
+    json!({
+        "host": {
+            "host": settings.host,
+            "zone": settings.zone,
+            "ready": gateway.is_ready(),
+            "stopping": gateway.stop.is_stopping(),
+            "caller_connections": gateway.connection_count(),
+        },
+        "config": {
+            "version": gateway.config.version(),
+            "routes": config.as_ref().map_or(0, |config| config.route_count()),
+            "confirmation_age_ms": gateway.config.confirmation_age(now).map(|age| age.as_millis()),
+            "keys_are_trusted": gateway.config.is_confirmed(now),
+        },
+        "feeds": { "config": feed(FeedKind::Config), "endpoints": feed(FeedKind::Endpoints) },
+        "peers": {
+            "relays": peers.is_relay(),
+            "relay": peers.relay_host(),
+            "hosts_known": peers.known_hosts(),
+            "fleet_hosts": peers.fleet_hosts(),
+        },
+        "services": gateway.service_states(),
+        "endpoints": endpoints,
+    })
+}
+
+fn endpoint_state<P>(gateway: &Gateway<P>, endpoint: &Endpoint) -> Value {
+    let now = Instant::now();
+    let record = endpoint.record.borrow();
+    let (health, load) = (endpoint.health.get(), endpoint.load.get());
+    json!({
+        "id": &*record.id,
+        "service": &*record.service,
+        "address": record.address.to_string(),
+        "zone": &*record.zone,
+        "slots": record.slots,
+        "leaving": endpoint.is_leaving(),
+        "in_flight": endpoint.in_flight(),
+        "requests_of_others": gateway.peers.others_at(endpoint.hash),
+        "waiting": load.waiting(now),
+        "slowness": load.slowness(now),
+        "latency_ms": health.latency_ms(now),
+        "failure_share": health.failure_share(now),
+        "paused": health.is_paused(now),
+        "idle_connections": endpoint.idle_count(),
+    })
+}
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -9,15 +9,26 @@
         },
         registry::Registry,
     },
-    std::fmt,
+    std::{cell::RefCell, collections::HashSet, fmt, sync::atomic::AtomicU64},
 };
 
+/// Teams that a process counts by name; requests of further ones are counted together, so
+/// that 24,000 teams do not fill its memory.
+const MAX_COUNTED_TEAMS: usize = 100;
+const OTHER_TEAMS: &str = "other";
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct RequestLabels {
     pub(crate) kind: &'static str,
     pub(crate) outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct TeamLabels {
+    pub(crate) team: String,
+    pub(crate) outcome: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct SendLabels {
     pub(crate) outcome: &'static str,
@@ -38,6 +49,8 @@
 pub(crate) struct GatewayMetrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
+    team_requests: Family<TeamLabels, Counter>,
+    counted_teams: RefCell<HashSet<Box<str>>>,
     sends: Family<SendLabels, Counter>,
     latency_s: Family<KindLabels, Histogram>,
     feed_calls: Family<FeedLabels, Counter>,
@@ -47,6 +60,8 @@
     pub(crate) config_version: Gauge,
     pub(crate) config_age_ms: Gauge,
     pub(crate) endpoints: Gauge,
+    pub(crate) resident_bytes: Gauge,
+    pub(crate) processor_s: Gauge<f64, AtomicU64>,
 }
 
 impl GatewayMetrics {
@@ -54,6 +69,8 @@
         let mut metrics = GatewayMetrics {
             registry: Registry::with_prefix("mangobridge"),
             requests: Family::default(),
+            team_requests: Family::default(),
+            counted_teams: RefCell::default(),
             sends: Family::default(),
             latency_s: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(0.004, 2.0, 14))
@@ -65,6 +82,8 @@
             config_version: Gauge::default(),
             config_age_ms: Gauge::default(),
             endpoints: Gauge::default(),
+            resident_bytes: Gauge::default(),
+            processor_s: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -73,6 +92,11 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests of callers by outcome", self.requests.clone());
+        registry.register(
+            "team_requests",
+            "Requests of callers by team and outcome",
+            self.team_requests.clone(),
+        );
         registry.register("endpoint_sends", "Sends to endpoints by outcome", self.sends.clone());
         registry.register(
             "request_latency_seconds",
@@ -106,10 +130,42 @@
             self.config_age_ms.clone(),
         );
         registry.register("endpoints", "Endpoints known", self.endpoints.clone());
+        registry.register(
+            "resident_memory_bytes",
+            "Memory of the process",
+            self.resident_bytes.clone(),
+        );
+        registry.register(
+            "processor_seconds",
+            "Processor time of the process since its start",
+            self.processor_s.clone(),
+        );
     }
 
-    pub(crate) fn request_ended(&self, kind: &'static str, outcome: &'static str) {
+    pub(crate) fn request_ended(
+        &self,
+        kind: &'static str,
+        team: Option<&str>,
+        outcome: &'static str,
+    ) {
         self.requests.get_or_create(&RequestLabels { kind, outcome }).inc();
+        if let Some(team) = team {
+            let team = self.team_label(team).to_owned();
+            self.team_requests.get_or_create(&TeamLabels { team, outcome }).inc();
+        }
+    }
+
+    /// The name under which a team is counted.
+    fn team_label<'a>(&self, team: &'a str) -> &'a str {
+        let mut counted = self.counted_teams.borrow_mut();
+        if counted.contains(team) {
+            return team;
+        }
+        if counted.len() >= MAX_COUNTED_TEAMS {
+            return OTHER_TEAMS;
+        }
+        counted.insert(team.into());
+        team
     }
 
     pub(crate) fn send_ended(&self, outcome: &'static str) {
--- /dev/null
+++ b/crates/gateway/src/telemetry/process_usage.rs
@@ -0,0 +1,36 @@
+use {
+    anyhow::{Context, Result},
+    nix::sys::resource::{UsageWho, getrusage},
+    std::{fs, time::Duration},
+};
+
+const STATUS_FILE: &str = "/proc/self/status";
+
+/// What the process uses of its host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProcessUsage {
+    pub(crate) resident_bytes: u64,
+    /// User and system time since the start.
+    pub(crate) processor_time: Duration,
+}
+
+impl ProcessUsage {
+    /// Asks the system.
+    pub(crate) fn read() -> Result<ProcessUsage> {
+        let status = fs::read_to_string(STATUS_FILE).context(STATUS_FILE)?;
+        let resident_kb: u64 = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .and_then(|value| value.trim().trim_end_matches("kB").trim().parse().ok())
+            .with_context(|| format!("{STATUS_FILE} has no VmRSS"))?;
+        let usage = getrusage(UsageWho::RUSAGE_SELF).context("getrusage")?;
+        let spent_us: i64 = [usage.user_time(), usage.system_time()]
+            .iter()
+            .map(|time| time.tv_sec() * 1_000_000 + time.tv_usec())
+            .sum();
+        Ok(ProcessUsage {
+            resident_bytes: resident_kb * 1_024,
+            processor_time: Duration::from_micros(spent_us.unsigned_abs()),
+        })
+    }
+}
