Count an absence of the store from the last word of a relay

The store had turned some hosts away. A host that had followed its relay for 40 s took this for an absence of 40 s, since it counted from its own last call; it compared the records since the relay's last word with the heartbeats of 40 s, concluded that the store had been down, and kept removed endpoints for 2.1 s as lapsed.

Change: an absence begins at the last confirmation by the store or by a relay. Lapsed records are waited for from the return of the store on, which the heartbeats in the log date, not from this host's own return.

--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -17,11 +17,8 @@
 
 /// An absence of the store shorter than this makes no record lapse, in heartbeats.
 const LAPSE_HEARTBEATS: u32 = 2;
-/// How long lapsed records may take to come back after the store's return.
+/// How long records that lapsed may take to come back after the store's return.
 const RETURN_TIME: Duration = Duration::from_millis(2_100);
-/// With more than this share of the heartbeats in the log, the store was there and
-/// only this host did not reach it.
-const PRESENT_SHARE: f64 = 0.5;
 
 /// Keeps the directory of endpoints.
 pub(crate) struct EndpointSink {
@@ -102,17 +99,19 @@
         if away < self.heartbeat * LAPSE_HEARTBEATS {
             return;
         }
-        let heartbeats = away.as_secs_f64() / self.heartbeat.as_secs_f64().max(0.001);
-        let expected = heartbeats * self.directory.len() as f64;
-        let was_present = records as f64 > expected * PRESENT_SHARE;
+        let endpoints = self.directory.len().max(1) as f64;
+        // the heartbeats in the log tell for how long endpoints have reached the store,
+        // when only this host did not
+        let present = self.heartbeat.mul_f64(records as f64 / endpoints).min(away);
+        let grace = RETURN_TIME.saturating_sub(present);
         event!(
             "endpoint_records_after_absence",
-            "away_ms={} records={records} expected={expected:.0} store_was_present={was_present}",
-            away.as_millis()
+            "away_ms={} records={records} store_present_ms={} grace_ms={}",
+            away.as_millis(),
+            present.as_millis(),
+            grace.as_millis()
         );
-        if !was_present {
-            self.lapses_until = Some(Instant::now() + RETURN_TIME);
-        }
+        self.lapses_until = Some(Instant::now() + grace);
     }
 
     fn expire(&mut self, now: Instant) -> Option<Instant> {
--- a/crates/gateway/src/followers/feed_health.rs
+++ b/crates/gateway/src/followers/feed_health.rs
@@ -2,7 +2,7 @@
     super::record_feed::FeedError,
     crate::{
         clock::BootInstant,
-        telemetry::{GatewayMetrics, event},
+        telemetry::{GatewayMetrics, ShownMs, event},
     },
     rand::RngExt,
     std::{rc::Rc, time::Duration},
@@ -18,28 +18,34 @@
 pub(super) struct FeedHealth {
     name: &'static str,
     metrics: Rc<GatewayMetrics>,
-    last_success: Option<BootInstant>,
+    /// Last time at which the log was known to its end, from the store or from a relay.
+    known_at: Option<BootInstant>,
     failures: u32,
 }
 
 impl FeedHealth {
     pub(super) fn new(name: &'static str, metrics: Rc<GatewayMetrics>) -> FeedHealth {
-        FeedHealth { name, metrics, last_success: None, failures: 0 }
+        FeedHealth { name, metrics, known_at: None, failures: 0 }
     }
 
-    /// Records a success. Returns how long the store was away, if calls had failed and
-    /// the store had answered before.
+    /// Records that a relay confirmed the log up to this time.
+    pub(super) fn confirmed_by_relay(&mut self, at: BootInstant) {
+        self.known_at = self.known_at.max(Some(at));
+    }
+
+    /// Records a success. Returns for how long the log was not known, if calls had failed
+    /// and it had been known before.
     pub(super) fn succeeded(&mut self) -> Option<Duration> {
         let now = BootInstant::now();
         self.metrics.feed_called(self.name, "ok");
         let failures = std::mem::take(&mut self.failures);
-        let last = self.last_success.replace(now);
+        let last = self.known_at.replace(now);
         if failures == 0 {
             return None;
         }
         let away = last.map(|at| now.saturating_duration_since(at));
-        let away_ms = away.map(|away| away.as_millis());
-        event!("store_regained", "feed={} failures={failures} away_ms={away_ms:?}", self.name);
+        let shown = ShownMs(away);
+        event!("store_regained", "feed={} failures={failures} away_ms={shown}", self.name);
         away
     }
 
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -90,6 +90,7 @@
         }
         let reached = self.position.unwrap_or(0);
         if let Some(at) = relay.confirmed_at.filter(|_| reached >= relay.position) {
+            self.health.confirmed_by_relay(at);
             self.sink.confirmed(at);
             self.peers.published(self.kind).borrow_mut().confirm(at);
         }
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -26,7 +26,7 @@
     /// All records up to this time were applied.
     fn confirmed(&mut self, at: BootInstant);
 
-    /// The store answers again after this time, in which it added so many records.
+    /// The log is known again after this time, in which it got so many records.
     fn store_returned(&mut self, away: Duration, records: usize);
 
     /// Does what has become due, and says when to come again.
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Changes, ConfigSink, EndpointSink, FeedError, Follower, Newest, RawRecord, RecordFeed,
-        record_sink::RecordSink,
+        feed_health::FeedHealth, record_sink::RecordSink,
     },
     crate::{
         clock::BootInstant,
@@ -172,6 +172,40 @@
     assert_eq!(directory.len(), 1);
 }
 
+/// Guards against work for an endpoint that leaves shortly after the store's return: a
+/// host that reaches the store later than others waits only for the rest of the time in
+/// which lapsed records come back.
+#[test]
+fn lapsed_records_are_kept_from_the_return_of_the_store_on() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
+    // two heartbeats of one second each: the store is back for a second
+    sink.store_returned(Duration::from_secs(9), 2);
+    sink.apply(&raw(4, "a", ""));
+    let now = std::time::Instant::now();
+    let until = sink.expire(now).expect("a time");
+    assert!(until - now <= Duration::from_millis(1_150), "{:?}", until - now);
+    assert!(until - now >= Duration::from_millis(900), "{:?}", until - now);
+}
+
+/// Replays DRAIN of hunt-6134-7: a host that had followed a relay for 40 s was turned away
+/// by the store for 1.5 s. Guards against an absence that counts the time in which the
+/// relay confirmed the log, which kept endpoints that had left.
+#[test]
+fn an_absence_begins_after_the_last_word_of_a_relay() {
+    let mut health = FeedHealth::new("endpoints", Rc::new(GatewayMetrics::new()));
+    assert_eq!(health.succeeded(), None);
+    health.failed(&FeedError::Unavailable("refused".into()));
+    std::thread::sleep(Duration::from_millis(120));
+    let confirmed_at = BootInstant::now();
+    health.confirmed_by_relay(confirmed_at);
+    health.failed(&FeedError::Unavailable("refused".into()));
+    let away = health.succeeded().expect("an absence");
+    let since = BootInstant::now().saturating_duration_since(confirmed_at);
+    assert!(away <= since, "{away:?}, confirmed {since:?} ago");
+}
+
 /// Guards against records of other writers that stop the reading of good ones.
 #[test]
 fn unreadable_records_name_no_endpoint() {
