--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -104,23 +104,23 @@
     call: &EndpointCall,
     failure: SendFailure,
 ) -> SendFailure {
-    let rest = match failure.cause {
-        FailureCause::ConnectionBroken => call.rest_before_break(),
+    let idle_time = match failure.cause {
+        FailureCause::ConnectionBroken => call.idle_before_break(),
         _ => None,
     };
-    let Some(rest) = rest else { return failure };
+    let Some(idle_time) = idle_time else { return failure };
     let (id, now) = (&request.caller.id, Instant::now());
-    let mut limit = gateway.rest_limit(&request.service);
-    limit.record_break(rest, now);
-    gateway.set_rest_limit(&request.service, limit);
+    let mut limit = gateway.idle_limit(&request.service);
+    limit.record_break(idle_time, now);
+    gateway.set_idle_limit(&request.service, limit);
     event!(
-        "rested_connection_broken",
-        "id={id} service={} rest_ms={} max_rest_ms={}",
+        "idle_connection_broken",
+        "id={id} service={} idle_ms={} max_idle_ms={}",
         request.service,
-        rest.as_millis(),
-        ShownMs(limit.max_rest(false, now))
+        idle_time.as_millis(),
+        ShownMs(limit.max_idle(false, now))
     );
-    SendFailure { cause: FailureCause::RestedConnectionBroken, ..failure }
+    SendFailure { cause: FailureCause::IdleConnectionBroken, ..failure }
 }
 
 /// Only an answer that the endpoint vouches for may be passed on.
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -23,7 +23,7 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(3_000);
 /// An idle connection is given up this much before the endpoint would close it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(600);
-/// A rested connection that the endpoint has forgotten breaks within about a round trip.
+/// An idle connection that the endpoint has forgotten breaks within about a round trip.
 const EARLY_BREAK: Duration = Duration::from_millis(60);
 /// Answers to earlier requests that may come before the awaited one.
 const MAX_STRAY_ANSWERS: u32 = 3;
@@ -38,14 +38,14 @@
     decoder: Option<BodyDecoder>,
     is_reusable: bool,
     keep_alive: Duration,
-    /// Time for which the connection rested before this request; None if it is new.
-    rest: Option<Duration>,
+    /// Time for which the connection was idle before this request; None if it is new.
+    idle_time: Option<Duration>,
     opened_at: Instant,
     _in_flight: InFlight,
 }
 
 impl EndpointCall {
-    /// Takes an idle connection that did not rest for too long, or opens one.
+    /// Takes a connection that was not idle for too long, or opens one.
     pub(super) async fn open<P: Protocol>(
         gateway: &Gateway<P>,
         endpoint: &Rc<Endpoint>,
@@ -53,12 +53,12 @@
     ) -> Result<EndpointCall, SendFailure> {
         let in_flight = endpoint.start_request();
         let now = Instant::now();
-        let max_rest =
-            gateway.rest_limit(&request.service).max_rest(request.route.may_rerun(), now);
-        let (connection, rest) = match endpoint.take_idle(max_rest, now) {
+        let max_idle =
+            gateway.idle_limit(&request.service).max_idle(request.route.may_rerun(), now);
+        let (connection, idle_time) = match endpoint.take_idle(max_idle, now) {
             Some(idle) => {
-                let rest = idle.rest(now);
-                (idle.connection, Some(rest))
+                let idle_time = idle.idle_time(now);
+                (idle.connection, Some(idle_time))
             }
             None => {
                 let address = endpoint.record.borrow().address;
@@ -76,7 +76,7 @@
             decoder: None,
             is_reusable: true,
             keep_alive: DEFAULT_KEEP_ALIVE,
-            rest,
+            idle_time,
             opened_at: Instant::now(),
             _in_flight: in_flight,
         })
@@ -103,10 +103,10 @@
         }
     }
 
-    /// How long the connection had rested, if it broke as soon as it was used again.
-    pub(super) fn rest_before_break(&self) -> Option<Duration> {
+    /// How long the connection had been idle, if it broke as soon as it was used again.
+    pub(super) fn idle_before_break(&self) -> Option<Duration> {
         let is_early = self.opened_at.elapsed() <= EARLY_BREAK;
-        self.rest.filter(|_| is_early && self.connection.input.is_empty())
+        self.idle_time.filter(|_| is_early && self.connection.input.is_empty())
     }
 
     /// Reads the head of the answer to this request.
@@ -208,7 +208,7 @@
         if is_done && self.is_reusable && self.connection.input.is_empty() {
             self.endpoint.put_idle(IdleConnection {
                 connection: self.connection,
-                rests_since: Instant::now(),
+                idle_since: Instant::now(),
                 usable_until: Instant::now() + keep_alive,
             });
         }
--- a/crates/gateway/src/dispatch/failure.rs
+++ b/crates/gateway/src/dispatch/failure.rs
@@ -17,8 +17,8 @@
 pub(super) enum FailureCause {
     ConnectFailed,
     ConnectionBroken,
-    /// The connection broke as soon as it was used after a rest.
-    RestedConnectionBroken,
+    /// The connection broke as soon as it was used after an idle time.
+    IdleConnectionBroken,
     /// The endpoint's bytes are no answer, or the answer of another request.
     BadAnswer,
     /// The body ended early or does not belong to the answer.
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -187,7 +187,7 @@
             cause,
             FailureCause::ConnectFailed
                 | FailureCause::Misdirected
-                | FailureCause::RestedConnectionBroken
+                | FailureCause::IdleConnectionBroken
         );
         if !says_nothing_of_health {
             endpoint.update_health(|health| health.failed(Instant::now()));
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -71,16 +71,16 @@
         InFlight(self.clone())
     }
 
-    /// Takes the connection that rested for the shortest time, if it is usable and did
-    /// not rest for longer than `max_rest`.
+    /// Takes the connection that was idle for the shortest time, if it is usable and was
+    /// not idle for longer than `max_idle`.
     pub(crate) fn take_idle(
         &self,
-        max_rest: Option<Duration>,
+        max_idle: Option<Duration>,
         now: Instant,
     ) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         while let Some(connection) = idle.pop() {
-            if max_rest.is_some_and(|max_rest| connection.rest(now) > max_rest) {
+            if max_idle.is_some_and(|max_idle| connection.idle_time(now) > max_idle) {
                 idle.push(connection);
                 return None;
             }
--- a/crates/gateway/src/endpoints/idle_connection.rs
+++ b/crates/gateway/src/endpoints/idle_connection.rs
@@ -7,14 +7,14 @@
 pub(crate) struct IdleConnection {
     pub(crate) connection: Connection,
     /// End of the last answer on it.
-    pub(crate) rests_since: Instant,
+    pub(crate) idle_since: Instant,
     /// The endpoint may close the connection after this time.
     pub(crate) usable_until: Instant,
 }
 
 impl IdleConnection {
-    pub(crate) fn rest(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.rests_since)
+    pub(crate) fn idle_time(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.idle_since)
     }
 
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -3,8 +3,8 @@
 mod endpoint_record;
 mod health;
 mod idle_connection;
+mod idle_limit;
 mod load_estimate;
-mod rest_limit;
 #[cfg(test)]
 mod tests;
 
@@ -12,7 +12,7 @@
     directory::Directory,
     endpoint::{Endpoint, InFlight},
     idle_connection::IdleConnection,
-    rest_limit::RestLimit,
+    idle_limit::IdleLimit,
 };
 pub use {
     endpoint_record::{EndpointId, EndpointRecord, EndpointState},
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Directory, EndpointRecord, EndpointState, LoadReport, health::Health,
-        load_estimate::LoadEstimate, rest_limit::RestLimit,
+        idle_limit::IdleLimit, load_estimate::LoadEstimate,
     },
     std::time::{Duration, Instant},
 };
@@ -120,26 +120,26 @@
     assert!(directory.upsert(EndpointRecord { state: EndpointState::Draining, ..record("a", 2) }));
 }
 
-/// Replays endpoints that forget connections after a rest of 300 ms, while a router sends
-/// to them after rests of up to 3 s. Guards against bookings lost on such connections: the
+/// Replays endpoints that forget connections after 300 idle ms, while a router sends
+/// to them after pauses of up to 3 s. Guards against bookings lost on such connections: the
 /// limit loses a fraction of what is lost without it, and new connections are not opened
 /// for longer than endpoints forget.
 #[test]
 fn few_requests_meet_a_forgotten_connection() {
     let start = Instant::now();
     let is_forgetful = |at: Duration| at < Duration::from_secs(9);
-    let mut limit = RestLimit::default();
+    let mut limit = IdleLimit::default();
     let (mut lost, mut lost_without, mut opened_late) = (0, 0, 0);
     for step in 0..2_000_u64 {
         let at = Duration::from_millis(20 * step);
         let now = start + at;
         let may_rerun = step % 3 != 0;
-        let rest = Duration::from_millis(step * 7_919 % 3_000);
-        let is_used = limit.max_rest(may_rerun, now).is_none_or(|max_rest| rest <= max_rest);
-        let is_broken = is_forgetful(at) && rest > Duration::from_millis(300);
+        let idle_time = Duration::from_millis(step * 7_919 % 3_000);
+        let is_used = limit.max_idle(may_rerun, now).is_none_or(|max_idle| idle_time <= max_idle);
+        let is_broken = is_forgetful(at) && idle_time > Duration::from_millis(300);
         lost_without += u32::from(is_broken && !may_rerun);
         if is_used && is_broken {
-            limit.record_break(rest, now);
+            limit.record_break(idle_time, now);
             lost += u32::from(!may_rerun);
         }
         opened_late += u32::from(!is_used && may_rerun && at > Duration::from_secs(15));
@@ -153,7 +153,7 @@
 #[test]
 fn a_break_right_after_an_answer_sets_no_limit() {
     let now = Instant::now();
-    let mut limit = RestLimit::default();
+    let mut limit = IdleLimit::default();
     limit.record_break(Duration::from_millis(40), now);
-    assert_eq!(limit.max_rest(false, now), None);
+    assert_eq!(limit.max_idle(false, now), None);
 }
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -4,7 +4,7 @@
         callers::Protocol,
         clock::BootInstant,
         config::{CallerLimits, ConfigState},
-        endpoints::{Directory, RestLimit},
+        endpoints::{Directory, IdleLimit},
         peers::{MaxAges, PeerState},
         retry::RetryBudget,
         settings::{Bounds, GatewaySettings},
@@ -43,7 +43,7 @@
     pub(crate) stop: StopState,
     pub(crate) peers: Rc<PeerState>,
     budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
-    rest_limits: RefCell<HashMap<Rc<str>, RestLimit>>,
+    idle_limits: RefCell<HashMap<Rc<str>, IdleLimit>>,
     connections: Rc<Cell<u32>>,
 }
 
@@ -59,7 +59,7 @@
             metrics: Rc::new(GatewayMetrics::new()),
             stop: StopState::new(),
             budgets: RefCell::default(),
-            rest_limits: RefCell::default(),
+            idle_limits: RefCell::default(),
             connections: Rc::default(),
         }
     }
@@ -113,13 +113,13 @@
         action(budget, Instant::now())
     }
 
-    /// How long connections to the endpoints of a service may have rested.
-    pub(crate) fn rest_limit(&self, service: &str) -> RestLimit {
-        self.rest_limits.borrow().get(service).copied().unwrap_or_default()
+    /// How long connections to the endpoints of a service may have been idle.
+    pub(crate) fn idle_limit(&self, service: &str) -> IdleLimit {
+        self.idle_limits.borrow().get(service).copied().unwrap_or_default()
     }
 
-    pub(crate) fn set_rest_limit(&self, service: &Rc<str>, limit: RestLimit) {
-        self.rest_limits.borrow_mut().insert(service.clone(), limit);
+    pub(crate) fn set_idle_limit(&self, service: &Rc<str>, limit: IdleLimit) {
+        self.idle_limits.borrow_mut().insert(service.clone(), limit);
     }
 
     /// What is kept for each service.
@@ -129,10 +129,10 @@
         let states: Map<String, Value> = budgets
             .iter_mut()
             .map(|(service, budget)| {
-                let max_rest = self.rest_limit(service).max_rest(false, now);
+                let max_idle = self.idle_limit(service).max_idle(false, now);
                 let state = json!({
                     "repeats_left": budget.left(now),
-                    "max_rest_ms": max_rest.map(|rest| rest.as_millis()),
+                    "max_idle_ms": max_idle.map(|time| time.as_millis()),
                 });
                 (service.to_string(), state)
             })
