Answer requests that arrived before a planned stop of the HTTP server

A stop told each connection to end before its thread had read the bytes that had arrived, and the accept loop left connections in the listener's queue, which were then reset.

Change: a connection gets 5 ms to see bytes that have arrived before it is told to end; the accept loop empties its queue and only then ends, and the stop waits for that.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -19,6 +19,7 @@
         thread,
         time::{Duration, Instant},
     },
+    tokio::time::timeout,
 };
 
 /// Request with its whole body, or why the body could not be read.
@@ -63,15 +64,29 @@
 
 // hyper accepts no smaller read buffer
 const MIN_BUFFER_BYTES: usize = 8192;
+// time in which a connection sees bytes that arrived before a stop
+const ARRIVED_WAIT: Duration = Duration::from_millis(5);
 // pause after a failed accept, such as when file descriptors run out
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 struct Connections {
-    open: Mutex<HashMap<u64, (TcpStream, Arc<tokio::sync::Notify>)>>,
+    open: Mutex<OpenConnections>,
     all_closed: Condvar,
     draining: AtomicBool,
 }
 
+struct OpenConnections {
+    by_id: HashMap<u64, (TcpStream, Arc<tokio::sync::Notify>)>,
+    /// The accept loop may still add connections.
+    is_accepting: bool,
+}
+
+impl OpenConnections {
+    fn is_over(&self) -> bool {
+        self.by_id.is_empty() && !self.is_accepting
+    }
+}
+
 /// A running server.
 pub struct HttpServer {
     address: SocketAddr,
@@ -88,14 +103,17 @@
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let connections = Arc::new(Connections {
-            open: Mutex::default(),
+            open: Mutex::new(OpenConnections { by_id: HashMap::new(), is_accepting: true }),
             all_closed: Condvar::new(),
             draining: AtomicBool::new(false),
         });
         let accepting = connections.clone();
-        thread::Builder::new()
-            .name("http-accept".to_owned())
-            .spawn(move || accept_loop(&listener, limits, &handler, &accepting))?;
+        thread::Builder::new().name("http-accept".to_owned()).spawn(move || {
+            accept_loop(&listener, limits, &handler, &accepting);
+            // connections that are not accepted by now are reset
+            drop(listener);
+            end_accepting(&accepting);
+        })?;
         Ok(Self { address, connections })
     }
 
@@ -106,7 +124,7 @@
 
     /// Number of open connections.
     pub fn open_connections(&self) -> usize {
-        self.connections.open.lock().len()
+        self.connections.open.lock().by_id.len()
     }
 
     /// Stops accepting, lets requests in progress end, closes idle connections.
@@ -114,12 +132,12 @@
     pub fn drain(&self, deadline: Instant) -> bool {
         self.stop_accepting();
         let mut open = self.connections.open.lock();
-        for (_, graceful) in open.values() {
+        for (_, graceful) in open.by_id.values() {
             graceful.notify_one();
         }
-        while !open.is_empty() {
+        while !open.is_over() {
             if self.connections.all_closed.wait_until(&mut open, deadline).timed_out() {
-                return open.is_empty();
+                return open.is_over();
             }
         }
         true
@@ -128,7 +146,7 @@
     /// Stops accepting and cuts all connections off, as a crash would.
     pub fn abort(&self) {
         self.stop_accepting();
-        for (stream, _) in self.connections.open.lock().values() {
+        for (stream, _) in self.connections.open.lock().by_id.values() {
             // an error means that the connection is closed already
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -156,9 +174,7 @@
 ) {
     let mut next_id = 0;
     for stream in listener.incoming() {
-        if connections.draining.load(Ordering::SeqCst) {
-            return;
-        }
+        let is_draining = connections.draining.load(Ordering::SeqCst);
         match stream {
             Ok(stream) => {
                 next_id += 1;
@@ -166,14 +182,25 @@
                     log::warn!("event=connection_start_failed error={e:?}");
                 }
             }
+            // the queue of the listener is empty
+            Err(e) if is_draining && e.kind() == io::ErrorKind::WouldBlock => return,
             Err(e) => {
                 log::warn!("event=accept_failed error={e:?}");
                 thread::sleep(ACCEPT_PAUSE);
             }
         }
+        if is_draining && let Err(e) = listener.set_nonblocking(true) {
+            log::warn!("event=listener_failed error={e:?}");
+            return;
+        }
     }
 }
 
+fn end_accepting(connections: &Connections) {
+    connections.open.lock().is_accepting = false;
+    connections.all_closed.notify_all();
+}
+
 fn start_connection<H: Handler>(
     id: u64,
     stream: TcpStream,
@@ -185,11 +212,15 @@
     let graceful = Arc::new(tokio::sync::Notify::new());
     {
         let mut open = connections.open.lock();
-        if open.len() >= limits.max_connections {
+        if open.by_id.len() >= limits.max_connections {
             drop(open);
             return refuse(stream, &handler.refuse_connection());
         }
-        open.insert(id, (stream.try_clone()?, graceful.clone()));
+        if connections.draining.load(Ordering::SeqCst) {
+            // it came before the stop and ends after the request that it brought
+            graceful.notify_one();
+        }
+        open.by_id.insert(id, (stream.try_clone()?, graceful.clone()));
     }
     let handler = handler.clone();
     let owned = connections.clone();
@@ -207,8 +238,8 @@
 
 fn close(id: u64, connections: &Connections) {
     let mut open = connections.open.lock();
-    open.remove(&id);
-    if open.is_empty() {
+    open.by_id.remove(&id);
+    if open.is_over() {
         connections.all_closed.notify_all();
     }
 }
@@ -257,6 +288,10 @@
         tokio::select! {
             result = connection.as_mut() => result.map_err(io::Error::other),
             () = graceful.notified() => {
+                // a request that has arrived is read first: a connection without one is closed
+                if let Ok(result) = timeout(ARRIVED_WAIT, connection.as_mut()).await {
+                    return result.map_err(io::Error::other);
+                }
                 connection.as_mut().graceful_shutdown();
                 connection.await.map_err(io::Error::other)
             }
