--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -36,6 +36,8 @@
     pub(super) endpoint: &'a Rc<Endpoint>,
     /// Address of an endpoint that may hold the cache of the prompt's prefix.
     pub(super) prefix_source: Option<SocketAddr>,
+    /// Whether an idle connection may carry the request.
+    pub(super) may_reuse_connection: bool,
 }
 
 /// Sends a request to an endpoint and forwards the response to the caller.
@@ -47,11 +49,17 @@
     sink: &mut CallerSink<'_, P>,
 ) -> Result<Delivery, SendFailure> {
     let endpoint = target.endpoint;
-    let mut call = EndpointCall::open(gateway, endpoint, request).await?;
+    let mut call =
+        EndpointCall::open(gateway, endpoint, request, target.may_reuse_connection).await?;
     let started_at = Instant::now();
     let (head, meta) = exchange(gateway, request, target, progress, &mut call)
         .await
         .map_err(|failure| classify_failure(gateway, request, &call, failure))?;
+    if let Some(idle_time) = call.idle_time() {
+        let mut limit = gateway.idle_limit(&request.service);
+        limit.record_working_connection(idle_time);
+        gateway.set_idle_limit(&request.service, limit);
+    }
     if let Some(load) = meta.load {
         let mut estimate = endpoint.load.get();
         estimate.record(load, endpoint.in_flight(), Instant::now());
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -49,16 +49,20 @@
 }
 
 impl EndpointCall {
-    /// Reuses an idle connection within the idle limit of the service, or opens a new one.
+    /// Reuses an idle connection within the idle limit of the service if `may_reuse`, or opens a
+    /// new one.
     pub(super) async fn open<P: Protocol>(
         gateway: &Gateway<P>,
         endpoint: &Rc<Endpoint>,
         request: &AdmittedRequest,
+        may_reuse: bool,
     ) -> Result<EndpointCall, SendFailure> {
         let in_flight = endpoint.start_request();
         let now = Instant::now();
-        let max_idle =
-            gateway.idle_limit(&request.service).max_idle(request.route.may_rerun(), now);
+        let max_idle = match may_reuse {
+            true => gateway.idle_limit(&request.service).max_idle(request.route.may_rerun(), now),
+            false => Some(Duration::ZERO),
+        };
         let (connection, idle_time) = match endpoint.take_idle_connection(max_idle, now) {
             Some(idle) => {
                 let idle_time = idle.idle_time(now);
@@ -107,6 +111,11 @@
         }
     }
 
+    /// How long the connection was idle before this request; `None` if it is new.
+    pub(super) fn idle_time(&self) -> Option<Duration> {
+        self.idle_time
+    }
+
     /// How long a broken connection was idle before this request, if it broke as soon as it was
     /// reused.
     pub(super) fn idle_time_before_early_break(&self) -> Option<Duration> {
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -99,7 +99,9 @@
                 return self.give_up(sink, refusal).await;
             };
             self.tried.push(endpoint.record.borrow().id.clone());
-            let target = Target { endpoint: &endpoint, prefix_source };
+            // if endpoints drop idle connections, the next one is likely to be dropped as well
+            let may_reuse_connection = self.last_cause != Some(FailureCause::IdleConnectionBroken);
+            let target = Target { endpoint: &endpoint, prefix_source, may_reuse_connection };
             let result =
                 attempt(self.gateway, self.request, &target, &mut self.progress, sink).await;
             let failure = match result {
--- a/crates/gateway/src/endpoints/idle_limit.rs
+++ b/crates/gateway/src/endpoints/idle_limit.rs
@@ -3,6 +3,10 @@
 //! Load pattern: endpoints drop connections that were idle for a few hundred milliseconds,
 //! without closing them. The next request on such a connection is reset: a request that must
 //! not run twice is then lost, and the retries of the others use up the retry budget.
+//!
+//! A broken connection shows only that endpoints drop connections at its idle time or sooner.
+//! Requests that must not run twice therefore reuse a connection only if a longer idle time has
+//! worked since then; the others find that time out.
 
 use std::time::{Duration, Instant};
 
@@ -23,6 +27,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct IdleLimit {
     observed: Option<ObservedLimit>,
+    /// Longest idle time after which a connection still worked, since the last one that broke.
+    longest_working: Duration,
 }
 
 /// A limit and the time of the last broken connection that it was set from.
@@ -47,14 +53,20 @@
         };
         self.observed =
             Some(ObservedLimit { max_idle: max_idle.max(MIN_IDLE_TIME / 2), observed_at: now });
+        self.longest_working = Duration::ZERO;
+    }
+
+    /// Records that a connection worked when it was reused after the given idle time.
+    pub(crate) fn record_working_connection(&mut self, idle_time: Duration) {
+        self.longest_working = self.longest_working.max(idle_time);
     }
 
     /// Longest idle time of a connection that may carry a request; `None` if there is no limit.
     pub(crate) fn max_idle(&self, may_rerun: bool, now: Instant) -> Option<Duration> {
         let lifetime = if may_rerun { RERUNNABLE_LIMIT_LIFETIME } else { RUN_ONCE_LIMIT_LIFETIME };
-        self.observed
-            .filter(|observed| observed.is_within(lifetime, now))
-            .map(|observed| observed.max_idle)
+        let observed = self.observed.filter(|observed| observed.is_within(lifetime, now))?;
+        let working = self.longest_working.max(MIN_IDLE_TIME / 2);
+        Some(if may_rerun { observed.max_idle } else { observed.max_idle.min(working) })
     }
 }
 
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -160,3 +160,18 @@
     limit.record_broken_connection(Duration::from_millis(40), now);
     assert_eq!(limit.max_idle(false, now), None);
 }
+
+/// Guards against a request that must not run twice on a connection whose idle time has not
+/// worked since one broke: endpoints may drop connections sooner than the one that broke shows.
+#[test]
+fn run_once_requests_reuse_only_idle_times_that_worked() {
+    let now = Instant::now();
+    let mut limit = IdleLimit::default();
+    limit.record_broken_connection(Duration::from_millis(500), now);
+    assert_eq!(limit.max_idle(true, now), Some(Duration::from_millis(250)));
+    assert_eq!(limit.max_idle(false, now), Some(Duration::from_millis(50)));
+    limit.record_working_connection(Duration::from_millis(180));
+    assert_eq!(limit.max_idle(false, now), Some(Duration::from_millis(180)));
+    limit.record_broken_connection(Duration::from_millis(240), now);
+    assert_eq!(limit.max_idle(false, now), Some(Duration::from_millis(50)));
+}
--- a/crates/router/src/config/tests/memory_log.rs
+++ b/crates/router/src/config/tests/memory_log.rs
@@ -92,10 +92,12 @@
                 .take(2)
                 .cloned()
                 .collect();
-            if !records.is_empty() || self.0.1.wait_until(&mut inner, until).timed_out() {
+            // the end and the records are taken together, as an append may come during the wait
+            if !records.is_empty() || Instant::now() >= until {
                 let (first_offset, next_offset) = (inner.first, inner.next.max(1));
                 return Ok(ReadReply { records, first_offset, next_offset });
             }
+            self.0.1.wait_until(&mut inner, until);
         }
     }
 }
