Bound the memory of messages, and tell the truth after a withdrawn key

Endless bytes: an event without an end grew without a limit and was searched from its start on each read, interim heads were skipped without a count, a response took up to 8 MiB on each of hundreds of connections, and so did a request body. Now an event ends at 256 KiB and is searched once, 8 interim heads are skipped at most, a declared length over the limit is given up at its head, and the buffers of all responses, and those of all request bodies, share an eighth of the host's memory each.

A request that may have run was told 401 'not run' when its key was withdrawn between two sends: any refusal that says not_run is replaced now. A refused HEAD request got a body on a connection that stays open.

--- a/crates/gateway/src/callers/admitted_request.rs
+++ b/crates/gateway/src/callers/admitted_request.rs
@@ -1,5 +1,5 @@
 use {
-    super::caller_request::CallerRequest,
+    super::{caller_request::CallerRequest, request_body::RequestBody},
     crate::{clock::BootInstant, config::Route, http1::RequestHead},
     std::{rc::Rc, time::Duration},
 };
@@ -7,7 +7,7 @@
 /// A completely received request that passed admission.
 pub(crate) struct AdmittedRequest {
     pub(crate) head: RequestHead,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: RequestBody,
     pub(crate) caller: CallerRequest,
     pub(crate) route: Rc<Route>,
     pub(crate) service: Rc<str>,
--- a/crates/gateway/src/callers/caller_sink.rs
+++ b/crates/gateway/src/callers/caller_sink.rs
@@ -28,7 +28,7 @@
     pub(crate) fn new(
         writer: &'a mut OwnedWriteHalf,
         request_id: &str,
-        method: &str,
+        is_head_request: bool,
         closes_connection: bool,
     ) -> CallerSink<'a, P> {
         CallerSink {
@@ -36,7 +36,7 @@
             request_id: request_id.into(),
             state: State::Unanswered,
             closes_connection,
-            is_head_request: method == "HEAD",
+            is_head_request,
             protocol: PhantomData,
         }
     }
--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -6,6 +6,7 @@
         caller_sink::CallerSink,
         protocol::Protocol,
         refusal::Refusal,
+        request_body::RequestBody,
     },
     crate::{
         clock::BootInstant,
@@ -27,6 +28,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time until the deadline of a request if the caller sets none.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(60);
+/// Mean `Retry-After` time while the memory for request bodies is used up.
+const MEAN_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Buffered bytes of pipelined requests at which the router stops reading from the connection
 /// until the current request has its response.
 const MAX_PIPELINED_BYTES: usize = 16_384;
@@ -113,7 +116,7 @@
 
 /// Refuses a request that was not completely read, and closes the connection.
 async fn refuse_and_close<P: Protocol>(connection: &mut Connection, refusal: &Refusal) {
-    let mut sink = CallerSink::<P>::new(&mut connection.writer, "", "", true);
+    let mut sink = CallerSink::<P>::new(&mut connection.writer, "", false, true);
     if sink.send_refusal(refusal).await.is_ok() {
         // closing a socket with unread bytes sends a reset, which may discard the response
         // before the caller has read it
@@ -167,10 +170,17 @@
         }
     };
     let closes_connection = !head.keep_alive || gateway.stop.is_stopping();
+    let is_head_request = &*head.method == "HEAD";
     let request = match admit_request(gateway, head, body, caller, received_at) {
         Ok(request) => request,
         Err((caller, refusal)) => {
-            return refuse_request(gateway, connection, &caller, &refusal, closes_connection).await;
+            let mut sink = CallerSink::new(
+                &mut connection.writer,
+                &caller.id,
+                is_head_request,
+                closes_connection,
+            );
+            return refuse_request(gateway, &mut sink, &caller, &refusal).await;
         }
     };
     respond(gateway, connection, &request, closes_connection).await
@@ -193,10 +203,11 @@
     gateway: &Gateway<P>,
     connection: &mut Connection,
     head: &RequestHead,
-) -> Result<Vec<u8>, BodyError> {
+) -> Result<RequestBody, BodyError> {
     let max_bytes = gateway.caller_limits().body_bytes;
     let mut decoder = BodyDecoder::new(head.framing);
     let mut body = Vec::new();
+    let mut reservation = gateway.request_bytes.reserve();
     if !decoder.is_done() && head.headers.contains_token("expect", "100-continue") {
         connection.writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
@@ -207,8 +218,12 @@
         if body.len() > max_bytes {
             return Err(BodyError::Refused(Refusal::client_error(413, Reason::BodyTooLarge)));
         }
+        if reservation.resize(body.capacity()).is_err() {
+            let retry_after = with_jitter(MEAN_MEMORY_RETRY_AFTER);
+            return Err(BodyError::Refused(Refusal::unavailable(Reason::NoCapacity, retry_after)));
+        }
         if decoder.is_done() {
-            return Ok(body);
+            return Ok(RequestBody::new(body, reservation));
         }
         if connection.read_more().await? == 0 {
             return Err(BodyError::ConnectionBroken);
@@ -221,7 +236,7 @@
 fn admit_request<P: Protocol>(
     gateway: &Gateway<P>,
     head: RequestHead,
-    body: Vec<u8>,
+    body: RequestBody,
     caller: CallerRequest,
     received_at: BootInstant,
 ) -> Result<AdmittedRequest, (CallerRequest, Refusal)> {
@@ -255,10 +270,9 @@
 /// Logs and counts a refused request and sends the refusal.
 async fn refuse_request<P: Protocol>(
     gateway: &Gateway<P>,
-    connection: &mut Connection,
+    sink: &mut CallerSink<'_, P>,
     caller: &CallerRequest,
     refusal: &Refusal,
-    closes_connection: bool,
 ) -> NextAction {
     let age = gateway.config.confirmation_age(BootInstant::now());
     event!(
@@ -271,7 +285,6 @@
         OptionalMillis(age)
     );
     gateway.metrics.count_ended_request("unrouted", None, refusal.reason.into());
-    let mut sink = CallerSink::<P>::new(&mut connection.writer, &caller.id, "", closes_connection);
     match sink.send_refusal(refusal).await {
         Ok(()) if sink.is_connection_reusable() => NextAction::KeepAlive,
         _ => NextAction::Close,
@@ -288,7 +301,8 @@
 ) -> NextAction {
     let id = &request.caller.id;
     let Connection { reader, writer, input } = connection;
-    let mut sink = CallerSink::<P>::new(writer, id, &request.head.method, closes_connection);
+    let is_head_request = &*request.head.method == "HEAD";
+    let mut sink = CallerSink::<P>::new(writer, id, is_head_request, closes_connection);
     let mut reads_input = true;
     let is_reusable = {
         let mut run = pin!(run_request(gateway, request, &mut sink));
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -5,6 +5,7 @@
 mod caller_task;
 mod protocol;
 mod refusal;
+mod request_body;
 
 pub(crate) use {
     admission::{recheck_api_key, with_jitter},
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -11,7 +11,7 @@
         callers::{AdmittedRequest, CallerSink, Protocol},
         config::RequestKind,
         endpoints::Endpoint,
-        http1::ResponseHead,
+        http1::{BodyFraming, ResponseHead},
         retry::SendOutcome,
         server::Gateway,
         telemetry::{OptionalMillis, event},
@@ -22,6 +22,9 @@
 /// Longest response body that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
 
+/// Longest event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Result of a send after which the request is finished.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Delivery {
@@ -70,7 +73,7 @@
     if is_success && request.route.kind == RequestKind::Streaming {
         return forward_stream(gateway, request, call, &head, progress, sink).await;
     }
-    let body = read_full_body(&mut call).await?;
+    let body = read_full_body(&mut call, head.framing).await?;
     call.finish();
     if request.route.kind != RequestKind::Streaming {
         endpoint
@@ -157,12 +160,20 @@
 }
 
 /// Reads the complete body of a response that is not forwarded as a stream.
-async fn read_full_body(call: &mut EndpointCall) -> Result<Vec<u8>, SendFailure> {
+async fn read_full_body(
+    call: &mut EndpointCall,
+    framing: BodyFraming,
+) -> Result<Vec<u8>, SendFailure> {
+    let too_large = || SendFailure::may_have_run(FailureCause::TooLarge);
+    if matches!(framing, BodyFraming::Length(length) if length > MAX_BUFFERED_BYTES as u64) {
+        return Err(too_large());
+    }
     let mut body = Vec::new();
     while !call.read_body(&mut body).await? {
         if body.len() > MAX_BUFFERED_BYTES {
-            return Err(SendFailure::may_have_run(FailureCause::BadAnswer));
+            return Err(too_large());
         }
+        call.reserve_buffer(body.capacity())?;
     }
     Ok(body)
 }
@@ -181,6 +192,10 @@
     loop {
         let is_complete = call.read_body(splitter.buffer()).await?;
         let events = splitter.take_complete(progress.last_event_id);
+        call.reserve_buffer(splitter.buffer().capacity())?;
+        if splitter.buffer().len() > MAX_EVENT_BYTES {
+            return Err(SendFailure::may_have_run(FailureCause::TooLarge));
+        }
         if is_complete && splitter.has_partial_event() {
             return Err(SendFailure::may_have_run(FailureCause::Truncated));
         }
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -6,7 +6,8 @@
     crate::{
         callers::{AdmittedRequest, Protocol},
         endpoints::{Endpoint, IdleConnection, InFlightGuard},
-        http1::{BodyDecoder, Connection, ResponseHead, connect, read_into},
+        http1::{BodyDecoder, Connection, HeadError, ResponseHead, connect, read_into},
+        memory::Reservation,
         retry::SendOutcome,
         server::Gateway,
     },
@@ -30,6 +31,8 @@
 const MAX_STALE_RESPONSES: u32 = 3;
 /// Longest body of a stale response that is skipped, in bytes.
 const MAX_STALE_BYTES: usize = 262_144;
+/// Most interim responses (1xx) that are skipped before the final one.
+const MAX_INTERIM_RESPONSES: u32 = 8;
 
 /// One request on a connection to an endpoint. Dropping it before `finish` closes the
 /// connection, which makes the endpoint cancel the request.
@@ -45,6 +48,8 @@
     idle_time: Option<Duration>,
     /// When the connection was opened or reused.
     opened_at: Instant,
+    /// Memory of the received bytes that are not forwarded yet.
+    reservation: Reservation,
     _in_flight: InFlightGuard,
 }
 
@@ -86,6 +91,7 @@
             keep_alive: DEFAULT_KEEP_ALIVE,
             idle_time,
             opened_at: Instant::now(),
+            reservation: gateway.response_bytes.reserve(),
             _in_flight: in_flight,
         })
     }
@@ -153,11 +159,21 @@
 
     /// Reads the head of the next response on the connection.
     async fn read_next_head(&mut self, method: &str) -> Result<ResponseHead, SendFailure> {
+        let mut interim_responses = 0;
         loop {
-            match ResponseHead::decode(&mut self.connection.input, method) {
-                Ok(Some(head)) => return Ok(head),
-                Ok(None) => self.read_more().await?,
-                Err(_) => return Err(SendFailure::may_have_run(FailureCause::BadAnswer)),
+            match ResponseHead::decode_any(&mut self.connection.input, method) {
+                Ok(Some(head)) if !head.is_interim() => return Ok(head),
+                Ok(Some(_)) if interim_responses < MAX_INTERIM_RESPONSES => interim_responses += 1,
+                Ok(None) => {
+                    self.read_more().await?;
+                    self.reservation.resize(self.connection.input.capacity())?;
+                }
+                Err(HeadError::TooLarge) => {
+                    return Err(SendFailure::may_have_run(FailureCause::TooLarge));
+                }
+                Ok(Some(_)) | Err(_) => {
+                    return Err(SendFailure::may_have_run(FailureCause::BadAnswer));
+                }
             }
         }
     }
@@ -175,12 +191,15 @@
         self.is_reusable = false;
         let mut decoder = BodyDecoder::new(head.framing);
         let mut skipped = Vec::new();
+        let mut skipped_bytes = 0;
         loop {
             decoder.decode(&mut self.connection.input, &mut skipped).map_err(|_| bad_response())?;
             if decoder.is_done() {
                 return Ok(());
             }
-            if skipped.len() > MAX_STALE_BYTES {
+            skipped_bytes += skipped.len();
+            skipped.clear();
+            if skipped_bytes > MAX_STALE_BYTES {
                 return Err(bad_response());
             }
             self.read_more().await?;
@@ -218,6 +237,12 @@
         }
     }
 
+    /// Reserves memory for a buffer that holds bytes of the body, in addition to the bytes that
+    /// are not decoded yet.
+    pub(super) fn reserve_buffer(&mut self, buffer_bytes: usize) -> Result<(), SendFailure> {
+        Ok(self.reservation.resize(self.connection.input.capacity() + buffer_bytes)?)
+    }
+
     /// Keeps the connection for another request if the response was read completely and the
     /// connection is reusable.
     pub(super) fn finish(self) {
--- a/crates/gateway/src/dispatch/event_splitter.rs
+++ b/crates/gateway/src/dispatch/event_splitter.rs
@@ -2,6 +2,10 @@
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     buffer: Vec<u8>,
+    /// Bytes of the partial event that were searched for its end.
+    searched: usize,
+    /// Start of the line of the partial event at which the search stopped.
+    line_start: usize,
 }
 
 /// Consecutive complete events.
@@ -27,7 +31,7 @@
     pub(super) fn take_complete(&mut self, delivered: Option<u64>) -> CompleteEvents {
         let mut events = CompleteEvents::default();
         let mut consumed = 0;
-        while let Some(length) = event_length(&self.buffer[consumed..]) {
+        while let Some(length) = self.event_length(consumed) {
             let event = &self.buffer[consumed..consumed + length];
             consumed += length;
             let id = event_id(event);
@@ -42,20 +46,24 @@
         self.buffer.drain(..consumed);
         events
     }
-}
 
-/// Length of the first complete event, including the empty line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    while let Some(length) = bytes[line_start..].iter().position(|&byte| byte == b'\n') {
-        let line = &bytes[line_start..line_start + length];
-        let line_end = line_start + length + 1;
-        if (line.is_empty() || line == b"\r") && line_start > 0 {
-            return Some(line_end);
+    /// Length of the complete event at `start`, including the empty line that ends it. If the
+    /// event is incomplete, the next search continues where this one stopped.
+    fn event_length(&mut self, start: usize) -> Option<usize> {
+        let bytes = &self.buffer[start..];
+        while let Some(length) = bytes[self.searched..].iter().position(|&byte| byte == b'\n') {
+            let line_end = self.searched + length + 1;
+            let line = &bytes[self.line_start..line_end - 1];
+            let ends_event = (line.is_empty() || line == b"\r") && self.line_start > 0;
+            (self.searched, self.line_start) = (line_end, line_end);
+            if ends_event {
+                (self.searched, self.line_start) = (0, 0);
+                return Some(line_end);
+            }
         }
-        line_start = line_end;
+        self.searched = bytes.len();
+        None
     }
-    None
 }
 
 /// The number in the `id:` line of an event.
--- a/crates/gateway/src/dispatch/failure.rs
+++ b/crates/gateway/src/dispatch/failure.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{http1::ResponseHead, retry::SendOutcome},
+    crate::{http1::ResponseHead, memory::PoolExhausted, retry::SendOutcome},
     strum::{Display, IntoStaticStr},
 };
 
@@ -20,8 +20,10 @@
     ConnectionBroken,
     /// An idle connection broke as soon as it was reused.
     IdleConnectionBroken,
-    /// The response is malformed, unsigned, encoded or too long, or belongs to another request.
+    /// The response is malformed, unsigned or encoded, or belongs to another request.
     BadAnswer,
+    /// The response exceeds a size limit, or all responses together exceed theirs.
+    TooLarge,
     /// The body or the last event of a stream ended early.
     Truncated,
     /// The endpoint reported that it did not run the request.
@@ -32,6 +34,12 @@
     FailedStatus,
 }
 
+impl From<PoolExhausted> for SendFailure {
+    fn from(_: PoolExhausted) -> SendFailure {
+        SendFailure::may_have_run(FailureCause::TooLarge)
+    }
+}
+
 impl SendFailure {
     pub(super) fn new(outcome: SendOutcome, cause: FailureCause) -> SendFailure {
         SendFailure { outcome, cause, response: None }
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -15,7 +15,7 @@
         server::Gateway,
         telemetry::event,
     },
-    mango_wire::Reason,
+    mango_wire::{Reason, problem::Verdict},
     std::{
         net::SocketAddr,
         rc::Rc,
@@ -253,8 +253,8 @@
     }
 
     /// Ends the request without success: forwards the last 5xx response if there is one, else
-    /// sends the refusal. A response that was already started is aborted. Status 503 means that
-    /// the request did not run, so it is replaced if an endpoint may have run the request.
+    /// sends the refusal. A response that was already started is aborted. A refusal that reports
+    /// that the request did not run is replaced if an endpoint may have run it.
     async fn give_up(&mut self, sink: &mut CallerSink<'_, P>, refusal: Refusal) -> bool {
         if !sink.is_unanswered() {
             // the connection is closed before the end of the stream
@@ -266,7 +266,7 @@
             self.status = head.status;
             return sink.send_response(&head, &body).await.is_ok() && sink.is_connection_reusable();
         }
-        let is_accurate = refusal.status != 503 || self.history.has_not_run();
+        let is_accurate = refusal.verdict != Verdict::NotRun || self.history.has_not_run();
         let refusal = if is_accurate { refusal } else { Refusal::outcome_unknown(refusal.reason) };
         self.outcome = refusal.reason.into();
         self.status = refusal.status;
--- a/crates/gateway/src/http1/response_head.rs
+++ b/crates/gateway/src/http1/response_head.rs
@@ -23,14 +23,26 @@
     pub fn decode(input: &mut Vec<u8>, method: &str) -> Result<Option<ResponseHead>, HeadError> {
         loop {
             let Some(head) = decode_head(input, method)? else { return Ok(None) };
-            if head.status >= 200 {
+            if !head.is_interim() {
                 return Ok(Some(head));
             }
         }
     }
+
+    /// Like `decode`, but also returns the heads of interim responses.
+    pub(crate) fn decode_any(
+        input: &mut Vec<u8>,
+        method: &str,
+    ) -> Result<Option<ResponseHead>, HeadError> {
+        decode_head(input, method)
+    }
+
+    /// Whether the final response follows.
+    pub(crate) fn is_interim(&self) -> bool {
+        self.status < 200
+    }
 }
 
-/// Like `ResponseHead::decode`, but also returns the heads of interim responses.
 fn decode_head(input: &mut Vec<u8>, method: &str) -> Result<Option<ResponseHead>, HeadError> {
     let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut parsed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod endpoints;
 mod followers;
 mod http1;
+mod memory;
 mod peers;
 mod placement;
 mod retry;
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -5,6 +5,7 @@
         clock::BootInstant,
         config::{CallerLimits, ConfigState},
         endpoints::{Directory, IdleLimit},
+        memory::BytePool,
         peers::{MaxConfirmationAges, PeerState},
         retry::RetryBudget,
         settings::{Bounds, GatewaySettings},
@@ -53,6 +54,10 @@
     idle_limits: RefCell<HashMap<Rc<str>, IdleLimit>>,
     /// Number of open connections from callers.
     connections: Rc<Cell<u32>>,
+    /// Memory of the requests that are received from callers.
+    pub(crate) request_bytes: BytePool,
+    /// Memory of the responses that are received from endpoints.
+    pub(crate) response_bytes: BytePool,
 }
 
 impl<P: Protocol> Gateway<P> {
@@ -63,6 +68,8 @@
                 own_host_record(&settings),
                 max_confirmation_ages(&settings.bounds),
             )),
+            request_bytes: BytePool::new(settings.message_pool_bytes()),
+            response_bytes: BytePool::new(settings.message_pool_bytes()),
             protocol,
             settings,
             config: Rc::new(ConfigState::new(max_age)),
--- a/crates/gateway/src/server/state_dump.rs
+++ b/crates/gateway/src/server/state_dump.rs
@@ -20,6 +20,8 @@
             "ready": gateway.is_ready(),
             "stopping": gateway.stop.is_stopping(),
             "caller_connections": gateway.connection_count(),
+            "request_bytes": gateway.request_bytes.reserved_bytes(),
+            "response_bytes": gateway.response_bytes.reserved_bytes(),
         },
         "config": {
             "version": gateway.config.version(),
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -3,6 +3,9 @@
     std::{net::SocketAddr, time::Duration},
 };
 
+/// Share of the host's memory for buffered responses, and the same for buffered requests.
+const MESSAGE_POOL_SHARE: f64 = 0.125;
+
 /// Settings of the process, from a JSON file; unknown fields are ignored.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct GatewaySettings {
@@ -27,6 +30,10 @@
     /// Maximum number of open files and sockets of the process.
     #[serde(default = "default_max_open_files")]
     pub max_open_files: u32,
+    /// Memory of the host, in megabytes. Buffers for messages of endpoints and of callers get
+    /// an eighth of it each.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
     /// Bandwidth of the host's network link, in megabits per second.
     pub link_mbps: f64,
     /// Interval at which an endpoint renews its record in the store, in ms.
@@ -58,6 +65,14 @@
     pub retry_budget_allowance: f64,
 }
 
+impl GatewaySettings {
+    /// Bytes that buffered responses of endpoints may take together; buffered requests of
+    /// callers may take as many.
+    pub(crate) fn message_pool_bytes(&self) -> usize {
+        (self.memory_mb.max(0.0) * 1_000_000.0 * MESSAGE_POOL_SHARE) as usize
+    }
+}
+
 impl Bounds {
     pub(crate) fn key_revocation(&self) -> Duration {
         Duration::from_secs_f64(self.key_revocation_ms.max(0.0) / 1_000.0)
@@ -84,6 +99,10 @@
     1_024
 }
 
+fn default_memory_mb() -> f64 {
+    128.0
+}
+
 fn default_log_spec() -> String {
     "info".to_owned()
 }
