Let requests wait or be refused before they are sent, and learn the capacity

Load pattern: a crest with engines lost, one team at forty times its usual, callers that return at once. Until now each request was sent at once, and the endpoints' queues held it until its deadline.

A host now starts a request only while the service has capacity: each host has its equal part, and more while the sum that the relays exchange leaves room. The others wait by priority, then in turns of the teams, for at most a share of the time that they have to spare; a request whose wait would be longer is refused at once with the backlog as its Retry-After. The capacity is lowered by responses that begin after their target latency. Placement keeps prefixes where they are while all endpoints are full.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -12,11 +12,16 @@
         config::RequestKind,
         endpoints::Endpoint,
         http1::{BodyFraming, ResponseHead},
+        queueing::Permit,
         retry::SendOutcome,
         server::Gateway,
         telemetry::{OptionalMillis, event},
     },
-    std::{net::SocketAddr, rc::Rc, time::Instant},
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Longest response body that is buffered until it is complete, in bytes.
@@ -37,6 +42,7 @@
 /// The endpoint of one send.
 pub(super) struct Target<'a> {
     pub(super) endpoint: &'a Rc<Endpoint>,
+    pub(super) permit: &'a Permit,
     /// Address of an endpoint that may hold the cache of the prompt's prefix.
     pub(super) prefix_source: Option<SocketAddr>,
     /// Whether an idle connection may carry the request.
@@ -71,7 +77,7 @@
     check_response(&head, &meta, endpoint)?;
     let is_success = (200..300).contains(&head.status);
     if is_success && request.route.kind == RequestKind::Streaming {
-        return forward_stream(gateway, request, call, &head, progress, sink).await;
+        return forward_stream(gateway, request, target.permit, call, &head, progress, sink).await;
     }
     let body = read_full_body(&mut call, head.framing).await?;
     call.finish();
@@ -83,7 +89,7 @@
         let failure = SendFailure::new(SendOutcome::Failed, FailureCause::FailedStatus);
         return Err(SendFailure { response: Some((head, body)), ..failure });
     }
-    gateway.metrics.observe_latency(request.route.kind.into(), request.elapsed().as_secs_f64());
+    record_response_start(gateway, request, target.permit);
     Ok(delivery_result(sink.send_response(&head, &body).await, head.status))
 }
 
@@ -183,6 +189,7 @@
 async fn forward_stream<P: Protocol>(
     gateway: &Gateway<P>,
     request: &AdmittedRequest,
+    permit: &Permit,
     mut call: EndpointCall,
     head: &ResponseHead,
     progress: &mut StreamProgress,
@@ -200,8 +207,7 @@
             return Err(SendFailure::may_have_run(FailureCause::Truncated));
         }
         if !progress.has_started && (is_complete || !events.bytes.is_empty()) {
-            let elapsed = request.elapsed();
-            gateway.metrics.observe_latency(request.route.kind.into(), elapsed.as_secs_f64());
+            record_response_start(gateway, request, permit);
             progress.has_started = true;
             progress.last_event_id = events.last_id.or(progress.last_event_id);
             if sink.start_stream(head, &events.bytes).await.is_err() {
@@ -220,6 +226,17 @@
     }
 }
 
+/// Records that a response, or the first event of a stream, is forwarded.
+fn record_response_start<P: Protocol>(
+    gateway: &Gateway<P>,
+    request: &AdmittedRequest,
+    permit: &Permit,
+) {
+    let route = &request.route;
+    gateway.metrics.observe_latency(route.kind.into(), request.elapsed().as_secs_f64());
+    permit.record_start(Duration::from_millis(route.target_latency_ms));
+}
+
 /// Converts the result of writing the end of a response to the caller.
 fn delivery_result(written: std::io::Result<()>, status: u16) -> Delivery {
     match written {
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -11,6 +11,7 @@
         endpoints::{Endpoint, EndpointId},
         http1::ResponseHead,
         placement::{Placement, PlacementRequest, choose_endpoint},
+        queueing::{Arrival, NoPermit, Permit, PermitRequest},
         retry::{AttemptHistory, NextStep, RetryPolicy, SendOutcome, next_step},
         server::Gateway,
         telemetry::event,
@@ -26,6 +27,8 @@
 
 /// Time that the router waits beyond the deadline, since endpoints respond at the deadline too.
 const DEADLINE_SLACK: Duration = Duration::from_millis(120);
+/// Shortest mean `Retry-After` time of a request for which there is no capacity.
+const MIN_MEAN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Mean `Retry-After` time of a request that no endpoint ran.
 const MEAN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -60,6 +63,9 @@
     /// The last signed 5xx response of an endpoint, forwarded if no later send succeeds.
     failed_response: Option<(ResponseHead, Vec<u8>)>,
     last_cause: Option<FailureCause>,
+    permit: Option<Rc<Permit>>,
+    /// Time for which the request waited for a permit.
+    wait: Duration,
     /// Outcome of the request in metrics and in the log.
     outcome: &'static str,
     /// Status of the response to the caller; 0 if there is none.
@@ -79,6 +85,8 @@
             refused_by: Vec::new(),
             failed_response: None,
             last_cause: None,
+            permit: None,
+            wait: Duration::ZERO,
             outcome: "unfinished",
             status: 0,
         }
@@ -87,6 +95,10 @@
     /// Sends the request until a response is forwarded or the request is given up. Returns
     /// whether the caller's connection may carry another request.
     async fn respond(&mut self, sink: &mut CallerSink<'_, P>) -> bool {
+        let permit = match self.wait_for_permit().await {
+            Ok(permit) => self.permit.insert(permit).clone(),
+            Err(refusal) => return self.give_up(sink, refusal).await,
+        };
         loop {
             if let Err(refusal) = self.check_allowed() {
                 return self.give_up(sink, refusal).await;
@@ -101,11 +113,21 @@
             self.tried.push(endpoint.record.borrow().id.clone());
             // if endpoints drop idle connections, the next one is likely to be dropped as well
             let may_reuse_connection = self.last_cause != Some(FailureCause::IdleConnectionBroken);
-            let target = Target { endpoint: &endpoint, prefix_source, may_reuse_connection };
+            let target = Target {
+                endpoint: &endpoint,
+                permit: &permit,
+                prefix_source,
+                may_reuse_connection,
+            };
             let result =
                 attempt(self.gateway, self.request, &target, &mut self.progress, sink).await;
             let failure = match result {
-                Ok(delivery) => return self.finish(sink, delivery),
+                Ok(delivery) => {
+                    if matches!(delivery, Delivery::Completed { .. }) {
+                        permit.record_completion(&self.request.route.name);
+                    }
+                    return self.finish(sink, delivery);
+                }
                 Err(failure) => failure,
             };
             if !self.handle_failure(failure, &endpoint) {
@@ -115,6 +137,24 @@
         }
     }
 
+    /// Waits until the request may be sent to the service.
+    async fn wait_for_permit(&mut self) -> Result<Rc<Permit>, Refusal> {
+        let request = self.request;
+        let arrived_at = Instant::now();
+        let arrival = Arrival {
+            priority: request.priority,
+            team: request.team.clone(),
+            route: request.route.name.clone(),
+            deadline: arrived_at + request.time_left(),
+        };
+        let permit_request = PermitRequest { service: request.service.clone(), arrival };
+        let result = self.gateway.permits.acquire(permit_request).await;
+        self.wait = arrived_at.elapsed();
+        result.map(Rc::new).map_err(|NoPermit { backlog }| {
+            Refusal::unavailable(Reason::QueueFull, with_jitter(backlog.max(MIN_MEAN_RETRY_AFTER)))
+        })
+    }
+
     /// Checks before each send that the deadline has not passed and that the caller's key is
     /// still valid.
     fn check_allowed(&self) -> Result<(), Refusal> {
@@ -275,6 +315,9 @@
 
     /// Ends a request whose deadline passed during a send.
     async fn give_up_at_deadline(&mut self, sink: &mut CallerSink<'_, P>) -> bool {
+        if let Some(permit) = self.permit.as_ref().filter(|_| !self.progress.has_started) {
+            permit.record_start(Duration::from_millis(self.request.route.target_latency_ms));
+        }
         // a request that was being sent at the deadline may have run
         self.history.record(SendOutcome::MayHaveRun);
         self.give_up(sink, Refusal::outcome_unknown(Reason::Deadline)).await
@@ -288,7 +331,7 @@
         event!(
             "request_ended",
             "id={} route={} kind={kind} team={} outcome={} status={} sends={} runs={} \
-             elapsed_ms={} config_version={} config_age_ms={}",
+             wait_ms={} elapsed_ms={} config_version={} config_age_ms={}",
             self.request.caller.id,
             self.request.route.name,
             self.request.team.as_deref().unwrap_or("-"),
@@ -296,6 +339,7 @@
             self.status,
             self.tried.len(),
             self.history.possible_runs,
+            self.wait.as_millis(),
             self.request.elapsed().as_millis(),
             self.request.config_version,
             age.map_or(0, |age| age.as_millis())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod memory;
 mod peers;
 mod placement;
+mod queueing;
 mod retry;
 mod server;
 mod settings;
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -5,7 +5,8 @@
 //! their requests. Each prefix ranks the endpoints by rendezvous hashing. A request goes to
 //! the first endpoint in its prefix's ranking that is neither overloaded nor unhealthy, with
 //! endpoints that hold the prefix before the others. Caches are then reused, and a hot prefix
-//! spreads to as many endpoints as its load needs.
+//! spreads to as many endpoints as its load needs. While all endpoints are full, prefixes stay
+//! where they are: to read them again elsewhere would take the capacity that is missing.
 //!
 //! Load reports of other routers are a few hundred milliseconds old. Short requests end
 //! sooner than that: an endpoint that was idle when the report was made may be busy by now,
@@ -23,6 +24,11 @@
 const MAX_LOAD_FACTOR: f64 = 1.3;
 /// Requests allowed on top, so that a prefix is not spread over endpoints at low load.
 const LOAD_ALLOWANCE: f64 = 2.0;
+/// Requests per slot up to which an endpoint has capacity for its prefixes. It is above 1, since
+/// a prefix that leaves a busy endpoint is read again by another one that is about as busy.
+const MAX_REQUESTS_PER_SLOT: f64 = 2.5;
+/// Requests queued at an endpoint up to which it has capacity for its prefixes.
+const MAX_WAITING: u32 = 4;
 /// An endpoint with a higher share of failed requests counts as one without capacity.
 const MAX_FAILURE_SHARE: f64 = 0.2;
 /// Caches are not fetched from endpoints with a higher share of failed requests.
@@ -190,8 +196,9 @@
     }
 
     fn has_capacity(&self, candidate: &Candidate<'_>) -> bool {
-        self.estimated_requests(candidate) < self.max_requests.min(f64::from(candidate.slots))
-            && candidate.waiting <= 1
+        let max_requests = f64::from(candidate.slots) * MAX_REQUESTS_PER_SLOT;
+        self.estimated_requests(candidate) < self.max_requests.min(max_requests)
+            && candidate.waiting <= MAX_WAITING
             && candidate.failure_share <= MAX_FAILURE_SHARE
             && self.relative_slowness(candidate) <= MAX_SLOWNESS
     }
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -7,6 +7,7 @@
         endpoints::{Directory, IdleLimit},
         memory::BytePool,
         peers::{MaxConfirmationAges, PeerState},
+        queueing::Permits,
         retry::RetryBudget,
         settings::{Bounds, GatewaySettings},
         telemetry::GatewayMetrics,
@@ -48,6 +49,7 @@
     pub(crate) metrics: Rc<GatewayMetrics>,
     pub(crate) stop: StopState,
     pub(crate) peers: Rc<PeerState>,
+    pub(crate) permits: Permits,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
     /// Limits on the idle time of connections to endpoints, by service.
@@ -63,17 +65,20 @@
 impl<P: Protocol> Gateway<P> {
     pub(crate) fn new(protocol: P, settings: GatewaySettings) -> Gateway<P> {
         let max_age = settings.bounds.key_revocation().mul_f64(CONFIRMATION_AGE_FRACTION);
+        let peers = Rc::new(PeerState::new(
+            own_host_record(&settings),
+            max_confirmation_ages(&settings.bounds),
+        ));
+        let directory = Rc::<Directory>::default();
         Gateway {
-            peers: Rc::new(PeerState::new(
-                own_host_record(&settings),
-                max_confirmation_ages(&settings.bounds),
-            )),
+            permits: Permits::new(directory.clone(), peers.clone()),
+            directory,
+            peers,
             request_bytes: BytePool::new(settings.message_pool_bytes()),
             response_bytes: BytePool::new(settings.message_pool_bytes()),
             protocol,
             settings,
             config: Rc::new(ConfigState::new(max_age)),
-            directory: Rc::default(),
             metrics: Rc::new(GatewayMetrics::new()),
             stop: StopState::new(),
             retry_budgets: RefCell::default(),
@@ -154,6 +159,7 @@
             .map(|(service, budget)| {
                 let max_idle = self.idle_limit(service).max_idle(false, now);
                 let state = json!({
+                    "queue": self.permits.service_state(service),
                     "repeats_left": budget.remaining(now),
                     "max_idle_ms": max_idle.map(|time| time.as_millis()),
                 });
