--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -177,6 +177,7 @@
         with_candidates(self.gateway, &self.request.service, prefix, attempted, |candidates| {
             let placement_request = PlacementRequest {
                 prefix_hash: prefix.map(|prefix| prefix.hash),
+                shared_tokens: prefix.map_or(0, |prefix| prefix.shared_tokens),
                 tie_breaker: rand::random(),
             };
             let placement = choose_endpoint(&placement_request, &candidates.list)?;
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -47,6 +47,8 @@
 pub struct PlacementRequest {
     /// Hash of the shared prefix of the prompt, if there is one.
     pub prefix_hash: Option<u64>,
+    /// Length of that prefix.
+    pub shared_tokens: u32,
     /// Random per request, so that equally loaded endpoints are chosen equally often.
     pub tie_breaker: u64,
 }
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -5,8 +5,8 @@
 //! their requests. Each prefix ranks the endpoints by rendezvous hashing. A request goes to
 //! the first endpoint in its prefix's ranking that is neither overloaded nor unhealthy, with
 //! endpoints that hold the prefix before the others. Caches are then reused, and a hot prefix
-//! spreads to as many endpoints as its load needs. While all endpoints are full, prefixes stay
-//! where they are: to read them again elsewhere would take the capacity that is missing.
+//! spreads to as many endpoints as its load needs. While all endpoints are full, long prefixes
+//! stay where they are: to read them again elsewhere would take the capacity that is missing.
 //!
 //! Load reports of other routers are a few hundred milliseconds old. Short requests end
 //! sooner than that: an endpoint that was idle when the report was made may be busy by now,
@@ -24,11 +24,12 @@
 const MAX_LOAD_FACTOR: f64 = 1.3;
 /// Requests allowed on top, so that a prefix is not spread over endpoints at low load.
 const LOAD_ALLOWANCE: f64 = 2.0;
-/// Requests per slot up to which an endpoint has capacity for its prefixes. It is above 1, since
-/// a prefix that leaves a busy endpoint is read again by another one that is about as busy.
-const MAX_REQUESTS_PER_SLOT: f64 = 2.5;
-/// Requests queued at an endpoint up to which it has capacity for its prefixes.
-const MAX_WAITING: u32 = 4;
+/// Tokens from which a shared prefix counts as long: to read it takes longer than a short wait.
+const LONG_PREFIX_TOKENS: u32 = 4_000;
+/// Bounds within which an endpoint has capacity for a prefix that is not long.
+const SHORT_PREFIX_BOUNDS: FullBounds = FullBounds { requests_per_slot: 1.0, waiting: 1 };
+/// Bounds within which an endpoint has capacity for a long prefix.
+const LONG_PREFIX_BOUNDS: FullBounds = FullBounds { requests_per_slot: 2.5, waiting: 4 };
 /// An endpoint with a higher share of failed requests counts as one without capacity.
 const MAX_FAILURE_SHARE: f64 = 0.2;
 /// Caches are not fetched from endpoints with a higher share of failed requests.
@@ -51,7 +52,7 @@
     candidates: &[Candidate<'_>],
 ) -> Option<Placement> {
     let usable: Vec<usize> = usable(candidates);
-    let costs = CostModel::new(candidates, &usable);
+    let costs = CostModel::new(candidates, &usable, FullBounds::of(request));
     let Some(prefix) = request.prefix_hash else {
         let target = lowest_cost(request, candidates, &usable, &costs)?;
         return Some(Placement { target, prefix_source: None });
@@ -148,8 +149,26 @@
         .max_by_key(|&index| prefix_rank(prefix, &candidates[index]))
 }
 
+/// The load at which an endpoint is full.
+#[derive(Clone, Copy, Debug)]
+struct FullBounds {
+    requests_per_slot: f64,
+    /// Most requests that are queued at the endpoint.
+    waiting: u32,
+}
+
+impl FullBounds {
+    fn of(request: &PlacementRequest) -> FullBounds {
+        match request.shared_tokens >= LONG_PREFIX_TOKENS {
+            true => LONG_PREFIX_BOUNDS,
+            false => SHORT_PREFIX_BOUNDS,
+        }
+    }
+}
+
 /// Cost and capacity of candidates, relative to the usable ones.
 struct CostModel {
+    full: FullBounds,
     /// Endpoints with at least this many requests have no capacity.
     max_requests: f64,
     median_latency_ms: f64,
@@ -159,7 +178,7 @@
 }
 
 impl CostModel {
-    fn new(candidates: &[Candidate<'_>], usable: &[usize]) -> CostModel {
+    fn new(candidates: &[Candidate<'_>], usable: &[usize], full: FullBounds) -> CostModel {
         let total: f64 = usable.iter().map(|&index| candidates[index].requests).sum();
         let mean = total / usable.len().max(1) as f64;
         let mut latencies: Vec<f64> = usable
@@ -171,6 +190,7 @@
         let median_latency_ms = latencies.get(latencies.len() / 2).copied().unwrap_or(0.0);
         let reported: f64 = usable.iter().map(|&index| candidates[index].reported_requests).sum();
         CostModel {
+            full,
             max_requests: mean * MAX_LOAD_FACTOR + LOAD_ALLOWANCE,
             median_latency_ms,
             mean_reported_requests: reported / usable.len().max(1) as f64,
@@ -196,9 +216,9 @@
     }
 
     fn has_capacity(&self, candidate: &Candidate<'_>) -> bool {
-        let max_requests = f64::from(candidate.slots) * MAX_REQUESTS_PER_SLOT;
+        let max_requests = f64::from(candidate.slots) * self.full.requests_per_slot;
         self.estimated_requests(candidate) < self.max_requests.min(max_requests)
-            && candidate.waiting <= MAX_WAITING
+            && candidate.waiting <= self.full.waiting
             && candidate.failure_share <= MAX_FAILURE_SHARE
             && self.relative_slowness(candidate) <= MAX_SLOWNESS
     }
--- a/crates/gateway/src/placement/tests.rs
+++ b/crates/gateway/src/placement/tests.rs
@@ -29,7 +29,7 @@
 
 /// A request whose prompt has a shared prefix with the given hash.
 fn request(hash: u64) -> PlacementRequest {
-    PlacementRequest { prefix_hash: Some(hash), tie_breaker: hash }
+    PlacementRequest { prefix_hash: Some(hash), shared_tokens: 100, tie_breaker: hash }
 }
 
 /// Guards against a prefix that is processed again on every endpoint.
@@ -98,7 +98,7 @@
     candidates[2].failure_share = 0.6;
     for hash in 0..100 {
         let with_prefix = choose_endpoint(&request(hash), &candidates).expect("a target");
-        let plain = PlacementRequest { prefix_hash: None, tie_breaker: hash };
+        let plain = PlacementRequest { prefix_hash: None, shared_tokens: 0, tie_breaker: hash };
         let without = choose_endpoint(&plain, &candidates).expect("a target");
         assert_eq!((with_prefix.target, without.target), (3, 3));
     }
@@ -223,7 +223,7 @@
     let mut only = candidate("plain-0", 30.0);
     only.has_refused = true;
     only.was_tried = true;
-    let plain = PlacementRequest { prefix_hash: None, tie_breaker: 1 };
+    let plain = PlacementRequest { prefix_hash: None, shared_tokens: 0, tie_breaker: 1 };
     assert_eq!(choose_endpoint(&plain, &[only.clone()]), None);
     // an endpoint that failed the request is chosen if there is no other
     let failed = Candidate { has_refused: false, ..only.clone() };
@@ -290,10 +290,35 @@
                 }
             })
             .collect();
-        let plain = PlacementRequest { prefix_hash: None, tie_breaker: state };
+        let plain = PlacementRequest { prefix_hash: None, shared_tokens: 0, tie_breaker: state };
         let target = choose_endpoint(&plain, &candidates).expect("a target").target;
         queued += usize::from(running_at(&sent[target], now_ms, &|_| true) >= SLOTS);
         sent[target].push((now_ms, router));
     }
     queued
 }
+
+/// Guards against long prefixes that are read again by other engines while all are full, which
+/// takes the capacity that is missing; short ones move to the engine with the lowest load.
+#[test]
+fn long_prefixes_stay_while_all_endpoints_are_full() {
+    let ids = endpoint_ids(6);
+    let candidates: Vec<_> = ids
+        .iter()
+        .enumerate()
+        .map(|(index, id)| Candidate {
+            holds_prefix: index == 2,
+            waiting: 3,
+            ..candidate(id, if index == 2 { 80.0 } else { 70.0 })
+        })
+        .collect();
+    let moves = |shared_tokens: u32| {
+        let moved = (0..200).filter(|&hash| {
+            let request = PlacementRequest { shared_tokens, ..request(hash) };
+            choose_endpoint(&request, &candidates).expect("a target").target != 2
+        });
+        moved.count()
+    };
+    assert_eq!(moves(10_000), 0);
+    assert_eq!(moves(700), 200);
+}
--- a/crates/gateway/src/queueing/mod.rs
+++ b/crates/gateway/src/queueing/mod.rs
@@ -3,6 +3,8 @@
 mod moving_mean;
 mod permits;
 mod service_queue;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use {
     permits::{NoPermit, Permit, PermitRequest, Permits},
--- a/crates/gateway/src/server/explain.rs
+++ b/crates/gateway/src/server/explain.rs
@@ -13,8 +13,9 @@
 pub(super) struct ExplainRequest<'a> {
     pub(super) host_name: &'a str,
     pub(super) path: &'a str,
-    /// Hash of the prompt's prefix, as in the `prefix` field of `request_placed` events in the log.
-    pub(super) prefix_hash: Option<u64>,
+    /// Hash and length of the prompt's prefix, as in the `prefix` and `shared_tokens` fields of
+    /// `request_placed` events in the log.
+    pub(super) prefix: Option<PromptPrefix>,
 }
 
 /// Returns the route of a request and, for each service of the route, the endpoint that this
@@ -33,7 +34,7 @@
             json!({
                 "service": &*share.service,
                 "weight": share.weight,
-                "placement": explain_placement(gateway, &share.service, request.prefix_hash),
+                "placement": explain_placement(gateway, &share.service, request.prefix),
             })
         })
         .collect();
@@ -59,10 +60,17 @@
 }
 
 /// The endpoint that would be chosen for a request to the service.
-fn explain_placement<P>(gateway: &Gateway<P>, service: &str, prefix_hash: Option<u64>) -> Value {
-    let prefix = prefix_hash.map(|hash| PromptPrefix { hash, shared_tokens: 0 });
+fn explain_placement<P>(
+    gateway: &Gateway<P>,
+    service: &str,
+    prefix: Option<PromptPrefix>,
+) -> Value {
     with_candidates(gateway, service, prefix, AttemptedEndpoints::default(), |candidates| {
-        let request = PlacementRequest { prefix_hash, tie_breaker: 0 };
+        let request = PlacementRequest {
+            prefix_hash: prefix.map(|prefix| prefix.hash),
+            shared_tokens: prefix.map_or(0, |prefix| prefix.shared_tokens),
+            tie_breaker: 0,
+        };
         let list = &candidates.list;
         match choose_endpoint(&request, list) {
             Some(placement) => json!({
--- a/crates/gateway/src/server/internal_server.rs
+++ b/crates/gateway/src/server/internal_server.rs
@@ -4,7 +4,7 @@
         state_dump::state_dump,
     },
     crate::{
-        callers::Protocol,
+        callers::{PromptPrefix, Protocol},
         clock::BootInstant,
         http1::{Connection, RequestHead},
         peers::{PublishedFeed, encode_changes},
@@ -115,7 +115,9 @@
         return (BAD_REQUEST, text.into());
     };
     let prefix_hash = value("prefix").and_then(|hash| u64::from_str_radix(hash, 16).ok());
-    let request = ExplainRequest { host_name, path, prefix_hash };
+    let shared_tokens = value("shared_tokens").and_then(|tokens| tokens.parse().ok()).unwrap_or(0);
+    let prefix = prefix_hash.map(|hash| PromptPrefix { hash, shared_tokens });
+    let request = ExplainRequest { host_name, path, prefix };
     (OK, explain(gateway, &request).to_string().into_bytes())
 }
 
