Split prefix uses from the peer state, and name the limit of a message

CodecError::TooLarge printed the limit of peer messages for every message; it holds its own now, with a test.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -11,6 +11,7 @@
 mod host_table;
 mod load_sums;
 mod peer_state;
+mod prefix_uses;
 mod published_feed;
 mod relay_client;
 mod relay_election;
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -3,12 +3,12 @@
         followed_relay::{FollowedRelay, RelayedFeedStatus},
         host_table::HostTable,
         load_sums::LoadSums,
+        prefix_uses::PrefixUses,
         published_feed::PublishedFeed,
         relay_election::{ElectionInputs, RELAY_TIMEOUT, rank, should_relay},
     },
     crate::{
         clock::BootInstant,
-        placement::PrefixTable,
         telemetry::{OptionalMillis, event},
     },
     mango_wire::gossip::{
@@ -67,14 +67,7 @@
     /// loads of the other zones counts too few hosts.
     fleet_hosts: Cell<u32>,
     fleet_hosts_held_until: Cell<Instant>,
-    /// Endpoints that cache a prompt prefix, according to the uses by all hosts.
-    prefixes: RefCell<PrefixTable>,
-    /// Prefix uses by this host, to be sent in the next round.
-    own_uses: RefCell<Vec<PrefixUse>>,
-    /// Prefix uses by other hosts of the zone, to be forwarded while this host relays.
-    zone_uses: RefCell<Vec<PrefixUse>>,
-    /// Prefix uses by hosts of other zones, to be forwarded while this host relays.
-    other_zone_uses: RefCell<Vec<PrefixUse>>,
+    prefix_uses: RefCell<PrefixUses>,
     pub(crate) config_feed: RefCell<PublishedFeed>,
     pub(crate) endpoint_feed: RefCell<PublishedFeed>,
     /// Wakes the followers when a relay status was received.
@@ -98,10 +91,7 @@
             other_loads_updated_at: Cell::new(None),
             fleet_hosts: Cell::new(0),
             fleet_hosts_held_until: Cell::new(Instant::now()),
-            prefixes: RefCell::default(),
-            own_uses: RefCell::default(),
-            zone_uses: RefCell::default(),
-            other_zone_uses: RefCell::default(),
+            prefix_uses: RefCell::default(),
             config_feed: RefCell::default(),
             endpoint_feed: RefCell::default(),
             status_received: Notify::new(),
@@ -255,27 +245,19 @@
     /// Returns whether any host sent a prefix to an endpoint so recently that the endpoint
     /// should still cache it.
     pub(crate) fn endpoint_holds_prefix(&self, prefix: u64, endpoint: u32) -> bool {
-        self.prefixes.borrow().holds(prefix, endpoint, Instant::now())
+        self.prefix_uses.borrow().holds(prefix, endpoint, Instant::now())
     }
 
     /// Records that this host sends a prefix to an endpoint.
     pub(crate) fn record_prefix_use(&self, prefix: u64, endpoint: u32) {
-        if self.prefixes.borrow_mut().record_local_use(prefix, endpoint, Instant::now()) {
-            self.own_uses.borrow_mut().push(PrefixUse { prefix, endpoint });
-        }
+        self.prefix_uses.borrow_mut().record_own(prefix, endpoint, Instant::now());
     }
 
     /// Records prefix uses by other hosts, and queues them for forwarding if this host
     /// relays.
     fn add_remote_uses(&self, uses: &[PrefixUse], is_from_own_zone: bool, now: Instant) {
-        let mut prefixes = self.prefixes.borrow_mut();
-        for PrefixUse { prefix, endpoint } in uses {
-            prefixes.record_peer_use(*prefix, *endpoint, now);
-        }
-        if self.is_relay.get() {
-            let queue = if is_from_own_zone { &self.zone_uses } else { &self.other_zone_uses };
-            queue.borrow_mut().extend_from_slice(uses);
-        }
+        let is_relay = self.is_relay.get();
+        self.prefix_uses.borrow_mut().record_remote(uses, is_from_own_zone, is_relay, now);
     }
 
     pub(crate) fn is_relay(&self) -> bool {
@@ -327,7 +309,7 @@
     ) -> Vec<(SocketAddr, GossipMessage)> {
         let now = Instant::now();
         self.hosts.borrow_mut().expire(now);
-        self.prefixes.borrow_mut().expire(now);
+        self.prefix_uses.borrow_mut().expire(now);
         if self.update_relay_role() {
             self.relay_messages(own_loads, is_full_round)
         } else {
@@ -352,7 +334,7 @@
             host: self.own_host.clone(),
             sent_at_ms: self.report_clock_offset + BootInstant::now().as_millis(),
             loads: own_loads.to_vec(),
-            prefixes: self.own_uses.take(),
+            prefixes: self.prefix_uses.borrow_mut().take_own(),
         };
         let message = GossipMessage::LoadReport(report);
         targets.into_iter().map(|address| (address, message.clone())).collect()
@@ -370,16 +352,13 @@
         // what this host uses as the loads of other hosts
         let mut other_loads = sums.clone();
         sums.add(own_loads);
-        let mut uses = self.own_uses.take();
-        uses.append(&mut self.zone_uses.borrow_mut());
+        let uses = self.prefix_uses.borrow_mut().take_relayed();
         let zone_loads = ZoneLoads {
             host: self.own_host.clone(),
             hosts: reporting + 1,
             loads: sums.to_loads(),
-            prefixes: uses.clone(),
+            prefixes: uses.of_zone,
         };
-        // the hosts of this zone also receive the uses of other zones
-        uses.append(&mut self.other_zone_uses.borrow_mut());
         let fleet_hosts = reporting + 1 + hosts.add_other_zone_loads(&mut sums, now);
         hosts.add_other_zone_loads(&mut other_loads, now);
         let mut messages: Vec<(SocketAddr, GossipMessage)> = hosts
@@ -398,7 +377,7 @@
                 endpoints: self.endpoint_feed.borrow().status(boot_now),
                 fleet_hosts,
                 loads: loads.to_loads(),
-                prefixes: uses.clone(),
+                prefixes: uses.of_all.clone(),
             };
             messages.push((target.address, GossipMessage::RelayStatus(status)));
         }
--- a/crates/gateway/src/queueing/tests.rs
+++ b/crates/gateway/src/queueing/tests.rs
@@ -140,7 +140,8 @@
                 self.begin(id, host);
             }
         }
-        if (self.now - self.start).as_millis() % REPORT_INTERVAL.as_millis() == 0 {
+        let elapsed = self.now - self.start;
+        if elapsed.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis()) {
             self.reported = self.queues.iter().map(ServiceQueue::in_progress).collect();
         }
     }
--- a/crates/router/src/peer/frame_stream.rs
+++ b/crates/router/src/peer/frame_stream.rs
@@ -48,7 +48,9 @@
         };
         let body_bytes = u32::from_be_bytes(*prefix) as usize;
         if body_bytes > MAX_MESSAGE_BYTES {
-            return Err(CodecError::TooLarge(body_bytes).into());
+            return Err(
+                CodecError::TooLarge { bytes: body_bytes, max_bytes: MAX_MESSAGE_BYTES }.into()
+            );
         }
         if self.buffer.len() < LENGTH_PREFIX_BYTES + body_bytes {
             return Ok(None);
--- a/crates/router/src/peer/link_error.rs
+++ b/crates/router/src/peer/link_error.rs
@@ -52,7 +52,7 @@
             Self::Transport(_) => LinkErrorKind::Transport,
             Self::Closed => LinkErrorKind::Closed,
             Self::Truncated => LinkErrorKind::Truncated,
-            Self::Decode(CodecError::TooLarge(_)) => LinkErrorKind::TooLarge,
+            Self::Decode(CodecError::TooLarge { .. }) => LinkErrorKind::TooLarge,
             Self::Decode(_) => LinkErrorKind::Malformed,
             Self::HandshakeTimeout => LinkErrorKind::HandshakeTimeout,
             Self::Version(_) => LinkErrorKind::Version,
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -17,8 +17,8 @@
 /// Error of encoding or decoding a message.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CodecError {
-    /// Message above the size limit; holds its size in bytes.
-    TooLarge(usize),
+    /// Message above the size limit.
+    TooLarge { bytes: usize, max_bytes: usize },
     /// The input continues after the message; holds the number of remaining bytes.
     TrailingBytes(usize),
     /// The bytes are not a message of this protocol version, or a value cannot be
@@ -29,8 +29,8 @@
 impl fmt::Display for CodecError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::TooLarge(bytes) => {
-                write!(f, "message of {bytes} bytes, limit {MAX_MESSAGE_BYTES}")
+            Self::TooLarge { bytes, max_bytes } => {
+                write!(f, "message of {bytes} bytes, limit {max_bytes}")
             }
             Self::TrailingBytes(bytes) => write!(f, "{bytes} bytes after the message"),
             Self::Malformed(detail) => write!(f, "malformed message: {detail}"),
@@ -43,17 +43,13 @@
 /// Encodes a message without its length prefix. Fails above `MAX_MESSAGE_BYTES`.
 pub fn encode_message(frame: &PeerFrame) -> Result<Vec<u8>, CodecError> {
     let bytes = encode_to_vec(frame, CODEC).map_err(|e| CodecError::Malformed(e.to_string()))?;
-    if bytes.len() > MAX_MESSAGE_BYTES {
-        return Err(CodecError::TooLarge(bytes.len()));
-    }
+    check_size(bytes.len(), MAX_MESSAGE_BYTES)?;
     Ok(bytes)
 }
 
 /// Decodes a message without its length prefix. Fails if bytes are left after it.
 pub fn decode_message(bytes: &[u8]) -> Result<PeerFrame, CodecError> {
-    if bytes.len() > MAX_MESSAGE_BYTES {
-        return Err(CodecError::TooLarge(bytes.len()));
-    }
+    check_size(bytes.len(), MAX_MESSAGE_BYTES)?;
     let (frame, read_bytes) =
         decode_from_slice(bytes, CODEC).map_err(|e| CodecError::Malformed(e.to_string()))?;
     if read_bytes != bytes.len() {
@@ -66,9 +62,7 @@
 pub fn encode_bounded<T: Serialize>(message: &T, max_bytes: usize) -> Result<Vec<u8>, CodecError> {
     let bytes =
         encode_to_vec(message, standard()).map_err(|e| CodecError::Malformed(e.to_string()))?;
-    if bytes.len() > max_bytes {
-        return Err(CodecError::TooLarge(bytes.len()));
-    }
+    check_size(bytes.len(), max_bytes)?;
     Ok(bytes)
 }
 
@@ -77,9 +71,7 @@
     bytes: &[u8],
     max_bytes: usize,
 ) -> Result<T, CodecError> {
-    if bytes.len() > max_bytes {
-        return Err(CodecError::TooLarge(bytes.len()));
-    }
+    check_size(bytes.len(), max_bytes)?;
     let (message, read_bytes) =
         decode_from_slice(bytes, standard()).map_err(|e| CodecError::Malformed(e.to_string()))?;
     if read_bytes != bytes.len() {
@@ -87,3 +79,10 @@
     }
     Ok(message)
 }
+
+fn check_size(bytes: usize, max_bytes: usize) -> Result<(), CodecError> {
+    if bytes > max_bytes {
+        return Err(CodecError::TooLarge { bytes, max_bytes });
+    }
+    Ok(())
+}
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -55,3 +55,10 @@
     assert!(decode_message(&bytes).is_err());
     assert!(encode_message(&gossip(20_000)).is_err());
 }
+
+/// Guards against an error that names another limit than the one that the message exceeds.
+#[test]
+fn a_size_error_names_its_limit() {
+    let error = mango_wire::encode_bounded(&"abcdefgh", 4).expect_err("too large");
+    assert_eq!(error.to_string(), "message of 9 bytes, limit 4");
+}
