--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -147,9 +147,11 @@
             route: request.route.name.clone(),
             deadline: arrived_at + request.time_left(),
         };
-        let permit_request = PermitRequest { service: request.service.clone(), arrival };
+        let (id, service) = (request.caller.id.clone(), request.service.clone());
+        let permit_request = PermitRequest { id, service, arrival };
         let result = self.gateway.permits.acquire(permit_request).await;
         self.wait = arrived_at.elapsed();
+        self.gateway.metrics.observe_wait(self.wait.as_secs_f64());
         result.map(Rc::new).map_err(|NoPermit { backlog }| {
             Refusal::unavailable(Reason::QueueFull, with_jitter(backlog.max(MIN_MEAN_RETRY_AFTER)))
         })
--- a/crates/gateway/src/queueing/permits.rs
+++ b/crates/gateway/src/queueing/permits.rs
@@ -4,7 +4,7 @@
         fair_queue::Position,
         service_queue::{Arrival, Decision, ServiceQueue},
     },
-    crate::{endpoints::Directory, peers::PeerState},
+    crate::{endpoints::Directory, peers::PeerState, telemetry::event},
     serde_json::{Value, json},
     std::{
         cell::RefCell,
@@ -24,6 +24,7 @@
 
 /// A request that needs a permit, and its service.
 pub(crate) struct PermitRequest {
+    pub(crate) id: Box<str>,
     pub(crate) service: Rc<str>,
     pub(crate) arrival: Arrival,
 }
@@ -63,6 +64,9 @@
         let now = Instant::now();
         let load = queue.load();
         let decision = queue.state.borrow_mut().arrive(&request.arrival, &load, now, sender);
+        if decision != Decision::Start {
+            queue.log_decision(&request, &load, decision, now);
+        }
         match decision {
             Decision::Start => Ok(Permit::new(queue)),
             Decision::Refuse { backlog } => Err(NoPermit { backlog }),
@@ -122,6 +126,38 @@
         load
     }
 
+    fn log_decision(
+        &self,
+        request: &PermitRequest,
+        load: &ServiceLoad,
+        decision: Decision,
+        now: Instant,
+    ) {
+        let (decision, limit) = match decision {
+            Decision::Start => ("start", Duration::ZERO),
+            Decision::Wait { latest_start, .. } => {
+                ("wait", latest_start.saturating_duration_since(now))
+            }
+            Decision::Refuse { backlog } => ("refuse", backlog),
+        };
+        let state = self.state.borrow();
+        event!(
+            "request_queued",
+            "id={} decision={decision} limit_ms={} priority={} in_progress={} waiting={} \
+             requests_of_others={} slots={} requests_per_slot={:.2} hosts={} time_left_ms={}",
+            request.id,
+            limit.as_millis(),
+            request.arrival.priority,
+            state.in_progress(),
+            state.waiting(),
+            load.other_requests.map_or(-1, i64::from),
+            load.slots,
+            state.requests_per_slot(),
+            load.fleet_hosts,
+            request.arrival.deadline.saturating_duration_since(now).as_millis()
+        );
+    }
+
     /// Starts waiting requests as far as there is capacity.
     fn start_waiting(self: &Rc<Self>) {
         loop {
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -54,6 +54,7 @@
     labeled_teams: RefCell<HashSet<Box<str>>>,
     sends: Family<SendLabels, Counter>,
     latency_seconds: Family<KindLabels, Histogram>,
+    wait_seconds: Histogram,
     store_calls: Family<FeedLabels, Counter>,
     pub(crate) new_endpoint_connections: Counter,
     pub(crate) refused_retries: Counter,
@@ -76,6 +77,7 @@
             latency_seconds: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(0.004, 2.0, 14))
             }),
+            wait_seconds: Histogram::new(exponential_buckets(0.004, 2.0, 12)),
             store_calls: Family::default(),
             new_endpoint_connections: Counter::default(),
             refused_retries: Counter::default(),
@@ -108,6 +110,11 @@
             "Time to the response, or to the first event of a stream",
             self.latency_seconds.clone(),
         );
+        registry.register(
+            "request_wait_seconds",
+            "Time for which requests waited for capacity of their service",
+            self.wait_seconds.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store by log and result",
@@ -188,6 +195,11 @@
         self.latency_seconds.get_or_create(&KindLabels { kind }).observe(seconds);
     }
 
+    /// Records the time for which a request waited for capacity.
+    pub(crate) fn observe_wait(&self, seconds: f64) {
+        self.wait_seconds.observe(seconds);
+    }
+
     /// Counts a call to the store, by the log that it reads and its result.
     pub(crate) fn count_store_call(&self, feed: &'static str, result: &'static str) {
         self.store_calls.get_or_create(&FeedLabels { feed, result }).inc();
