--- a/crates/gateway/src/queueing/fair_queue.rs
+++ b/crates/gateway/src/queueing/fair_queue.rs
@@ -24,7 +24,7 @@
 /// Queue with one turn a team, by priority.
 #[derive(Debug)]
 pub(crate) struct FairQueue<T> {
-    entries: BTreeMap<Position, (Team, T)>,
+    entries: BTreeMap<Position, T>,
     /// The turn that was served last, and the next free turn of each team, by priority.
     turns: HashMap<u8, Turns>,
     next_number: u64,
@@ -62,25 +62,17 @@
         self.entries.range(..position).count()
     }
 
-    /// The entry of a team and a priority that is served next.
-    pub(crate) fn first_of(&self, priority: u8, team: &Team) -> Option<&T> {
-        self.entries
-            .iter()
-            .find(|(position, (entry_team, _))| position.priority == priority && entry_team == team)
-            .map(|(_, (_, entry))| entry)
-    }
-
     pub(crate) fn push(&mut self, priority: u8, team: Team, entry: T) -> Position {
         let position = self.next_position(priority, &team);
-        self.turns.entry(priority).or_default().next.insert(team.clone(), position.turn + 1);
+        self.turns.entry(priority).or_default().next.insert(team, position.turn + 1);
         self.next_number += 1;
-        self.entries.insert(position, (team, entry));
+        self.entries.insert(position, entry);
         position
     }
 
     /// Removes the entry that is served next.
     pub(crate) fn pop(&mut self) -> Option<T> {
-        let (position, (_, entry)) = self.entries.pop_first()?;
+        let (position, entry) = self.entries.pop_first()?;
         self.turns.entry(position.priority).or_default().served = position.turn;
         self.forget_turns_if_empty();
         Some(entry)
@@ -88,9 +80,9 @@
 
     /// Removes an entry that no longer waits.
     pub(crate) fn remove(&mut self, position: Position) -> Option<T> {
-        let (_, entry) = self.entries.remove(&position)?;
+        let entry = self.entries.remove(&position);
         self.forget_turns_if_empty();
-        Some(entry)
+        entry
     }
 
     fn forget_turns_if_empty(&mut self) {
--- a/crates/gateway/src/queueing/service_queue.rs
+++ b/crates/gateway/src/queueing/service_queue.rs
@@ -53,19 +53,13 @@
 pub(crate) struct ServiceQueue<T> {
     limit: ConcurrencyLimit,
     in_progress: u32,
-    waiting: FairQueue<Waiting<T>>,
+    waiting: FairQueue<T>,
     /// Mean time for which a request is in progress.
     held: MovingMean,
     /// Mean time from the start to the complete response, by route.
     durations: HashMap<Rc<str>, MovingMean>,
 }
 
-#[derive(Debug)]
-struct Waiting<T> {
-    since: Instant,
-    waker: T,
-}
-
 impl<T> Default for ServiceQueue<T> {
     fn default() -> ServiceQueue<T> {
         ServiceQueue {
@@ -100,13 +94,7 @@
             return Decision::Start;
         }
         let position = self.waiting.next_position(arrival.priority, &arrival.team);
-        let calculated = self.expected_wait(self.waiting.count_before(position));
-        // more urgent requests that arrive later are served before those that wait now
-        let observed = self
-            .waiting
-            .first_of(arrival.priority, &arrival.team)
-            .map_or(Duration::ZERO, |first| now.saturating_duration_since(first.since));
-        let backlog = calculated.max(observed);
+        let backlog = self.expected_wait(self.waiting.count_before(position));
         let duration = self.durations.get(&arrival.route).and_then(MovingMean::get);
         let slack = arrival
             .deadline
@@ -116,11 +104,7 @@
         if now + backlog > latest_start {
             return Decision::Refuse { backlog };
         }
-        let position = self.waiting.push(
-            arrival.priority,
-            arrival.team.clone(),
-            Waiting { since: now, waker },
-        );
+        let position = self.waiting.push(arrival.priority, arrival.team.clone(), waker);
         Decision::Wait { position, latest_start }
     }
 
@@ -129,9 +113,9 @@
         if !self.limit.may_start(load, self.in_progress) {
             return None;
         }
-        let first = self.waiting.pop()?;
+        let waker = self.waiting.pop()?;
         self.in_progress += 1;
-        Some(first.waker)
+        Some(waker)
     }
 
     /// Removes a request that no longer waits. Returns false if it was already started.
