--- a/crates/gateway/src/callers/admitted_request.rs
+++ b/crates/gateway/src/callers/admitted_request.rs
@@ -1,7 +1,7 @@
 use {
     super::{caller_request::CallerRequest, request_body::RequestBody},
     crate::{clock::BootInstant, config::Route, http1::RequestHead},
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
 /// A completely received request that passed admission.
@@ -19,6 +19,8 @@
     pub(crate) deadline: BootInstant,
     /// Version of the configuration that admitted the request.
     pub(crate) config_version: u64,
+    /// Whether any part of the request may have reached an endpoint.
+    pub(crate) has_been_sent: Cell<bool>,
 }
 
 impl AdmittedRequest {
--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -17,7 +17,7 @@
         telemetry::{OptionalMillis, event},
     },
     mango_wire::Reason,
-    std::{io, pin::pin, rc::Rc, time::Duration},
+    std::{cell::Cell, io, pin::pin, rc::Rc, time::Duration},
     tokio::{io::AsyncWriteExt, net::TcpStream, time::timeout},
 };
 
@@ -264,6 +264,7 @@
         received_at,
         deadline,
         config_version: admission.config_version,
+        has_been_sent: Cell::new(false),
     })
 }
 
@@ -292,7 +293,7 @@
 }
 
 /// Runs a request and sends its response. If the caller disconnects meanwhile, the run is
-/// cancelled unless the request is non-idempotent.
+/// cancelled unless the request is non-idempotent and an endpoint may have received it.
 async fn respond<P: Protocol>(
     gateway: &Rc<Gateway<P>>,
     connection: &mut Connection,
@@ -312,7 +313,10 @@
                 is_reusable = &mut run => break is_reusable,
                 received = crate::http1::read_into(reader, input), if reads_input => match received {
                     Ok(1..) => reads_input = input.len() < MAX_PIPELINED_BYTES,
-                    Ok(0) | Err(_) if request.route.kind == RequestKind::NonIdempotent => {
+                    Ok(0) | Err(_)
+                        if request.route.kind == RequestKind::NonIdempotent
+                            && request.has_been_sent.get() =>
+                    {
                         // a cancelled run would leave the outcome of the request unknown
                         event!("caller_left", "id={id} call=continues");
                         reads_input = false;
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -114,6 +114,7 @@
         body_bytes: request.body.len(),
     };
     gateway.protocol.write_endpoint_head(&endpoint_request, &mut head_bytes);
+    request.has_been_sent.set(true);
     call.send(&head_bytes, &request.body).await?;
     call.read_head(&gateway.protocol, &request.head.method, &request.caller.id).await
 }
