--- a/crates/gateway/src/queueing/permits.rs
+++ b/crates/gateway/src/queueing/permits.rs
@@ -108,6 +108,7 @@
 }
 
 impl PermitQueue {
+    /// The load of the service now, from the endpoints that accept requests.
     fn load(&self) -> ServiceLoad {
         let now = Instant::now();
         let mut load = ServiceLoad {
@@ -126,6 +127,7 @@
         load
     }
 
+    /// Logs why a request does not start at once.
     fn log_decision(
         &self,
         request: &PermitRequest,
--- a/crates/gateway/src/queueing/service_queue.rs
+++ b/crates/gateway/src/queueing/service_queue.rs
@@ -55,7 +55,7 @@
     in_progress: u32,
     waiting: FairQueue<T>,
     /// Mean time for which a request is in progress.
-    held: MovingMean,
+    time_in_progress: MovingMean,
     /// Mean time from the start to the complete response, by route.
     durations: HashMap<Rc<str>, MovingMean>,
 }
@@ -66,7 +66,7 @@
             limit: ConcurrencyLimit::default(),
             in_progress: 0,
             waiting: FairQueue::default(),
-            held: MovingMean::default(),
+            time_in_progress: MovingMean::default(),
             durations: HashMap::new(),
         }
     }
@@ -124,9 +124,9 @@
     }
 
     /// Ends a request that was in progress for this time.
-    pub(crate) fn end(&mut self, held: Duration) {
+    pub(crate) fn end(&mut self, time_in_progress: Duration) {
         self.in_progress -= 1;
-        self.held.record(held);
+        self.time_in_progress.record(time_in_progress);
     }
 
     /// Records whether a response began later than its target latency after its request was sent.
@@ -145,7 +145,7 @@
 
     /// Time until a request starts that has this many before it; zero until a request has ended.
     fn expected_wait(&self, before: usize) -> Duration {
-        let held = self.held.get().unwrap_or_default();
-        held.mul_f64((before + 1) as f64 / f64::from(self.in_progress.max(1)))
+        let mean = self.time_in_progress.get().unwrap_or_default();
+        mean.mul_f64((before + 1) as f64 / f64::from(self.in_progress.max(1)))
     }
 }
