Run one task a service that starts waiting requests

A queue that ran empty and filled again within 50 ms got a second task beside the first, and more under steady overload. A flag keeps it to one.

--- a/crates/gateway/src/queueing/permits.rs
+++ b/crates/gateway/src/queueing/permits.rs
@@ -7,7 +7,7 @@
     crate::{endpoints::Directory, peers::PeerState, telemetry::event},
     serde_json::{Value, json},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::HashMap,
         rc::Rc,
         time::{Duration, Instant},
@@ -49,6 +49,8 @@
     directory: Rc<Directory>,
     peers: Rc<PeerState>,
     state: RefCell<ServiceQueue<oneshot::Sender<Permit>>>,
+    /// Whether a task starts waiting requests at intervals.
+    has_start_task: Cell<bool>,
 }
 
 impl Permits {
@@ -101,6 +103,7 @@
                 directory: self.directory.clone(),
                 peers: self.peers.clone(),
                 state: RefCell::default(),
+                has_start_task: Cell::new(false),
             })
         });
         queue.clone()
@@ -173,9 +176,10 @@
         }
     }
 
-    /// Starts waiting requests at intervals until none is left, if this is the first one.
+    /// Starts waiting requests at intervals until none is left. Does nothing if a task already
+    /// does that.
     fn start_periodically(self: &Rc<Self>) {
-        if self.state.borrow().waiting() != 1 {
+        if self.has_start_task.replace(true) {
             return;
         }
         let queue = self.clone();
@@ -184,6 +188,7 @@
                 sleep(START_INTERVAL).await;
                 queue.start_waiting();
             }
+            queue.has_start_task.set(false);
         });
     }
 }
