--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -275,11 +275,12 @@
         event!(
             "send_failed",
             "id={} endpoint={} outcome={outcome} cause={cause} step={step:?} continues={continues} \
-             runs={} elapsed_ms={}",
+             runs={} elapsed_ms={} {}",
             self.request.caller.id,
             endpoint.record.borrow().id,
             self.history.possible_runs,
-            self.request.elapsed().as_millis()
+            self.request.elapsed().as_millis(),
+            self.gateway.describe_retry_budget(&self.request.service)
         );
         continues
     }
--- a/crates/gateway/src/retry/budget.rs
+++ b/crates/gateway/src/retry/budget.rs
@@ -54,12 +54,22 @@
 
     /// Retries that are allowed now; can be negative after the allowance was lowered.
     pub fn remaining(&mut self, now: Instant) -> f64 {
-        self.expire(now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let (requests, retries) = (self.requests(now), self.retries(now));
         f64::from(requests) * self.ratio + f64::from(self.allowance) - f64::from(retries)
     }
 
+    /// Requests in the window.
+    pub fn requests(&mut self, now: Instant) -> u32 {
+        self.expire(now);
+        self.buckets.iter().map(|bucket| bucket.requests).sum()
+    }
+
+    /// Retries in the window.
+    pub fn retries(&mut self, now: Instant) -> u32 {
+        self.expire(now);
+        self.buckets.iter().map(|bucket| bucket.retries).sum()
+    }
+
     /// The current bucket; starts a new one when the last one has ended.
     fn bucket(&mut self, now: Instant) -> &mut Bucket {
         self.expire(now);
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -116,6 +116,19 @@
         is_allowed
     }
 
+    /// The retry budget of a service as key=value pairs for the log.
+    pub(crate) fn describe_retry_budget(&self, service: &Rc<str>) -> String {
+        let fleet_hosts = self.peers.fleet_hosts();
+        self.with_retry_budget(service, |budget, now| {
+            format!(
+                "retries_left={:.1} window_requests={} window_retries={} fleet_hosts={fleet_hosts}",
+                budget.remaining(now),
+                budget.requests(now),
+                budget.retries(now)
+            )
+        })
+    }
+
     /// Updates the retry budget of a service to the current size of the fleet and passes it to
     /// `action`. Each host gets an equal part of the fleet's allowance.
     fn with_retry_budget<T>(
