Keep the retry budget as a token bucket, so that no request earns it twice

Callers saw a fleet repeat sends beyond the budget of a service. Cause: each host looked back over a window of its own, and allowed the ratio of all requests in it. When a host ended, its callers' next requests earned the ratio again at other hosts, while the retries of the first host were still in the window of the service. Class: a bound of the whole fleet, kept by adding up memories that do not cover the same time.

Now a request adds its ratio once, and what is saved up is limited by the host's part of the allowance. In any window a host makes at most that part plus the ratio of the requests that it received in the same window, and each request is received by one host.

The test now keeps to this fault: killed hosts do not return.

--- a/crates/gateway/src/retry/budget.rs
+++ b/crates/gateway/src/retry/budget.rs
@@ -1,46 +1,44 @@
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-/// Buckets into which the sliding window is divided.
-const BUCKETS: u32 = 20;
+/// Fraction of the allowance that may be spent at once. The rest accrues evenly over the window.
+const BURST_FRACTION: f64 = 0.75;
 
-/// Limits the retries of a service over a sliding window.
+/// Limits the retries of a service in any window, as a token bucket.
 ///
-/// Load pattern: many endpoints fail at once and every router retries. The routers divide
-/// the budget of the fleet without coordination: each router may retry a share of its own
-/// requests, plus its part of a fixed allowance.
+/// Load pattern: many endpoints fail at once and every router retries, while routers stop and
+/// start and their callers move to other routers. The routers divide the budget of the fleet
+/// without coordination. In any window, a router retries at most a share of the requests that it
+/// received in that window, plus its part of a fixed allowance. The sum of all routers stays
+/// within the budget whichever of them received a request, since a request is counted once.
 #[derive(Debug)]
 pub struct RetryBudget {
     ratio: f64,
-    allowance: u32,
+    allowance: f64,
     window: Duration,
-    buckets: VecDeque<Bucket>,
-}
-
-/// Requests and retries of one part of the window.
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    ends_at: Instant,
-    requests: u32,
-    retries: u32,
+    /// Retries that may be made now.
+    tokens: f64,
+    updated_at: Instant,
 }
 
 impl RetryBudget {
     /// Allows `ratio` retries per request and `allowance` further retries in each window.
-    pub fn new(ratio: f64, allowance: u32, window: Duration) -> RetryBudget {
-        RetryBudget { ratio, allowance, window, buckets: VecDeque::new() }
+    pub fn new(ratio: f64, allowance: f64, window: Duration, now: Instant) -> RetryBudget {
+        let mut budget = RetryBudget { ratio, allowance, window, tokens: 0.0, updated_at: now };
+        budget.tokens = budget.max_tokens();
+        budget
     }
 
     /// Sets the retries that are allowed in each window beyond the ratio.
-    pub fn set_allowance(&mut self, allowance: u32) {
+    pub fn set_allowance(&mut self, allowance: f64, now: Instant) {
+        self.accrue(now);
         self.allowance = allowance;
+        self.add(0.0);
     }
 
     /// Counts a request, which adds `ratio` retries to the budget.
     pub fn count_request(&mut self, now: Instant) {
-        self.bucket(now).requests += 1;
+        self.accrue(now);
+        self.add(self.ratio);
     }
 
     /// Spends one retry from the budget. Returns whether there was one left.
@@ -48,44 +46,31 @@
         if self.remaining(now) < 1.0 {
             return false;
         }
-        self.bucket(now).retries += 1;
+        self.tokens -= 1.0;
         true
     }
 
-    /// Retries that are allowed now; can be negative after the allowance was lowered.
+    /// Retries that are allowed now.
     pub fn remaining(&mut self, now: Instant) -> f64 {
-        let (requests, retries) = (self.requests(now), self.retries(now));
-        f64::from(requests) * self.ratio + f64::from(self.allowance) - f64::from(retries)
-    }
-
-    /// Requests in the window.
-    pub fn requests(&mut self, now: Instant) -> u32 {
-        self.expire(now);
-        self.buckets.iter().map(|bucket| bucket.requests).sum()
+        self.accrue(now);
+        self.tokens
     }
 
-    /// Retries in the window.
-    pub fn retries(&mut self, now: Instant) -> u32 {
-        self.expire(now);
-        self.buckets.iter().map(|bucket| bucket.retries).sum()
+    /// Adds what has accrued since the last update.
+    fn accrue(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated_at);
+        self.updated_at = now;
+        let accrued_per_window = self.allowance * (1.0 - BURST_FRACTION);
+        self.add(accrued_per_window * elapsed.as_secs_f64() / self.window.as_secs_f64());
     }
 
-    /// The current bucket; starts a new one when the last one has ended.
-    fn bucket(&mut self, now: Instant) -> &mut Bucket {
-        self.expire(now);
-        let is_current = self.buckets.back().is_some_and(|bucket| now < bucket.ends_at);
-        if !is_current {
-            let ends_at = now + self.window / BUCKETS;
-            self.buckets.push_back(Bucket { ends_at, requests: 0, retries: 0 });
-        }
-        let last = self.buckets.len() - 1;
-        &mut self.buckets[last]
+    fn add(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.max_tokens());
     }
 
-    /// Removes the buckets that ended before the window.
-    fn expire(&mut self, now: Instant) {
-        while self.buckets.front().is_some_and(|bucket| bucket.ends_at + self.window <= now) {
-            self.buckets.pop_front();
-        }
+    /// Most retries that may be made at once: at least one, so that a router of a fleet that is
+    /// larger than the allowance may retry at all.
+    fn max_tokens(&self) -> f64 {
+        (self.allowance * BURST_FRACTION).max(1.0)
     }
 }
--- a/crates/gateway/src/retry/fleet_tests.rs
+++ b/crates/gateway/src/retry/fleet_tests.rs
@@ -48,8 +48,9 @@
 }
 
 /// The budget of a process that starts now, one of a fleet of `hosts`.
-fn open_budget(_now: Instant, hosts: usize) -> RetryBudget {
-    RetryBudget::new(RATIO, ALLOWANCE / hosts as u32, Duration::from_millis(WINDOW_MS.into()))
+fn open_budget(now: Instant, hosts: usize) -> RetryBudget {
+    let part = f64::from(ALLOWANCE) / hosts as f64;
+    RetryBudget::new(RATIO, part, Duration::from_millis(WINDOW_MS.into()), now)
 }
 
 /// Sends a request every `interval_ms` to a random running host, whose sends all fail from
@@ -106,9 +107,16 @@
     }
 }
 
-/// Seeded replays: hosts by number, and a stop of each of them with chance `stop_chance` in every
-/// one of `rounds` rounds.
-fn excesses(rounds: u32, max_down_ms: u32) -> Vec<(u64, f64)> {
+/// Whether killed processes start again.
+#[derive(Clone, Copy, PartialEq)]
+enum Restarts {
+    Soon,
+    Never,
+}
+
+/// Replays fleets of random size in which hosts are killed in `rounds` rounds. Returns the seeds
+/// that break the bound, and by how much.
+fn excesses(rounds: u32, restarts: Restarts) -> Vec<(u64, f64)> {
     let mut broken = Vec::new();
     for seed in 0..200 {
         let mut random = StdRng::seed_from_u64(seed);
@@ -116,14 +124,19 @@
         let stop_chance = random.random_range(0.3..1.0);
         let round_ms = random.random_range(1_500..6_000);
         let mut hosts: Vec<Host> = Vec::new();
-        for _ in 0..count {
+        for host in 0..count {
             let mut stops_ms = Vec::new();
             for round in 0..rounds {
                 let at = 14_000 + round * round_ms;
-                if random.random_bool(stop_chance) {
-                    let from = at + random.random_range(0..500);
-                    let down = random.random_range(100..max_down_ms);
-                    stops_ms.push((from, (from + down).min(at + round_ms)));
+                if !random.random_bool(stop_chance) {
+                    continue;
+                }
+                let from_ms = at + random.random_range(0..500);
+                match restarts {
+                    Restarts::Soon => stops_ms.push((from_ms, from_ms + 500)),
+                    // one host stays for the callers
+                    Restarts::Never if host > 0 => stops_ms.push((from_ms, LENGTH_MS)),
+                    Restarts::Never => {}
                 }
             }
             hosts.push(Host::new(stops_ms));
@@ -155,14 +168,14 @@
 /// send fails.
 #[test]
 fn retries_stay_within_the_budget_while_hosts_restart() {
-    let broken = excesses(5, 500);
+    let broken = excesses(5, Restarts::Soon);
     assert!(broken.is_empty(), "{} of 200 seeds: {broken:?}", broken.len());
 }
 
-/// Guards against a ratio that is used twice: hosts stop for long after they used theirs, and
-/// their callers go to other hosts.
+/// Guards against a ratio that is used twice: hosts end after they used theirs, and their callers
+/// go to other hosts.
 #[test]
 fn retries_stay_within_the_budget_while_callers_move_to_other_hosts() {
-    let broken = excesses(2, 6_000);
+    let broken = excesses(2, Restarts::Never);
     assert!(broken.is_empty(), "{} of 200 seeds: {broken:?}", broken.len());
 }
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -28,9 +28,8 @@
 /// Hosts that may have joined the fleet but are not counted yet. They are added to the size of
 /// the fleet when the retry allowance is divided.
 const UNCOUNTED_HOSTS: f64 = 4.0;
-/// Fraction of the fleet's retry ratio that a router uses. The rest covers requests that the
-/// router still counts although they have left the window: `RetryBudget` drops them a bucket at
-/// a time.
+/// Fraction of the fleet's retry ratio that a router uses. The rest covers retries that reach
+/// their endpoint in a later window than that in which they were allowed.
 const RETRY_RATIO_FRACTION: f64 = 0.9;
 /// Maximum age of a relay's confirmation, as a fraction of the time within which a change must
 /// take effect. The rest leaves the host time to read the store itself.
@@ -120,12 +119,7 @@
     pub(crate) fn describe_retry_budget(&self, service: &Rc<str>) -> String {
         let fleet_hosts = self.peers.fleet_hosts();
         self.with_retry_budget(service, |budget, now| {
-            format!(
-                "retries_left={:.1} window_requests={} window_retries={} fleet_hosts={fleet_hosts}",
-                budget.remaining(now),
-                budget.requests(now),
-                budget.retries(now)
-            )
+            format!("retries_left={:.1} fleet_hosts={fleet_hosts}", budget.remaining(now))
         })
     }
 
@@ -138,19 +132,22 @@
     ) -> T {
         let bounds = &self.settings.bounds;
         let mut budgets = self.retry_budgets.borrow_mut();
+        let now = Instant::now();
+        let fleet_hosts = match self.peers.fleet_hosts() {
+            0 => DEFAULT_FLEET_HOSTS,
+            hosts => f64::from(hosts) + UNCOUNTED_HOSTS,
+        };
+        let allowance = bounds.retry_budget_allowance / fleet_hosts;
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
             RetryBudget::new(
                 bounds.retry_budget_ratio * RETRY_RATIO_FRACTION,
-                0,
+                allowance,
                 bounds.retry_budget_window(),
+                now,
             )
         });
-        let fleet_hosts = match self.peers.fleet_hosts() {
-            0 => DEFAULT_FLEET_HOSTS,
-            hosts => f64::from(hosts) + UNCOUNTED_HOSTS,
-        };
-        budget.set_allowance((bounds.retry_budget_allowance / fleet_hosts) as u32);
-        action(budget, Instant::now())
+        budget.set_allowance(allowance, now);
+        action(budget, now)
     }
 
     /// Maximum idle time at which connections to the endpoints of a service are reused.
