Start a retry budget empty, so that restarts do not multiply the allowance

Cause: the budget is kept in memory. Class: a bound of the whole fleet, kept in memory that a restart loses.

A new process now begins with no retries and earns them with its requests and with time. Whatever processes a host runs one after the other in a window, their retries add up to no more than those of one that ran all the while.

--- a/crates/gateway/src/retry/budget.rs
+++ b/crates/gateway/src/retry/budget.rs
@@ -21,11 +21,10 @@
 }
 
 impl RetryBudget {
-    /// Allows `ratio` retries per request and `allowance` further retries in each window.
+    /// Allows `ratio` retries per request and `allowance` further retries in each window. Starts
+    /// empty: an earlier process of this host may have made its retries a moment ago.
     pub fn new(ratio: f64, allowance: f64, window: Duration, now: Instant) -> RetryBudget {
-        let mut budget = RetryBudget { ratio, allowance, window, tokens: 0.0, updated_at: now };
-        budget.tokens = budget.max_tokens();
-        budget
+        RetryBudget { ratio, allowance, window, tokens: 0.0, updated_at: now }
     }
 
     /// Sets the retries that are allowed in each window beyond the ratio.
--- a/crates/gateway/src/retry/fleet_tests.rs
+++ b/crates/gateway/src/retry/fleet_tests.rs
@@ -111,6 +111,7 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Restarts {
     Soon,
+    Later,
     Never,
 }
 
@@ -134,6 +135,10 @@
                 let from_ms = at + random.random_range(0..500);
                 match restarts {
                     Restarts::Soon => stops_ms.push((from_ms, from_ms + 500)),
+                    Restarts::Later => {
+                        let down_ms = random.random_range(100..6_000);
+                        stops_ms.push((from_ms, (from_ms + down_ms).min(at + round_ms)));
+                    }
                     // one host stays for the callers
                     Restarts::Never if host > 0 => stops_ms.push((from_ms, LENGTH_MS)),
                     Restarts::Never => {}
@@ -168,8 +173,10 @@
 /// send fails.
 #[test]
 fn retries_stay_within_the_budget_while_hosts_restart() {
-    let broken = excesses(5, Restarts::Soon);
-    assert!(broken.is_empty(), "{} of 200 seeds: {broken:?}", broken.len());
+    for (rounds, restarts) in [(5, Restarts::Soon), (2, Restarts::Later)] {
+        let broken = excesses(rounds, restarts);
+        assert!(broken.is_empty(), "{} of 200 seeds: {broken:?}", broken.len());
+    }
 }
 
 /// Guards against a ratio that is used twice: hosts end after they used theirs, and their callers
