Divide the retry allowance among all registered hosts

The number also fell 20 s after a zone was cut off, so that each side of a cut took the parts of the other. Class: a limit of the whole fleet divided by those who are in sight.

The divisor now counts all hosts of the registry and all heard of since, for an hour, whether they run or not; until the registry was read a host has no part of the allowance and retries by the ratio alone. The four uncounted hosts are no longer needed: a host that joins starts with an empty budget.

--- a/crates/gateway/src/peers/announcer.rs
+++ b/crates/gateway/src/peers/announcer.rs
@@ -39,5 +39,6 @@
     for host in &hosts {
         state.add_host(host);
     }
+    state.record_registry();
     Ok(hosts.len())
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! The confirmation of a log is the last time at which it was known to hold no newer records.
 
 mod announcer;
+mod fleet_size;
 mod followed_relay;
 mod gossip_task;
 mod host_registry;
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        fleet_size::FleetSize,
         followed_relay::{FollowedRelay, RelayedFeedStatus},
         host_table::HostTable,
         load_sums::LoadSums,
@@ -67,6 +68,7 @@
     /// loads of the other zones counts too few hosts.
     fleet_hosts: Cell<u32>,
     fleet_hosts_held_until: Cell<Instant>,
+    fleet_size: RefCell<FleetSize>,
     prefix_uses: RefCell<PrefixUses>,
     pub(crate) config_feed: RefCell<PublishedFeed>,
     pub(crate) endpoint_feed: RefCell<PublishedFeed>,
@@ -91,6 +93,7 @@
             other_loads_updated_at: Cell::new(None),
             fleet_hosts: Cell::new(0),
             fleet_hosts_held_until: Cell::new(Instant::now()),
+            fleet_size: RefCell::default(),
             prefix_uses: RefCell::default(),
             config_feed: RefCell::default(),
             endpoint_feed: RefCell::default(),
@@ -118,9 +121,15 @@
     pub(super) fn add_host(&self, host: &HostRecord) {
         if host.host_id != self.own_host.host_id {
             self.hosts.borrow_mut().upsert_host(host, Instant::now());
+            self.fleet_size.borrow_mut().record_host(&host.host_id, Instant::now());
         }
     }
 
+    /// Records that all hosts of the registry were added.
+    pub(super) fn record_registry(&self) {
+        self.fleet_size.borrow_mut().record_registry();
+    }
+
     pub(super) fn receive(&self, message: GossipMessage) {
         let now = Instant::now();
         let host = match &message {
@@ -134,6 +143,7 @@
         if self.hosts.borrow_mut().upsert_host(host, now) {
             event!("peer_found", "host={} zone={}", host.host_id, host.zone);
         }
+        self.fleet_size.borrow_mut().record_host(&host.host_id, now);
         match message {
             GossipMessage::LoadReport(report) if report.host.zone == self.own_host.zone => {
                 self.add_remote_uses(&report.prefixes, true, now);
@@ -206,6 +216,7 @@
     fn set_other_loads(&self, sums: LoadSums, fleet_hosts: u32, now: Instant) {
         self.other_loads.replace(sums);
         self.other_loads_updated_at.set(Some(now));
+        self.fleet_size.borrow_mut().record_report(fleet_hosts, now);
         let is_not_smaller = fleet_hosts >= self.fleet_hosts.get();
         if is_not_smaller || now > self.fleet_hosts_held_until.get() {
             self.fleet_hosts.set(fleet_hosts);
@@ -279,6 +290,12 @@
         self.fleet_hosts.get()
     }
 
+    /// Returns the number of hosts among which limits of the whole fleet are divided, this one
+    /// included; `None` until the registry was read.
+    pub(crate) fn hosts_sharing_limits(&self) -> Option<u32> {
+        self.fleet_size.borrow().hosts()
+    }
+
     /// Decides whether this host relays and logs a change. Returns the decision.
     pub(super) fn update_relay_role(&self) -> bool {
         let now = BootInstant::now();
@@ -310,6 +327,7 @@
         let now = Instant::now();
         self.hosts.borrow_mut().expire(now);
         self.prefix_uses.borrow_mut().expire(now);
+        self.fleet_size.borrow_mut().expire(now);
         if self.update_relay_role() {
             self.relay_messages(own_loads, is_full_round)
         } else {
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -213,6 +213,24 @@
     assert_eq!(state.fleet_hosts(), 104);
 }
 
+/// Guards against parts of the retry allowance that add up to more than the allowance: a host
+/// that has just started hears of few hosts, and after that of fewer than there are.
+#[test]
+fn a_limit_of_the_fleet_is_divided_among_all_registered_hosts() {
+    let state = own_state();
+    state.receive(status_of_fleet("peer", 2));
+    assert_eq!(state.hosts_sharing_limits(), None, "few hosts may have been heard of");
+    for number in 0..11 {
+        state.add_host(&host(&format!("host-{number}")));
+    }
+    state.record_registry();
+    assert_eq!(state.hosts_sharing_limits(), Some(13), "with this host and the relay");
+    state.receive(status_of_fleet("peer", 2));
+    assert_eq!(state.hosts_sharing_limits(), Some(13), "hosts that are silent may still run");
+    state.receive(status_of_fleet("peer", 18));
+    assert_eq!(state.hosts_sharing_limits(), Some(18), "hosts of other zones were added");
+}
+
 /// Guards against a relay whose link is too slow for its zone: over a link of 10 Mbit/s, a
 /// configuration of 100 KB took two seconds for 25 hosts and delayed all other traffic.
 #[test]
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -22,12 +22,6 @@
     },
 };
 
-/// Number of hosts among which the fleet's retry allowance is divided while the size of the
-/// fleet is not known.
-const DEFAULT_FLEET_HOSTS: f64 = 128.0;
-/// Hosts that may have joined the fleet but are not counted yet. They are added to the size of
-/// the fleet when the retry allowance is divided.
-const UNCOUNTED_HOSTS: f64 = 4.0;
 /// Fraction of the fleet's retry ratio that a router uses. The rest covers retries that reach
 /// their endpoint in a later window than that in which they were allowed.
 const RETRY_RATIO_FRACTION: f64 = 0.9;
@@ -117,14 +111,15 @@
 
     /// The retry budget of a service as key=value pairs for the log.
     pub(crate) fn describe_retry_budget(&self, service: &Rc<str>) -> String {
-        let fleet_hosts = self.peers.fleet_hosts();
+        let hosts = self.peers.hosts_sharing_limits().unwrap_or(0);
         self.with_retry_budget(service, |budget, now| {
-            format!("retries_left={:.1} fleet_hosts={fleet_hosts}", budget.remaining(now))
+            format!("retries_left={:.1} budget_hosts={hosts}", budget.remaining(now))
         })
     }
 
     /// Updates the retry budget of a service to the current size of the fleet and passes it to
-    /// `action`. Each host gets an equal part of the fleet's allowance.
+    /// `action`. Each host gets an equal part of the fleet's allowance,
+    /// and none until it knows the number of hosts.
     fn with_retry_budget<T>(
         &self,
         service: &Rc<str>,
@@ -133,11 +128,8 @@
         let bounds = &self.settings.bounds;
         let mut budgets = self.retry_budgets.borrow_mut();
         let now = Instant::now();
-        let fleet_hosts = match self.peers.fleet_hosts() {
-            0 => DEFAULT_FLEET_HOSTS,
-            hosts => f64::from(hosts) + UNCOUNTED_HOSTS,
-        };
-        let allowance = bounds.retry_budget_allowance / fleet_hosts;
+        let hosts = self.peers.hosts_sharing_limits();
+        let allowance = hosts.map_or(0.0, |hosts| bounds.retry_budget_allowance / f64::from(hosts));
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
             RetryBudget::new(
                 bounds.retry_budget_ratio * RETRY_RATIO_FRACTION,
--- a/crates/gateway/src/server/state_dump.rs
+++ b/crates/gateway/src/server/state_dump.rs
@@ -35,6 +35,7 @@
             "relay": peers.relay_host_id(),
             "hosts_known": peers.known_hosts(),
             "fleet_hosts": peers.fleet_hosts(),
+            "hosts_sharing_limits": peers.hosts_sharing_limits(),
         },
         "services": gateway.service_states(),
         "endpoints": endpoints,
