--- a/crates/gateway/src/callers/caller_request.rs
+++ b/crates/gateway/src/callers/caller_request.rs
@@ -8,11 +8,16 @@
     pub time_left: Option<Duration>,
     pub api_key: Option<Box<str>>,
     pub prefix: Option<PromptPrefix>,
+    /// Parts of the prompt that it shares with other requests, in prompt order.
+    pub shared_parts: Box<[PromptPartId]>,
     /// ID of the last event of a stream that the caller has received; the stream resumes
     /// after it.
     pub last_event_id: Option<u64>,
 }
 
+/// Identifies a part of prompts: a hash of the name that callers give it.
+pub type PromptPartId = u64;
+
 /// The part at the beginning of a prompt that is shared with other requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPrefix {
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -15,6 +15,6 @@
     refusal::Refusal,
 };
 pub use {
-    caller_request::{CallerRequest, InvalidHeader, PromptPrefix},
+    caller_request::{CallerRequest, InvalidHeader, PromptPartId, PromptPrefix},
     protocol::Protocol,
 };
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -58,6 +58,7 @@
     sink: &mut CallerSink<'_, P>,
 ) -> Result<Delivery, SendFailure> {
     let endpoint = target.endpoint;
+    progress.has_begun_send = false;
     let mut call =
         EndpointCall::open(gateway, endpoint, request, target.may_reuse_connection).await?;
     let started_at = Instant::now();
@@ -207,6 +208,7 @@
         if is_complete && splitter.has_partial_event() {
             return Err(SendFailure::may_have_run(FailureCause::Truncated));
         }
+        progress.has_begun_send |= is_complete || !events.bytes.is_empty();
         if !progress.has_started && (is_complete || !events.bytes.is_empty()) {
             record_response_start(gateway, request, permit);
             progress.has_started = true;
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -6,7 +6,10 @@
         stream_progress::StreamProgress,
     },
     crate::{
-        callers::{AdmittedRequest, CallerSink, Protocol, Refusal, recheck_api_key, with_jitter},
+        callers::{
+            AdmittedRequest, CallerSink, PromptPartId, Protocol, Refusal, recheck_api_key,
+            with_jitter,
+        },
         clock::BootInstant,
         endpoints::{Endpoint, EndpointId},
         http1::ResponseHead,
@@ -80,7 +83,7 @@
             gateway,
             request,
             history: AttemptHistory::default(),
-            progress: StreamProgress { has_started: false, last_event_id },
+            progress: StreamProgress { has_started: false, has_begun_send: false, last_event_id },
             tried: Vec::new(),
             refused_by: Vec::new(),
             failed_response: None,
@@ -275,10 +278,12 @@
         event!(
             "send_failed",
             "id={} endpoint={} outcome={outcome} cause={cause} step={step:?} continues={continues} \
-             runs={} elapsed_ms={} {}",
+             runs={} has_begun={} parts={} elapsed_ms={} {}",
             self.request.caller.id,
             endpoint.record.borrow().id,
             self.history.possible_runs,
+            self.progress.has_begun_send,
+            part_list(&self.request.caller.shared_parts),
             self.request.elapsed().as_millis(),
             self.gateway.describe_retry_budget(&self.request.service)
         );
@@ -350,3 +355,9 @@
         );
     }
 }
+
+/// The shared parts of a prompt for the log.
+fn part_list(parts: &[PromptPartId]) -> String {
+    let names: Vec<String> = parts.iter().map(|part| format!("{part:016x}")).collect();
+    if names.is_empty() { "-".to_owned() } else { names.join(",") }
+}
--- a/crates/gateway/src/dispatch/stream_progress.rs
+++ b/crates/gateway/src/dispatch/stream_progress.rs
@@ -3,6 +3,8 @@
 pub(super) struct StreamProgress {
     /// Whether the response to the caller was started.
     pub(super) has_started: bool,
+    /// Whether the endpoint of the current send has begun its response.
+    pub(super) has_begun_send: bool,
     /// ID of the last event that the caller has received, in this response or in an earlier one
     /// that this request resumes.
     pub(super) last_event_id: Option<u64>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,7 +25,7 @@
 mod telemetry;
 
 pub use {
-    callers::{CallerRequest, InvalidHeader, PromptPrefix, Protocol},
+    callers::{CallerRequest, InvalidHeader, PromptPartId, PromptPrefix, Protocol},
     config::{
         ApiKey, CallerLimits, RequestKind, Route, RoutingConfig, Service, ServiceShare, Team,
     },
