Let the retry allowance of a host accrue from the start of its process

A service's budget began to accrue at its first request. The bound allows it from the start of the process on, whichever service is asked first.

--- a/crates/gateway/src/retry/budget.rs
+++ b/crates/gateway/src/retry/budget.rs
@@ -22,9 +22,10 @@
 
 impl RetryBudget {
     /// Allows `ratio` retries per request and `allowance` further retries in each window. Starts
-    /// empty: an earlier process of this host may have made its retries a moment ago.
-    pub fn new(ratio: f64, allowance: f64, window: Duration, now: Instant) -> RetryBudget {
-        RetryBudget { ratio, allowance, window, tokens: 0.0, updated_at: now }
+    /// empty when the process started: an earlier process of this host may have made its retries
+    /// a moment before.
+    pub fn new(ratio: f64, allowance: f64, window: Duration, started_at: Instant) -> RetryBudget {
+        RetryBudget { ratio, allowance, window, tokens: 0.0, updated_at: started_at }
     }
 
     /// Sets the retries that are allowed in each window beyond the ratio.
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -43,6 +43,8 @@
     pub(crate) stop: StopState,
     pub(crate) peers: Rc<PeerState>,
     pub(crate) permits: Permits,
+    /// Start of the process, from which on its part of the retry allowance accrues.
+    started_at: Instant,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
     /// Limits on the idle time of connections to endpoints, by service.
@@ -74,6 +76,7 @@
             config: Rc::new(ConfigState::new(max_age)),
             metrics: Rc::new(GatewayMetrics::new()),
             stop: StopState::new(),
+            started_at: Instant::now(),
             retry_budgets: RefCell::default(),
             idle_limits: RefCell::default(),
             connections: Rc::default(),
@@ -135,7 +138,7 @@
                 bounds.retry_budget_ratio * RETRY_RATIO_FRACTION,
                 allowance,
                 bounds.retry_budget_window(),
-                now,
+                self.started_at,
             )
         });
         budget.set_allowance(allowance, now);
