Refuse requests with a prompt part that crashes engines

Cause: nothing linked a crash to what the engine had held. Hosts blamed the engine alone, and each saw one or two of the crashes. Class: evidence of one cause that is spread over processes which judge by what they see themselves.

Now (crates/gateway/src/blocklist): when a connection breaks before the answer began, the host finds out whether the engine is gone, and if so counts a crash for each shared part of the request. An answer that begins clears its parts. Hosts exchange this by gossip in a message of its own and merge it; each decides by itself: three crashes without an answer between them block a part, five one that was sound before; the last part in the prompt that explains the crashes is blamed, and explains them for the others. Crashes that one team's requests can explain block that team's requests only. A block ends with single requests of a few hosts, which double from round to round. All tables and messages are bounded. A blocked request is refused at once, 503 not_run, reason part_blocked. One log line a change of belief, metrics, the state dump and explain tell it.

--- a/crates/gateway/src/callers/admitted_request.rs
+++ b/crates/gateway/src/callers/admitted_request.rs
@@ -1,6 +1,11 @@
 use {
     super::{caller_request::CallerRequest, request_body::RequestBody},
-    crate::{clock::BootInstant, config::Route, http1::RequestHead},
+    crate::{
+        blocklist::{PartKey, TeamHash, team_hash},
+        clock::BootInstant,
+        config::Route,
+        http1::RequestHead,
+    },
     std::{cell::Cell, rc::Rc, time::Duration},
 };
 
@@ -12,6 +17,8 @@
     pub(crate) route: Rc<Route>,
     pub(crate) service: Rc<str>,
     pub(crate) team: Option<Rc<str>>,
+    /// The shared parts of the prompt, by which endpoints that crash are traced to them.
+    pub(crate) part_keys: Vec<PartKey>,
     pub(crate) priority: u8,
     pub(crate) received_at: BootInstant,
     /// Time by which the response must be complete: the earlier of the caller's and the
@@ -30,6 +37,10 @@
         self.deadline.saturating_duration_since(BootInstant::now())
     }
 
+    pub(crate) fn team_hash(&self) -> TeamHash {
+        team_hash(self.team.as_deref())
+    }
+
     /// Time since the request head was received, including time during which the host was
     /// suspended.
     pub(crate) fn elapsed(&self) -> Duration {
--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -9,6 +9,7 @@
         request_body::RequestBody,
     },
     crate::{
+        blocklist::part_keys,
         clock::BootInstant,
         config::{CallerLimits, RequestKind},
         dispatch::run_request,
@@ -173,7 +174,8 @@
     let is_head_request = &*head.method == "HEAD";
     let request = match admit_request(gateway, head, body, caller, received_at) {
         Ok(request) => request,
-        Err((caller, refusal)) => {
+        Err(refused) => {
+            let RefusedRequest { caller, refusal } = *refused;
             let mut sink = CallerSink::new(
                 &mut connection.writer,
                 &caller.id,
@@ -231,33 +233,40 @@
     }
 }
 
-/// Admits a received request and chooses its service. A refusal is returned together with the
-/// parsed headers, which are needed to log it.
+/// A request that was not admitted, with its parsed headers, which are needed to log it.
+struct RefusedRequest {
+    caller: CallerRequest,
+    refusal: Refusal,
+}
+
+/// Admits a received request and chooses its service.
 fn admit_request<P: Protocol>(
     gateway: &Gateway<P>,
     head: RequestHead,
     body: RequestBody,
     caller: CallerRequest,
     received_at: BootInstant,
-) -> Result<AdmittedRequest, (CallerRequest, Refusal)> {
+) -> Result<AdmittedRequest, Box<RefusedRequest>> {
     let refuses_unconfirmed = gateway.settings.bounds.refuses_unconfirmed_keys;
     let admission = match admit(&gateway.config, refuses_unconfirmed, &head, &caller) {
         Ok(admission) => admission,
-        Err(refusal) => return Err((caller, refusal)),
+        Err(refusal) => return Err(Box::new(RefusedRequest { caller, refusal })),
     };
     let route = admission.route;
     let Some(service) = route.choose_service().cloned() else {
         let refusal = Refusal::unavailable(Reason::NoCapacity, with_jitter(Duration::from_secs(1)));
-        return Err((caller, refusal));
+        return Err(Box::new(RefusedRequest { caller, refusal }));
     };
     let time_left = caller.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = received_at + time_left.min(Duration::from_millis(route.timeout_ms));
+    let part_keys = part_keys(&service, &caller.shared_parts);
     let team_priority = admission.team.as_ref().and_then(|team| team.priority);
     Ok(AdmittedRequest {
         head,
         body,
         caller,
         service,
+        part_keys,
         priority: team_priority.unwrap_or(route.priority),
         team: admission.team.map(|team| team.name.clone()),
         route,
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -90,6 +90,7 @@
         let failure = SendFailure::new(SendOutcome::Failed, FailureCause::FailedStatus);
         return Err(SendFailure { response: Some((head, body)), ..failure });
     }
+    gateway.blocklist.record_response(&request.part_keys);
     record_response_start(gateway, request, target.permit);
     Ok(delivery_result(sink.send_response(&head, &body).await, head.status))
 }
@@ -208,7 +209,10 @@
         if is_complete && splitter.has_partial_event() {
             return Err(SendFailure::may_have_run(FailureCause::Truncated));
         }
-        progress.has_begun_send |= is_complete || !events.bytes.is_empty();
+        if !progress.has_begun_send && (is_complete || !events.bytes.is_empty()) {
+            progress.has_begun_send = true;
+            gateway.blocklist.record_response(&request.part_keys);
+        }
         if !progress.has_started && (is_complete || !events.bytes.is_empty()) {
             record_response_start(gateway, request, permit);
             progress.has_started = true;
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 mod attempt;
 mod candidates;
+mod crash_checks;
 mod endpoint_call;
 mod endpoint_request;
 mod event_splitter;
@@ -12,6 +13,7 @@
 
 pub(crate) use {
     candidates::{AttemptedEndpoints, with_candidates},
+    crash_checks::CrashChecks,
     run_request::run_request,
 };
 pub use {endpoint_request::EndpointRequest, response_meta::ResponseMeta};
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Whether any idle connection is still open, which shows that the endpoint runs.
+    pub(crate) fn has_open_idle_connection(&self) -> bool {
+        self.idle_connections.borrow().iter().any(|idle| idle.connection.is_reusable())
+    }
+
     pub(crate) fn idle_connection_count(&self) -> usize {
         self.idle_connections.borrow().len()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! The store is the platform's service that holds these logs. The peers of a host are the
 //! other hosts of the fleet; in each zone one host, the relay, reads the store for the others.
 
+mod blocklist;
 mod callers;
 mod clock;
 mod config;
--- a/crates/gateway/src/peers/gossip_task.rs
+++ b/crates/gateway/src/peers/gossip_task.rs
@@ -1,8 +1,11 @@
 use {
     super::peer_state::PeerState,
-    crate::{endpoints::Directory, telemetry::event},
-    mango_wire::{decode_bounded, encode_bounded},
-    std::{rc::Rc, time::Duration},
+    crate::{blocklist::SharedBlocklist, endpoints::Directory, telemetry::event},
+    mango_wire::{
+        decode_bounded, encode_bounded,
+        gossip::{GossipMessage, PartReport},
+    },
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::UdpSocket,
         time::{MissedTickBehavior, interval, sleep},
@@ -18,40 +21,65 @@
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
+/// What is exchanged with other hosts, and the socket for it.
+#[derive(Clone)]
+pub(crate) struct Gossip {
+    pub(crate) state: Rc<PeerState>,
+    pub(crate) directory: Rc<Directory>,
+    pub(crate) blocklist: Rc<SharedBlocklist>,
+    pub(crate) socket: Rc<UdpSocket>,
+}
+
 /// Sends gossip until the process ends: this host's loads to the relay or, if this host
-/// relays, the summed loads of the zone to the other hosts and zones.
-pub(crate) async fn send_gossip(
-    state: Rc<PeerState>,
-    directory: Rc<Directory>,
-    socket: Rc<UdpSocket>,
-) {
+/// relays, the summed loads of the zone to the other hosts and zones; and to the same hosts what
+/// is known of prompt parts that crash endpoints.
+pub(crate) async fn send_gossip(gossip: Gossip) {
     let mut rounds = interval(ROUND_INTERVAL);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut round = 0_u32;
     loop {
         rounds.tick().await;
         round = round.wrapping_add(1);
-        let loads = directory.loads();
-        for (address, message) in
-            state.gossip_messages(&loads, round.is_multiple_of(ROUNDS_PER_FULL_ROUND))
-        {
-            match encode_bounded(&message, MAX_DATAGRAM_BYTES) {
-                // a datagram that is lost or cannot be sent is not repeated: the next round
-                // sends newer loads
-                Ok(bytes) => drop(socket.try_send_to(&bytes, address)),
-                Err(error) => event!("gossip_too_large", "reason={:?}", error.to_string()),
+        let is_full_round = round.is_multiple_of(ROUNDS_PER_FULL_ROUND);
+        let loads = gossip.directory.loads();
+        for (address, message) in gossip.state.gossip_messages(&loads, is_full_round) {
+            send_message(&gossip.socket, &message, &[address]);
+        }
+        let parts = gossip.blocklist.update(is_full_round);
+        if !parts.is_empty() {
+            let host = gossip.state.own_host().clone();
+            let message = GossipMessage::PartReport(PartReport { host, parts });
+            let targets = gossip.state.part_report_targets(is_full_round);
+            send_message(&gossip.socket, &message, &targets);
+        }
+    }
+}
+
+/// Sends one datagram to each target. One that is lost or cannot be sent is not repeated: the next
+/// round sends newer values.
+fn send_message(socket: &UdpSocket, message: &GossipMessage, targets: &[SocketAddr]) {
+    match encode_bounded(message, MAX_DATAGRAM_BYTES) {
+        Ok(bytes) => {
+            for address in targets {
+                drop(socket.try_send_to(&bytes, *address));
             }
         }
+        Err(error) => event!("gossip_too_large", "reason={:?}", error.to_string()),
     }
 }
 
 /// Receives gossip datagrams of other hosts until the process ends.
-pub(crate) async fn receive_gossip(state: Rc<PeerState>, socket: Rc<UdpSocket>) {
+pub(crate) async fn receive_gossip(gossip: Gossip) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        match socket.recv_from(&mut buffer).await {
+        match gossip.socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match decode_bounded(&buffer[..length], MAX_DATAGRAM_BYTES) {
-                Ok(message) => state.receive(message),
+                Ok(message) => {
+                    if let GossipMessage::PartReport(report) = &message {
+                        gossip.blocklist.merge(&report.parts);
+                    }
+                    gossip.state.receive(message);
+                }
                 Err(error) => {
                     event!("gossip_unreadable", "from={from} reason={:?}", error.to_string());
                 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -23,7 +23,7 @@
 pub(crate) use {
     announcer::announce,
     followed_relay::RelayedFeedStatus,
-    gossip_task::{receive_gossip, send_gossip},
+    gossip_task::{Gossip, receive_gossip, send_gossip},
     load_sums::endpoint_hash,
     peer_state::{FeedKind, MaxConfirmationAges, PeerState},
     published_feed::{PublishedFeed, encode_changes},
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -136,6 +136,7 @@
             GossipMessage::LoadReport(report) => &report.host,
             GossipMessage::RelayStatus(status) => &status.host,
             GossipMessage::ZoneLoads(zone) => &zone.host,
+            GossipMessage::PartReport(report) => &report.host,
         };
         if host.host_id == self.own_host.host_id {
             return;
@@ -335,19 +336,38 @@
         }
     }
 
+    /// Returns the relay, or the hosts that may be the relay.
+    fn report_targets(&self, is_full_round: bool) -> Vec<SocketAddr> {
+        let relay = self.relay.borrow();
+        let followed =
+            relay.as_ref().filter(|followed| followed.received_at.elapsed() <= RELAY_TIMEOUT);
+        match followed {
+            Some(followed) => vec![followed.gossip_address],
+            None => self.hosts.borrow().report_targets(&self.own_host.zone, is_full_round),
+        }
+    }
+
+    /// Returns the hosts to which this host reports prompt parts: its relay or, if this host
+    /// relays, the hosts of its zone and the relays of the others.
+    pub(super) fn part_report_targets(&self, is_full_round: bool) -> Vec<SocketAddr> {
+        if !self.is_relay() {
+            return self.report_targets(is_full_round);
+        }
+        let hosts = self.hosts.borrow();
+        let zone = &self.own_host.zone;
+        let in_zone = hosts.status_targets(zone, is_full_round, Instant::now());
+        let mut targets = hosts.other_zone_relays(zone, is_full_round);
+        targets.extend(in_zone.iter().map(|target| target.address));
+        targets
+    }
+
     /// Returns the load report of this host, for the relay or the hosts that may be the relay.
     fn report_messages(
         &self,
         own_loads: &[EndpointLoad],
         is_full_round: bool,
     ) -> Vec<(SocketAddr, GossipMessage)> {
-        let relay = self.relay.borrow();
-        let followed =
-            relay.as_ref().filter(|followed| followed.received_at.elapsed() <= RELAY_TIMEOUT);
-        let targets = match followed {
-            Some(followed) => vec![followed.gossip_address],
-            None => self.hosts.borrow().report_targets(&self.own_host.zone, is_full_round),
-        };
+        let targets = self.report_targets(is_full_round);
         let report = LoadReport {
             host: self.own_host.clone(),
             sent_at_ms: self.report_clock_offset + BootInstant::now().as_millis(),
--- a/crates/gateway/src/server/explain.rs
+++ b/crates/gateway/src/server/explain.rs
@@ -1,6 +1,7 @@
 use {
     super::gateway::Gateway,
     crate::{
+        blocklist::PartKey,
         callers::{PromptPrefix, Protocol},
         config::Route,
         dispatch::{AttemptedEndpoints, with_candidates},
@@ -16,6 +17,8 @@
     /// Hash and length of the prompt's prefix, as in the `prefix` and `shared_tokens` fields of
     /// `request_placed` events in the log.
     pub(super) prefix: Option<PromptPrefix>,
+    /// Shared parts of the prompt, as in the `parts` field of `send_failed` events.
+    pub(super) parts: Vec<PartKey>,
 }
 
 /// Returns the route of a request and, for each service of the route, the endpoint that this
@@ -43,6 +46,11 @@
         "route": route_json(route),
         "needs_key": config.requires_api_key() && !route.is_anonymous_allowed,
         "services": shares,
+        "prompt_parts": request
+            .parts
+            .iter()
+            .map(|part| gateway.blocklist.explain(*part))
+            .collect::<Vec<_>>(),
     })
 }
 
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -1,9 +1,11 @@
 use {
     super::stop_state::StopState,
     crate::{
+        blocklist::SharedBlocklist,
         callers::Protocol,
         clock::BootInstant,
         config::{CallerLimits, ConfigState},
+        dispatch::CrashChecks,
         endpoints::{Directory, IdleLimit},
         memory::BytePool,
         peers::{MaxConfirmationAges, PeerState},
@@ -45,6 +47,10 @@
     pub(crate) permits: Permits,
     /// Start of the process, from which on its part of the retry allowance accrues.
     started_at: Instant,
+    /// The prompt parts that crash endpoints.
+    pub(crate) blocklist: Rc<SharedBlocklist>,
+    /// Endpoints that are being checked for a crash.
+    pub(crate) crash_checks: Rc<CrashChecks>,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
     /// Limits on the idle time of connections to endpoints, by service.
@@ -65,7 +71,11 @@
             max_confirmation_ages(&settings.bounds),
         ));
         let directory = Rc::<Directory>::default();
+        let metrics = Rc::new(GatewayMetrics::new());
+        let blocklist = SharedBlocklist::new(&settings.host, directory.clone(), metrics.clone());
         Gateway {
+            blocklist: Rc::new(blocklist),
+            crash_checks: Rc::default(),
             permits: Permits::new(directory.clone(), peers.clone()),
             directory,
             peers,
@@ -74,7 +84,7 @@
             protocol,
             settings,
             config: Rc::new(ConfigState::new(max_age)),
-            metrics: Rc::new(GatewayMetrics::new()),
+            metrics,
             stop: StopState::new(),
             started_at: Instant::now(),
             retry_budgets: RefCell::default(),
--- a/crates/gateway/src/server/internal_server.rs
+++ b/crates/gateway/src/server/internal_server.rs
@@ -100,8 +100,8 @@
     }
 }
 
-/// Explains the request in the query: `host=NAME&path=PATH` and optionally `&prefix=HASH`, in
-/// hexadecimal.
+/// Explains the request in the query: `host=NAME&path=PATH` and optionally `&prefix=HASH` and
+/// `&parts=HASH,HASH`, in hexadecimal.
 fn explain_response<P: Protocol>(gateway: &Gateway<P>, query: &str) -> (&'static str, Vec<u8>) {
     let decode = |text| percent_decode_str(text).decode_utf8_lossy();
     let pairs: Vec<_> = query
@@ -117,7 +117,9 @@
     let prefix_hash = value("prefix").and_then(|hash| u64::from_str_radix(hash, 16).ok());
     let shared_tokens = value("shared_tokens").and_then(|tokens| tokens.parse().ok()).unwrap_or(0);
     let prefix = prefix_hash.map(|hash| PromptPrefix { hash, shared_tokens });
-    let request = ExplainRequest { host_name, path, prefix };
+    let parts = value("parts").unwrap_or_default().split(',');
+    let parts = parts.filter_map(|hash| u64::from_str_radix(hash, 16).ok()).collect();
+    let request = ExplainRequest { host_name, path, prefix, parts };
     (OK, explain(gateway, &request).to_string().into_bytes())
 }
 
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -9,7 +9,7 @@
         config::RoutingConfig,
         endpoints::EndpointRecord,
         followers::{ConfigSink, EndpointSink, Follower, RecordDecoder, RecordFeed},
-        peers::{HostRegistry, announce, receive_gossip, send_gossip},
+        peers::{Gossip, HostRegistry, announce, receive_gossip, send_gossip},
         settings::{GatewaySettings, load_settings},
         telemetry::{event, start_logging},
     },
@@ -93,8 +93,14 @@
     spawn_followers(&gateway, adapters.config, adapters.endpoints);
     spawn_local(announce(adapters.registry, gateway.peers.clone()));
     let gossip_socket = listeners.gossip;
-    spawn_local(receive_gossip(gateway.peers.clone(), gossip_socket.clone()));
-    spawn_local(send_gossip(gateway.peers.clone(), gateway.directory.clone(), gossip_socket));
+    let gossip = Gossip {
+        state: gateway.peers.clone(),
+        directory: gateway.directory.clone(),
+        blocklist: gateway.blocklist.clone(),
+        socket: gossip_socket,
+    };
+    spawn_local(receive_gossip(gossip.clone()));
+    spawn_local(send_gossip(gossip));
     spawn_local(serve_internal(gateway.clone(), listeners.ready));
     spawn_local(serve_internal(gateway.clone(), listeners.side));
     if let Some(metrics) = listeners.metrics {
--- a/crates/gateway/src/server/state_dump.rs
+++ b/crates/gateway/src/server/state_dump.rs
@@ -38,6 +38,7 @@
             "hosts_sharing_limits": peers.hosts_sharing_limits(),
         },
         "services": gateway.service_states(),
+        "prompt_parts": gateway.blocklist.state(),
         "endpoints": endpoints,
     })
 }
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -46,6 +46,11 @@
     pub(crate) result: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct BeliefLabels {
+    pub(crate) change: &'static str,
+}
+
 /// Prometheus metrics of the process.
 pub(crate) struct GatewayMetrics {
     registry: Registry,
@@ -56,8 +61,10 @@
     latency_seconds: Family<KindLabels, Histogram>,
     wait_seconds: Histogram,
     store_calls: Family<FeedLabels, Counter>,
+    belief_changes: Family<BeliefLabels, Counter>,
     pub(crate) new_endpoint_connections: Counter,
     pub(crate) refused_retries: Counter,
+    pub(crate) blocked_parts: Gauge,
     pub(crate) caller_connections: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) config_confirmation_age_ms: Gauge,
@@ -79,8 +86,10 @@
             }),
             wait_seconds: Histogram::new(exponential_buckets(0.004, 2.0, 12)),
             store_calls: Family::default(),
+            belief_changes: Family::default(),
             new_endpoint_connections: Counter::default(),
             refused_retries: Counter::default(),
+            blocked_parts: Gauge::default(),
             caller_connections: Gauge::default(),
             config_version: Gauge::default(),
             config_confirmation_age_ms: Gauge::default(),
@@ -130,6 +139,16 @@
             "Retries that the retry budget did not allow",
             self.refused_retries.clone(),
         );
+        registry.register(
+            "blocked_parts",
+            "Prompt parts whose requests are refused, since they crash endpoints",
+            self.blocked_parts.clone(),
+        );
+        registry.register(
+            "part_belief_changes",
+            "Changes of belief about prompt parts that may crash endpoints",
+            self.belief_changes.clone(),
+        );
         registry.register(
             "caller_connections",
             "Open connections from callers",
@@ -205,6 +224,11 @@
         self.store_calls.get_or_create(&FeedLabels { feed, result }).inc();
     }
 
+    /// Counts a change of belief about a prompt part.
+    pub(crate) fn count_belief_change(&self, change: &'static str) {
+        self.belief_changes.get_or_create(&BeliefLabels { change }).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> Result<String, fmt::Error> {
         let mut text = String::new();
--- a/crates/router/src/dispatch/refusal.rs
+++ b/crates/router/src/dispatch/refusal.rs
@@ -89,7 +89,8 @@
         | Reason::QueueFull
         | Reason::NoCapacity
         | Reason::OwnerUnavailable
-        | Reason::LogUnavailable => 503,
+        | Reason::LogUnavailable
+        | Reason::PartBlocked => 503,
         Reason::Deadline if verdict == Verdict::NotRun => 503,
         Reason::Deadline | Reason::EndpointStalled => 504,
         Reason::EndpointUnreachable
--- a/crates/wire/src/reason.rs
+++ b/crates/wire/src/reason.rs
@@ -38,4 +38,6 @@
     /// The request ran before, but its answer was too large to keep for repeats.
     OutcomeNotKept,
     LogUnavailable,
+    /// A part of the prompt crashes the endpoints that begin a response to it.
+    PartBlocked,
 }
