End a stream that broke off when the next engine answers with an error

Callers found the head and the text of a status below 500 in the middle of their stream. Cause: only 5xx answers counted as failures of a send; the others were forwarded as a whole answer, also after a stream had begun. Class: a state of the answer to the caller that one of several paths does not look at. Any answer but a stream now counts as a failed send once the stream has begun, and the stream ends without its end.

Evidence: misleading::an_error_of_the_next_engine (302, 404, 429, 500, 503) failed before with the head of the 302 in the stream, and passes.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -82,6 +82,10 @@
     }
     let body = read_full_body(&mut call, head.framing).await?;
     call.finish();
+    if progress.has_started {
+        // the caller has a part of a stream, to which this is no continuation
+        return Err(SendFailure::new(SendOutcome::Failed, FailureCause::FailedStatus));
+    }
     if request.route.kind != RequestKind::Streaming {
         endpoint
             .update_health(|health| health.record_response(started_at.elapsed(), Instant::now()));
