Believe a refusal without an ID only on a new connection

A booking ran at two endpoints, or its caller was told 'not run' while it was running: an endpoint wrote an earlier refusal once more on a kept connection. Cause: a refusal without a request ID was taken for the answer to the request that was waiting. Class: an answer that is matched by its place on a connection. On a connection that had earlier requests, a refusal now has to name the request; else the send may have run.

Evidence: misleading::a_refusal_that_is_sent_again ran a booking twice before and passes, with a missing ID and that of the earlier request.

--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -139,10 +139,11 @@
         for _ in 0..=MAX_STALE_RESPONSES {
             let head = self.read_next_head(method).await?;
             let meta = protocol.parse_response_meta(&head);
-            // a refusal may lack the request ID; every other response must have it
+            // a refusal may lack the request ID; every other response must have it. On a connection
+            // that had earlier requests, it may be one of theirs that is sent again
             let is_for_this_request = match &meta.request_id {
                 Some(id) => **id == *request_id,
-                None => meta.is_not_run,
+                None => meta.is_not_run && self.idle_time.is_none(),
             };
             if is_for_this_request {
                 self.is_reusable &= head.keep_alive;
