Split the parts of a request and the size of the fleet from larger files

What concerns the prompt parts of one request is in RequestParts; a reported number of hosts that is held for a while, which stood twice, is HeldMaximum, used by FleetSize. No behaviour changes.

--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -2,12 +2,12 @@
     super::{
         attempt::{Delivery, Target, attempt},
         candidates::{AttemptedEndpoints, Candidates, with_candidates},
-        crash_checks::{BrokenRequest, CrashChecks},
         failure::{FailureCause, SendFailure},
+        request_parts::RequestParts,
         stream_progress::StreamProgress,
     },
     crate::{
-        blocklist::{BlockedPart, PartKey},
+        blocklist::BlockedPart,
         callers::{AdmittedRequest, CallerSink, Protocol, Refusal, recheck_api_key, with_jitter},
         clock::BootInstant,
         endpoints::{Endpoint, EndpointId},
@@ -66,8 +66,7 @@
     failed_response: Option<(ResponseHead, Vec<u8>)>,
     last_cause: Option<FailureCause>,
     permit: Option<Rc<Permit>>,
-    /// Whether the request finds out if a blocked prompt part still crashes endpoints.
-    is_probe: bool,
+    parts: RequestParts<'a>,
     /// Time for which the request waited for a permit.
     wait: Duration,
     /// Outcome of the request in metrics and in the log.
@@ -90,7 +89,7 @@
             failed_response: None,
             last_cause: None,
             permit: None,
-            is_probe: false,
+            parts: RequestParts::new(request),
             wait: Duration::ZERO,
             outcome: "unfinished",
             status: 0,
@@ -100,7 +99,8 @@
     /// Sends the request until a response is forwarded or the request is given up. Returns
     /// whether the caller's connection may carry another request.
     async fn respond(&mut self, sink: &mut CallerSink<'_, P>) -> bool {
-        if let Err(refusal) = self.admit_parts() {
+        if let Err(blocked) = self.parts.admit(self.gateway) {
+            let refusal = self.refuse_part(blocked);
             return self.give_up(sink, refusal).await;
         }
         let permit = match self.wait_for_permit().await {
@@ -177,24 +177,10 @@
             &self.request.caller,
             self.request.team.is_some(),
         )?;
-        // a probe is sent once
-        if self.is_probe && self.tried.is_empty() {
-            return Ok(());
-        }
-        let team = self.request.team_hash();
-        let recheck = self.gateway.blocklist.recheck(&self.request.part_keys, team);
+        let recheck = self.parts.recheck(self.gateway, self.tried.is_empty());
         recheck.map_err(|blocked| self.refuse_part(blocked))
     }
 
-    /// Refuses the request if a part of its prompt is known to crash endpoints.
-    fn admit_parts(&mut self) -> Result<(), Refusal> {
-        let fleet_hosts = self.gateway.peers.hosts_sharing_limits().unwrap_or(u32::MAX);
-        let (parts, team) = (&self.request.part_keys, self.request.team_hash());
-        let admitted = self.gateway.blocklist.admit(parts, team, fleet_hosts);
-        self.is_probe = admitted.map_err(|blocked| self.refuse_part(blocked))?.is_probe;
-        Ok(())
-    }
-
     /// The refusal of a request whose prompt has a part that crashes endpoints.
     fn refuse_part(&self, blocked: BlockedPart) -> Refusal {
         event!("part_refused", "id={} part={:016x}", self.request.caller.id, blocked.part);
@@ -202,20 +188,6 @@
         Refusal::unavailable(Reason::PartBlocked, left.max(MEAN_RETRY_AFTER))
     }
 
-    /// Has the endpoint of a broken send checked for a crash, unless the request had begun its
-    /// response: then it is not to blame.
-    fn check_for_crash(&self, cause: FailureCause, endpoint: &Rc<Endpoint>) {
-        let is_broken = matches!(cause, FailureCause::ConnectionBroken | FailureCause::Truncated);
-        let has_begun = self.progress.has_begun_send || self.progress.has_started;
-        if !is_broken || has_begun || self.request.part_keys.is_empty() {
-            return;
-        }
-        let parts = self.request.part_keys.clone();
-        let broken = BrokenRequest { parts, team: self.request.team_hash() };
-        let Gateway { crash_checks, blocklist, .. } = self.gateway;
-        CrashChecks::add(crash_checks, broken, endpoint, blocklist);
-    }
-
     /// Chooses the endpoint of the next send and the address from which it may fetch the cache of
     /// the prompt's prefix.
     fn choose(&self) -> Option<(Rc<Endpoint>, Option<SocketAddr>)> {
@@ -302,7 +274,7 @@
         if outcome == SendOutcome::NotRun {
             self.refused_by.push(endpoint.record.borrow().id.clone());
         }
-        self.check_for_crash(cause, endpoint);
+        self.parts.check_for_crash(self.gateway, cause, &self.progress, endpoint);
         self.history.record(outcome);
         self.last_cause = Some(cause);
         if response.is_some() {
@@ -315,9 +287,7 @@
         let step = next_step(&policy, &self.history, outcome);
         let continues = match step {
             NextStep::Reconnect => true,
-            NextStep::Repeat if self.gateway.blocklist.is_suspicious(&self.request.part_keys) => {
-                false
-            }
+            NextStep::Repeat if self.parts.are_suspicious(self.gateway) => false,
             NextStep::Repeat => self.gateway.take_retry(&self.request.service),
             NextStep::GiveUp => false,
         };
@@ -329,7 +299,7 @@
             endpoint.record.borrow().id,
             self.history.possible_runs,
             self.progress.has_begun_send,
-            part_list(&self.request.part_keys),
+            self.parts,
             self.request.elapsed().as_millis(),
             self.gateway.describe_retry_budget(&self.request.service)
         );
@@ -401,9 +371,3 @@
         );
     }
 }
-
-/// The shared parts of a prompt for the log.
-fn part_list(parts: &[PartKey]) -> String {
-    let names: Vec<String> = parts.iter().map(|part| format!("{part:016x}")).collect();
-    if names.is_empty() { "-".to_owned() } else { names.join(",") }
-}
--- a/crates/gateway/src/peers/fleet_size.rs
+++ b/crates/gateway/src/peers/fleet_size.rs
@@ -1,22 +1,40 @@
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
+use {
+    super::held_maximum::HeldMaximum,
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
 };
 
+/// How long a reported number of hosts is held before a lower one replaces it: a relay that has not
+/// yet received the loads of the other zones counts too few hosts.
+const REPORT_HOLD_TIME: Duration = Duration::from_secs(20);
+
 /// How long a host counts after it was last heard of, and a reported number of hosts after the
 /// report: two parts of a fleet that cannot reach each other for this long each count the other.
 const COUNTED_TIME: Duration = Duration::from_secs(3_600);
 
-/// Number of hosts among which a limit of the whole fleet is divided. Counts too many hosts
-/// rather than too few: those of the registry, whether they run or not, and those heard of since.
-#[derive(Debug, Default)]
+/// The number of hosts of the fleet, as far as this host knows.
+#[derive(Debug)]
 pub(super) struct FleetSize {
     registry_was_read: bool,
     /// Until when a host counts, by its id.
     counted_until: HashMap<Box<str>, Instant>,
-    /// Largest number of hosts in a recent report of a relay.
-    reported_hosts: u32,
-    reported_until: Option<Instant>,
+    /// Number of hosts that a relay counts lately.
+    reporting: HeldMaximum,
+    /// Largest number of hosts that a relay counted in a long time.
+    ever_reporting: HeldMaximum,
+}
+
+impl Default for FleetSize {
+    fn default() -> FleetSize {
+        FleetSize {
+            registry_was_read: false,
+            counted_until: HashMap::new(),
+            reporting: HeldMaximum::new(REPORT_HOLD_TIME),
+            ever_reporting: HeldMaximum::new(COUNTED_TIME),
+        }
+    }
 }
 
 impl FleetSize {
@@ -35,11 +53,8 @@
 
     /// Records the number of hosts that a relay counts, this host included.
     pub(super) fn record_report(&mut self, hosts: u32, now: Instant) {
-        let is_held = self.reported_until.is_some_and(|until| now <= until);
-        if !is_held || hosts >= self.reported_hosts {
-            self.reported_hosts = hosts;
-            self.reported_until = Some(now + COUNTED_TIME);
-        }
+        self.reporting.record(hosts, now);
+        self.ever_reporting.record(hosts, now);
     }
 
     /// Removes the hosts that no longer count.
@@ -47,10 +62,16 @@
         self.counted_until.retain(|_, until| now <= *until);
     }
 
-    /// The number of hosts, this one included; `None` until the registry was read, since the
-    /// hosts that were heard of may be few of many.
-    pub(super) fn hosts(&self) -> Option<u32> {
+    /// Hosts that report to relays, this one included; 0 while it is unknown.
+    pub(super) fn reporting_hosts(&self) -> u32 {
+        self.reporting.value()
+    }
+
+    /// Hosts among which a limit of the whole fleet is divided, this one included. Counts too many
+    /// rather than too few: those of the registry, whether they run or not, and those heard of
+    /// since. `None` until the registry was read: the hosts heard of may be few of many.
+    pub(super) fn hosts_sharing_limits(&self) -> Option<u32> {
         let counted = self.counted_until.len() as u32 + 1;
-        self.registry_was_read.then_some(counted.max(self.reported_hosts))
+        self.registry_was_read.then_some(counted.max(self.ever_reporting.value()))
     }
 }
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -41,9 +41,6 @@
     pub(crate) endpoints: Duration,
 }
 
-/// How long a reported number of hosts is held before a lower one replaces it.
-const FLEET_HOSTS_HOLD_TIME: Duration = Duration::from_secs(20);
-
 /// State that this host received from its peers and state that it sends to them.
 pub(crate) struct PeerState {
     own_host: HostRecord,
@@ -64,10 +61,6 @@
     /// Requests in flight from other hosts, by endpoint.
     other_loads: RefCell<LoadSums>,
     other_loads_updated_at: Cell<Option<Instant>>,
-    /// Largest number of hosts reported recently: a relay that has not yet received the
-    /// loads of the other zones counts too few hosts.
-    fleet_hosts: Cell<u32>,
-    fleet_hosts_held_until: Cell<Instant>,
     fleet_size: RefCell<FleetSize>,
     prefix_uses: RefCell<PrefixUses>,
     pub(crate) config_feed: RefCell<PublishedFeed>,
@@ -91,8 +84,6 @@
             is_stopping: Cell::new(false),
             other_loads: RefCell::default(),
             other_loads_updated_at: Cell::new(None),
-            fleet_hosts: Cell::new(0),
-            fleet_hosts_held_until: Cell::new(Instant::now()),
             fleet_size: RefCell::default(),
             prefix_uses: RefCell::default(),
             config_feed: RefCell::default(),
@@ -218,11 +209,6 @@
         self.other_loads.replace(sums);
         self.other_loads_updated_at.set(Some(now));
         self.fleet_size.borrow_mut().record_report(fleet_hosts, now);
-        let is_not_smaller = fleet_hosts >= self.fleet_hosts.get();
-        if is_not_smaller || now > self.fleet_hosts_held_until.get() {
-            self.fleet_hosts.set(fleet_hosts);
-            self.fleet_hosts_held_until.set(now + FLEET_HOSTS_HOLD_TIME);
-        }
     }
 
     /// Returns the state of a log according to the relay. None if its confirmation is too old
@@ -288,13 +274,13 @@
     /// Returns the number of hosts of the fleet that report, including this host; 0 while
     /// it is unknown.
     pub(crate) fn fleet_hosts(&self) -> u32 {
-        self.fleet_hosts.get()
+        self.fleet_size.borrow().reporting_hosts()
     }
 
     /// Returns the number of hosts among which limits of the whole fleet are divided, this one
     /// included; `None` until the registry was read.
     pub(crate) fn hosts_sharing_limits(&self) -> Option<u32> {
-        self.fleet_size.borrow().hosts()
+        self.fleet_size.borrow().hosts_sharing_limits()
     }
 
     /// Decides whether this host relays and logs a change. Returns the decision.
