Date a block by its last crash, so that an answer after it voids the block anywhere

Found by reading: a block was dated by the decision of each host. A host that decided before it heard of an answer kept the block, though the answer came after all crashes, and hosts that had heard of the answer adopted it. The new test fails with the decision's time. Decisions read the explained crashes once.

--- a/crates/gateway/src/blocklist/block.rs
+++ b/crates/gateway/src/blocklist/block.rs
@@ -15,8 +15,8 @@
 /// A decision to refuse the requests with a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Block {
-    /// When it was decided, or the last crash after that.
-    pub(super) decided_at: Instant,
+    /// The last crash for which the part is blamed. It lasts for a while after that.
+    pub(super) last_crash_at: Instant,
     /// How strong the evidence is. It rises with each crash in the probation.
     pub(super) level: u32,
     /// The only team whose requests are refused; `None` for all teams.
@@ -24,7 +24,8 @@
 }
 
 /// What a block means for a request now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub(super) enum BlockPhase {
     /// All requests are refused.
     Closed { until: Instant },
@@ -41,7 +42,7 @@
     }
 
     pub(super) fn phase(&self, now: Instant) -> BlockPhase {
-        let closed_until = self.decided_at + BLOCK_TIME * 2_u32.pow(self.level.min(MAX_LEVEL));
+        let closed_until = self.last_crash_at + BLOCK_TIME * 2_u32.pow(self.level.min(MAX_LEVEL));
         if now < closed_until {
             return BlockPhase::Closed { until: closed_until };
         }
@@ -56,13 +57,23 @@
     pub(super) fn merge(self, other: Block) -> Block {
         let team = if self.team == other.team { self.team } else { None };
         Block {
-            decided_at: self.decided_at.max(other.decided_at),
+            last_crash_at: self.last_crash_at.max(other.last_crash_at),
             level: self.level.max(other.level),
             team,
         }
     }
 }
 
+impl BlockPhase {
+    /// When the phase ends, or a round of it; `None` if it is over.
+    pub(super) fn until(self) -> Option<Instant> {
+        match self {
+            BlockPhase::Closed { until } | BlockPhase::Probation { until, .. } => Some(until),
+            BlockPhase::Over => None,
+        }
+    }
+}
+
 /// Whether a host may send a request in a round of the probation. On average one host may in the
 /// first round, two in the second and so on, without an agreement between them.
 pub(super) fn may_probe(part: PartKey, round: u32, host_hash: u64, fleet_hosts: u32) -> bool {
--- a/crates/gateway/src/blocklist/part_blocklist.rs
+++ b/crates/gateway/src/blocklist/part_blocklist.rs
@@ -23,8 +23,8 @@
     BlockRule { events: 5, settling_time: Duration::from_millis(1_200), level: 0 };
 /// Crashes after which a request is not sent again, if all its parts have as many.
 const SUSPICIOUS_EVENTS: usize = 2;
-/// Difference of the times of one decision at two hosts, due to the delay of messages.
-const DECISION_SKEW: Duration = Duration::from_millis(700);
+/// Difference of the time of one crash at two hosts, due to the delay of messages, at most.
+const MESSAGE_DELAY: Duration = Duration::from_millis(700);
 /// When a part is blocked.
 struct BlockRule {
     /// Crashes after which a part is blocked.
@@ -110,12 +110,12 @@
             block.team = None;
             self.changes.push((part, BeliefChange::Widened));
         }
-        if crash.at > block.decided_at {
+        if crash.at > block.last_crash_at {
             if !matches!(block.phase(crash.at), BlockPhase::Closed { .. }) {
                 block.level += 1;
                 self.changes.push((part, BeliefChange::Blocked));
             }
-            block.decided_at = crash.at;
+            block.last_crash_at = crash.at;
         }
     }
 
@@ -159,7 +159,7 @@
 
     fn adopt_block(&mut self, part: PartKey, depth: u32, block: Block, now: Instant) {
         let record = self.records.get_or_add(part, depth, now);
-        let is_cleared = record.sound_at.is_some_and(|at| at >= block.decided_at);
+        let is_cleared = record.sound_at.is_some_and(|at| at >= block.last_crash_at);
         if is_cleared || block.phase(now) == BlockPhase::Over {
             return;
         }
@@ -169,11 +169,10 @@
         } else if record.block.is_some_and(|own| own.team != merged.team) {
             self.changes.push((part, BeliefChange::Widened));
         }
-        // the times of one decision differ by the delay of the messages
         let is_news = record.block.is_none_or(|own| {
             own.team != merged.team
                 || own.level != merged.level
-                || merged.decided_at.saturating_duration_since(own.decided_at) > DECISION_SKEW
+                || merged.last_crash_at.saturating_duration_since(own.last_crash_at) > MESSAGE_DELAY
         });
         if is_news {
             record.block = Some(merged);
@@ -194,8 +193,8 @@
         candidates.sort_unstable_by_key(|(part, depth, crashes)| {
             (Reverse(*depth), Reverse(*crashes), *part)
         });
+        let mut explained = self.explained_crashes();
         for (part, ..) in candidates {
-            let explained = self.explained_crashes();
             let Some(record) = self.records.get_mut(part) else { continue };
             let events = record.unexplained_events(&explained);
             let rule = if record.sound_at.is_some() { OF_SOUND_PARTS } else { OF_NEW_PARTS };
@@ -203,9 +202,11 @@
                 .time_of(rule.events - 1)
                 .is_some_and(|at| now.saturating_duration_since(at) >= rule.settling_time);
             if is_settled {
-                let team = events.only_team();
-                record.block = Some(Block { decided_at: now, level: rule.level, team });
+                let last_crash_at = record.crashes.last().map_or(now, |crash| crash.at);
+                let (level, team) = (rule.level, events.only_team());
+                record.block = Some(Block { last_crash_at, level, team });
                 record.changed_at = now;
+                explained.extend_from_slice(&record.crashes);
                 self.changes.push((part, BeliefChange::Blocked));
             }
         }
@@ -239,14 +240,10 @@
     ) -> Result<Pass, BlockedPart> {
         let mut pass = Pass::default();
         for part in parts {
-            let Some((round, until)) = self.refusal(*part, team, now) else { continue };
-            let has_probed = round.is_some() && self.probes.get(part) == round.as_ref();
-            let may_probe =
-                round.is_some_and(|round| may_probe(*part, round, host_hash, fleet_hosts));
-            if has_probed || !may_probe {
-                return Err(BlockedPart { part: *part, until });
+            let Some(phase) = self.refusing_phase(*part, team, now) else { continue };
+            if !self.takes_probe(*part, phase, host_hash, fleet_hosts) {
+                return Err(BlockedPart { part: *part, until: phase.until().unwrap_or(now) });
             }
-            self.probes.extend(round.map(|round| (*part, round)));
             pass.is_probe = true;
         }
         Ok(pass)
@@ -260,30 +257,36 @@
         now: Instant,
     ) -> Result<(), BlockedPart> {
         for part in parts {
-            if let Some((_, until)) = self.refusal(*part, team, now) {
-                return Err(BlockedPart { part: *part, until });
+            if let Some(phase) = self.refusing_phase(*part, team, now) {
+                return Err(BlockedPart { part: *part, until: phase.until().unwrap_or(now) });
             }
         }
         Ok(())
     }
 
-    /// The round of the probation, if it has begun, and when the block or the round ends; `None`
-    /// if the part is not blocked for the team.
-    fn refusal(
-        &self,
-        part: PartKey,
-        team: TeamHash,
-        now: Instant,
-    ) -> Option<(Option<u32>, Instant)> {
+    /// The phase of the block of a part; `None` if it is not blocked for the team.
+    fn refusing_phase(&self, part: PartKey, team: TeamHash, now: Instant) -> Option<BlockPhase> {
         let block = self.records.get(part)?.block?;
-        if !block.applies_to(team) {
-            return None;
-        }
-        match block.phase(now) {
-            BlockPhase::Closed { until } => Some((None, until)),
-            BlockPhase::Probation { round, until } => Some((Some(round), until)),
-            BlockPhase::Over => None,
+        let phase = block.phase(now);
+        (block.applies_to(team) && phase != BlockPhase::Over).then_some(phase)
+    }
+
+    /// Whether this host sends a request with a blocked part now: one in a round, if it is its
+    /// turn.
+    fn takes_probe(
+        &mut self,
+        part: PartKey,
+        phase: BlockPhase,
+        host_hash: u64,
+        fleet_hosts: u32,
+    ) -> bool {
+        let BlockPhase::Probation { round, .. } = phase else { return false };
+        let has_probed = self.probes.get(&part) == Some(&round);
+        if has_probed || !may_probe(part, round, host_hash, fleet_hosts) {
+            return false;
         }
+        self.probes.insert(part, round);
+        true
     }
 
     fn expire(&mut self, now: Instant) {
--- a/crates/gateway/src/blocklist/part_record.rs
+++ b/crates/gateway/src/blocklist/part_record.rs
@@ -57,7 +57,7 @@
     pub(super) fn add_response(&mut self, at: Instant, now: Instant) -> bool {
         let crashes_before = self.crashes.len();
         self.crashes.retain(|crash| crash.at > at);
-        let had_block = self.block.take_if(|block| block.decided_at <= at).is_some();
+        let had_block = self.block.take_if(|block| block.last_crash_at <= at).is_some();
         let has_changed = had_block || self.crashes.len() < crashes_before;
         if has_changed {
             self.sound_at = self.sound_at.max(Some(at));
--- a/crates/gateway/src/blocklist/recent_responses.rs
+++ b/crates/gateway/src/blocklist/recent_responses.rs
@@ -16,9 +16,12 @@
 pub(super) struct RecentResponses(HashMap<PartKey, Instant>);
 
 impl RecentResponses {
-    pub(super) fn record(&mut self, part: PartKey, now: Instant) {
-        if self.0.len() < MAX_PARTS || self.0.contains_key(&part) {
-            self.0.insert(part, now);
+    pub(super) fn record(&mut self, part: PartKey, at: Instant) {
+        let has_room = self.0.len() < MAX_PARTS;
+        match self.0.get_mut(&part) {
+            Some(last) => *last = at.max(*last),
+            None if has_room => drop(self.0.insert(part, at)),
+            None => {}
         }
     }
 
--- a/crates/gateway/src/blocklist/shared_blocklist.rs
+++ b/crates/gateway/src/blocklist/shared_blocklist.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        block::{Block, BlockPhase},
+        block::Block,
         crash::Crash,
         part_blocklist::{BeliefChange, BlockedPart, PartBlocklist, Pass},
         part_key::{PartKey, TeamHash},
@@ -165,14 +165,11 @@
 
     fn part_state(&self, part: PartKey, record: &PartRecord, now: Instant) -> Value {
         let block = record.block.map(|block| {
-            let (phase, until) = match block.phase(now) {
-                BlockPhase::Closed { until } => ("closed", until),
-                BlockPhase::Probation { until, .. } => ("probation", until),
-                BlockPhase::Over => ("over", now),
-            };
+            let phase = block.phase(now);
+            let left = phase.until().map(|until| until.saturating_duration_since(now));
             json!({
-                "phase": phase,
-                "left_ms": until.saturating_duration_since(now).as_millis(),
+                "phase": <&str>::from(phase),
+                "left_ms": left.map(|left| left.as_millis()),
                 "level": block.level,
                 "team": block.team.map(|team| format!("{team:08x}")),
             })
@@ -208,7 +205,7 @@
         crashes: record.crashes.iter().take(MAX_CRASHES_PER_PART).map(report).collect(),
         sound_age_ms: record.sound_at.map(|at| age_ms(at, now)),
         block: record.block.map(|block| PartBlock {
-            age_ms: age_ms(block.decided_at, now),
+            age_ms: age_ms(block.last_crash_at, now),
             level: block.level,
             team: block.team,
         }),
@@ -221,8 +218,8 @@
         Some(Crash { endpoint: report.endpoint, team: report.team, at })
     };
     let block = |block: &PartBlock| {
-        let decided_at = time_before(now, block.age_ms)?;
-        Some(Block { decided_at, level: block.level, team: block.team })
+        let last_crash_at = time_before(now, block.age_ms)?;
+        Some(Block { last_crash_at, level: block.level, team: block.team })
     };
     PartRecord {
         depth: evidence.depth,
--- a/crates/gateway/src/blocklist/tests.rs
+++ b/crates/gateway/src/blocklist/tests.rs
@@ -176,6 +176,24 @@
     assert!(!is_refused(&mut other, &[DEADLY], TEAM, after(cleared_at, 600)));
 }
 
+/// Guards against a block that another host decided on, before it heard of an answer that came
+/// after all crashes.
+#[test]
+fn a_block_for_crashes_before_an_answer_is_void() {
+    let start = Instant::now();
+    let (mut late, now) = blocked_list(start, &[TEAM, OTHER_TEAM, TEAM]);
+    let mut host = PartBlocklist::default();
+    // the last crash was 1,300 ms before the decision, the answer 500 ms before it
+    let answered_at = now.checked_sub(Duration::from_millis(500)).expect("a time");
+    crash(&mut host, &[FIRST, DEADLY], 2, TEAM, after(start, 600));
+    host.record_response(&[FIRST, DEADLY], answered_at);
+    let (known, decided) = (knowledge(&host), knowledge(&late));
+    tell(&mut host, &decided, now);
+    tell(&mut late, &known, now);
+    assert!(!is_refused(&mut host, &[DEADLY], TEAM, now));
+    assert!(!is_refused(&mut late, &[DEADLY], TEAM, now));
+}
+
 /// Guards against a block that does not end although the part is sound now, and against one that
 /// ends for all hosts at once although it still crashes engines.
 #[test]
@@ -199,7 +217,7 @@
 fn a_host_sends_one_request_in_a_round() {
     let (mut list, _) = blocked_list(Instant::now(), &[TEAM, OTHER_TEAM, TEAM]);
     let block = list.records().get(DEADLY).and_then(|record| record.block).expect("a block");
-    let BlockPhase::Closed { until } = block.phase(block.decided_at) else { panic!("closed") };
+    let BlockPhase::Closed { until } = block.phase(block.last_crash_at) else { panic!("closed") };
     let pass = list.admit(&[DEADLY], TEAM, HOST, 1, until).expect("the only host");
     assert!(pass.is_probe);
     assert!(list.admit(&[DEADLY], TEAM, HOST, 1, until).is_err());
@@ -215,7 +233,7 @@
 #[test]
 fn a_block_that_nobody_asks_for_is_forgotten() {
     let start = Instant::now();
-    let block = Block { decided_at: start, level: 3, team: None };
+    let block = Block { last_crash_at: start, level: 3, team: None };
     assert_eq!(block.phase(after(start, 600_000)), BlockPhase::Over);
     let (mut list, now) = blocked_list(start, &[TEAM, OTHER_TEAM, TEAM]);
     list.decide(after(now, 600_000));
