--- a/crates/gateway/src/blocklist/mod.rs
+++ b/crates/gateway/src/blocklist/mod.rs
@@ -7,6 +7,8 @@
 
 mod block;
 mod crash;
+#[cfg(test)]
+mod merge_tests;
 mod part_blocklist;
 mod part_key;
 mod part_record;
--- a/crates/gateway/src/blocklist/part_blocklist.rs
+++ b/crates/gateway/src/blocklist/part_blocklist.rs
@@ -158,7 +158,9 @@
     }
 
     fn adopt_block(&mut self, part: PartKey, depth: u32, block: Block, now: Instant) {
+        let last_response = self.responses.last(part);
         let record = self.records.get_or_add(part, depth, now);
+        record.sound_at = record.sound_at.max(last_response);
         let is_cleared = record.sound_at.is_some_and(|at| at >= block.last_crash_at);
         if is_cleared || block.phase(now) == BlockPhase::Over {
             return;
