Close a part for half a minute when it crashes an engine in its probation

A part that was sound before is closed for four seconds at first, since its engines may have been lost for another reason. A crash in its probation says otherwise; it was closed for eight seconds then and could be tried three times in half a minute.

--- a/crates/gateway/src/blocklist/part_blocklist.rs
+++ b/crates/gateway/src/blocklist/part_blocklist.rs
@@ -25,6 +25,7 @@
 const SUSPICIOUS_EVENTS: usize = 2;
 /// Difference of the time of one crash at two hosts, due to the delay of messages, at most.
 const MESSAGE_DELAY: Duration = Duration::from_millis(700);
+
 /// When a part is blocked.
 struct BlockRule {
     /// Crashes after which a part is blocked.
@@ -95,10 +96,10 @@
     }
 
     fn add_crash(&mut self, part: PartKey, depth: u32, crash: Crash, now: Instant) {
-        if self.responses.last(part).is_some_and(|at| at >= crash.at) {
+        let last_response = self.responses.last(part);
+        if last_response.is_some_and(|at| at >= crash.at) {
             return;
         }
-        let last_response = self.responses.last(part);
         let record = self.records.get_or_add(part, depth, now);
         record.sound_at = record.sound_at.max(last_response);
         if !record.add_crash(crash, now) {
@@ -112,7 +113,7 @@
         }
         if crash.at > block.last_crash_at {
             if !matches!(block.phase(crash.at), BlockPhase::Closed { .. }) {
-                block.level += 1;
+                block.level = (block.level + 1).max(OF_NEW_PARTS.level);
                 self.changes.push((part, BeliefChange::Blocked));
             }
             block.last_crash_at = crash.at;
@@ -224,9 +225,7 @@
     pub(super) fn is_suspicious(&self, parts: &[PartKey]) -> bool {
         let explained = self.explained_crashes();
         let events = |part: &PartKey| {
-            self.records
-                .get(*part)
-                .map_or(0, |record: &PartRecord| record.unexplained_events(&explained).len())
+            self.records.get(*part).map_or(0, |record| record.unexplained_events(&explained).len())
         };
         !parts.is_empty() && parts.iter().all(|part| events(part) >= SUSPICIOUS_EVENTS)
     }
--- a/crates/gateway/src/blocklist/tests.rs
+++ b/crates/gateway/src/blocklist/tests.rs
@@ -229,6 +229,26 @@
     assert!(matches!(again.phase(after(until, 40_000)), BlockPhase::Closed { .. }));
 }
 
+/// Guards against a part that was sound, crashes engines now, and is tried again every few seconds.
+#[test]
+fn a_part_that_was_sound_is_closed_for_long_after_its_probation() {
+    let start = Instant::now();
+    let mut list = PartBlocklist::default();
+    list.record_response(&[DEADLY], start);
+    let at = |number: u64| after(start, 1_000 + 300 * number);
+    for number in 0..5 {
+        crash(&mut list, &[DEADLY], number as u32, number as TeamHash, at(number));
+    }
+    list.decide(at(3));
+    assert!(!is_refused(&mut list, &[DEADLY], TEAM, at(3)), "four crashes are not enough");
+    list.decide(at(9));
+    assert!(is_refused(&mut list, &[DEADLY], TEAM, at(9)));
+    let probe_at = after(at(4), 4_100);
+    assert!(list.admit(&[DEADLY], TEAM, HOST, 1, probe_at).is_ok(), "closed for a short time");
+    crash(&mut list, &[DEADLY], 9, TEAM, probe_at);
+    assert!(list.admit(&[DEADLY], TEAM, HOST, 1, after(probe_at, 30_000)).is_err());
+}
+
 /// Guards against a block that lasts for ever when nobody asks for the part.
 #[test]
 fn a_block_that_nobody_asks_for_is_forgotten() {
