--- a/crates/gateway/src/blocklist/part_blocklist.rs
+++ b/crates/gateway/src/blocklist/part_blocklist.rs
@@ -21,8 +21,6 @@
 /// have been lost for another reason.
 const OF_SOUND_PARTS: BlockRule =
     BlockRule { events: 5, settling_time: Duration::from_millis(1_200), level: 0 };
-/// Crashes after which a request is not sent again, if all its parts have as many.
-const SUSPICIOUS_EVENTS: usize = 2;
 /// Difference of the time of one crash at two hosts, due to the delay of messages, at most.
 const MESSAGE_DELAY: Duration = Duration::from_millis(700);
 
@@ -221,15 +219,6 @@
         blocked.flat_map(|(_, record)| record.crashes.iter().copied()).collect()
     }
 
-    /// Whether a request must not be sent again after an endpoint crashed under it.
-    pub(super) fn is_suspicious(&self, parts: &[PartKey]) -> bool {
-        let explained = self.explained_crashes();
-        let events = |part: &PartKey| {
-            self.records.get(*part).map_or(0, |record| record.unexplained_events(&explained).len())
-        };
-        !parts.is_empty() && parts.iter().all(|part| events(part) >= SUSPICIOUS_EVENTS)
-    }
-
     /// Decides whether a request may be sent by this host, which is one of `fleet_hosts`.
     pub(super) fn admit(
         &mut self,
--- a/crates/gateway/src/blocklist/shared_blocklist.rs
+++ b/crates/gateway/src/blocklist/shared_blocklist.rs
@@ -57,11 +57,6 @@
         self.blocklist.borrow_mut().record_response(parts, Instant::now());
     }
 
-    /// Whether a request must not be sent again after an endpoint crashed under it.
-    pub(crate) fn is_suspicious(&self, parts: &[PartKey]) -> bool {
-        self.blocklist.borrow().is_suspicious(parts)
-    }
-
     /// Decides whether a request may be sent by this host, which is one of `fleet_hosts`.
     pub(crate) fn admit(
         &self,
--- a/crates/gateway/src/dispatch/request_parts.rs
+++ b/crates/gateway/src/dispatch/request_parts.rs
@@ -47,11 +47,6 @@
         gateway.blocklist.recheck(self.keys, self.team)
     }
 
-    /// Whether the request must not be sent again, since it may crash the next endpoint as well.
-    pub(super) fn are_suspicious<P>(&self, gateway: &Gateway<P>) -> bool {
-        gateway.blocklist.is_suspicious(self.keys)
-    }
-
     /// Has the endpoint of a broken send checked for a crash, unless the request had begun its
     /// response: then it is not to blame.
     pub(super) fn check_for_crash<P>(
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -287,7 +287,6 @@
         let step = next_step(&policy, &self.history, outcome);
         let continues = match step {
             NextStep::Reconnect => true,
-            NextStep::Repeat if self.parts.are_suspicious(self.gateway) => false,
             NextStep::Repeat => self.gateway.take_retry(&self.request.service),
             NextStep::GiveUp => false,
         };
