--- a/crates/gateway/src/blocklist/crash.rs
+++ b/crates/gateway/src/blocklist/crash.rs
@@ -55,10 +55,6 @@
         events
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.firsts.len()
-    }
-
     /// When the event with this number, from zero, happened.
     pub(super) fn time_of(&self, number: usize) -> Option<Instant> {
         self.firsts.get(number).map(|first| first.at)
