--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! The confirmation of a log is the last time at which it was known to hold no newer records.
 
 mod announcer;
+mod feed_kind;
 mod fleet_size;
 mod followed_relay;
 mod gossip_task;
@@ -17,16 +18,18 @@
 mod published_feed;
 mod relay_client;
 mod relay_election;
+mod report_clock;
 #[cfg(test)]
 mod tests;
 
 pub use host_registry::{HostRegistry, RegistryError};
 pub(crate) use {
     announcer::announce,
+    feed_kind::FeedKind,
     followed_relay::RelayedFeedStatus,
     gossip_task::{Gossip, receive_gossip, send_gossip},
     load_sums::endpoint_hash,
-    peer_state::{FeedKind, MaxConfirmationAges, PeerState},
+    peer_state::{MaxConfirmationAges, PeerState},
     published_feed::{PublishedFeed, encode_changes},
     relay_client::RelayClient,
 };
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        feed_kind::FeedKind,
         fleet_size::FleetSize,
         followed_relay::{FollowedRelay, RelayedFeedStatus},
         host_table::HostTable,
@@ -7,6 +8,7 @@
         prefix_uses::PrefixUses,
         published_feed::PublishedFeed,
         relay_election::{ElectionInputs, RELAY_TIMEOUT, rank, should_relay},
+        report_clock::ReportClock,
     },
     crate::{
         clock::BootInstant,
@@ -23,14 +25,6 @@
     tokio::sync::Notify,
 };
 
-/// The logs of the store that a relay serves to its zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub(crate) enum FeedKind {
-    Config,
-    Endpoints,
-}
-
 /// Loads of other hosts are used for this long after the last update.
 const OTHER_LOADS_LIFETIME: Duration = Duration::from_millis(1_200);
 
@@ -46,11 +40,7 @@
     own_host: HostRecord,
     own_rank: u64,
     max_ages: MaxConfirmationAges,
-    /// Random number added to the timestamps in reports, so that the echo of a report by
-    /// an earlier process of this host is not accepted.
-    report_clock_offset: u64,
-    /// Start of the process, rounded down to milliseconds like the timestamps in reports.
-    started_at: BootInstant,
+    report_clock: ReportClock,
     hosts: RefCell<HostTable>,
     relay: RefCell<Option<FollowedRelay>>,
     /// Time of the last status with a recent confirmation from a better-ranked relay;
@@ -75,8 +65,7 @@
             max_ages,
             own_rank: rank(&own_host),
             own_host,
-            report_clock_offset: rand::random::<u64>() >> 1,
-            started_at: BootInstant::from_millis(BootInstant::now().as_millis()),
+            report_clock: ReportClock::new(),
             hosts: RefCell::default(),
             relay: RefCell::default(),
             better_relay_seen_at: Cell::new(Instant::now()),
@@ -190,7 +179,7 @@
             received_at: now,
             gossip_address,
             relay_address,
-            report_sent_at: status.echo_ms.and_then(|echo_ms| self.echoed_sent_at(echo_ms)),
+            report_sent_at: status.echo_ms.and_then(|echo_ms| self.report_clock.sent_at(echo_ms)),
             config: status.config,
             endpoints: status.endpoints,
         });
@@ -198,13 +187,6 @@
         self.status_received.notify_waiters();
     }
 
-    /// Converts the timestamp that a relay returned to the time at which this host sent the
-    /// report. Returns None if this process cannot have sent it.
-    fn echoed_sent_at(&self, echo_ms: u64) -> Option<BootInstant> {
-        let at = BootInstant::from_millis(echo_ms.checked_sub(self.report_clock_offset)?);
-        (at >= self.started_at && at <= BootInstant::now()).then_some(at)
-    }
-
     fn set_other_loads(&self, sums: LoadSums, fleet_hosts: u32, now: Instant) {
         self.other_loads.replace(sums);
         self.other_loads_updated_at.set(Some(now));
@@ -356,7 +338,7 @@
         let targets = self.report_targets(is_full_round);
         let report = LoadReport {
             host: self.own_host.clone(),
-            sent_at_ms: self.report_clock_offset + BootInstant::now().as_millis(),
+            sent_at_ms: self.report_clock.timestamp_ms(),
             loads: own_loads.to_vec(),
             prefixes: self.prefix_uses.borrow_mut().take_own(),
         };
--- a/crates/gateway/src/peers/relay_client.rs
+++ b/crates/gateway/src/peers/relay_client.rs
@@ -1,5 +1,5 @@
 use {
-    super::{peer_state::FeedKind, published_feed::MAX_CHANGES_BYTES},
+    super::{feed_kind::FeedKind, published_feed::MAX_CHANGES_BYTES},
     crate::{
         followers::{FeedError, Offset},
         http1::ClientConnection,
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,7 +1,8 @@
 use {
     super::{
+        feed_kind::FeedKind,
         load_sums::{LoadSums, endpoint_hash},
-        peer_state::{FeedKind, MaxConfirmationAges, PeerState},
+        peer_state::{MaxConfirmationAges, PeerState},
         published_feed::{MAX_CHANGES_BYTES, PublishedFeed, encode_changes},
         relay_election::{ElectionInputs, rank, should_relay},
     },
