--- a/crates/gateway/src/blocklist/part_blocklist.rs
+++ b/crates/gateway/src/blocklist/part_blocklist.rs
@@ -15,11 +15,11 @@
 };
 
 /// What it takes to block a part for which no response is known.
-const OF_NEW_PARTS: BlockRule =
+const NEW_PART_RULE: BlockRule =
     BlockRule { events: 3, settling_time: Duration::from_millis(700), level: 3 };
 /// What it takes to block a part that was sound before: all engines that its requests were at may
 /// have been lost for another reason.
-const OF_SOUND_PARTS: BlockRule =
+const SOUND_PART_RULE: BlockRule =
     BlockRule { events: 5, settling_time: Duration::from_millis(1_200), level: 0 };
 /// Difference of the time of one crash at two hosts, due to the delay of messages, at most.
 const MESSAGE_DELAY: Duration = Duration::from_millis(700);
@@ -111,7 +111,7 @@
         }
         if crash.at > block.last_crash_at {
             if !matches!(block.phase(crash.at), BlockPhase::Closed { .. }) {
-                block.level = (block.level + 1).max(OF_NEW_PARTS.level);
+                block.level = (block.level + 1).max(NEW_PART_RULE.level);
                 self.changes.push((part, BeliefChange::Blocked));
             }
             block.last_crash_at = crash.at;
@@ -198,7 +198,7 @@
         for (part, ..) in candidates {
             let Some(record) = self.records.get_mut(part) else { continue };
             let events = record.unexplained_events(&explained);
-            let rule = if record.sound_at.is_some() { OF_SOUND_PARTS } else { OF_NEW_PARTS };
+            let rule = if record.sound_at.is_some() { SOUND_PART_RULE } else { NEW_PART_RULE };
             let is_settled = events
                 .time_of(rule.events - 1)
                 .is_some_and(|at| now.saturating_duration_since(at) >= rule.settling_time);
