Answer every request of a planned stop before the process exits

Cause: a connection that was in use when SIGTERM came goes on to its next request, which was passed on at any time of the grace period; whatever was in progress 0.4 s before its end was cut off without an answer, bookings among it. Ruled out: requests on idle connections, which are closed after 2.5 s, and new connections, which are refused from then on. Change: a request that cannot end before the process does, by its deadline or by the slowest one of its route lately, is refused at once with 503 draining on a connection that closes; what is in progress 0.3 s before the exit is told 502 may_have_run, or 503 if it was never sent. Moving mean and held maximum are now in one module for both of their users.

--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -18,7 +18,13 @@
         telemetry::{OptionalMillis, event},
     },
     mango_wire::Reason,
-    std::{cell::Cell, io, pin::pin, rc::Rc, time::Duration},
+    std::{
+        cell::Cell,
+        io,
+        pin::pin,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::{io::AsyncWriteExt, net::TcpStream, time::timeout},
 };
 
@@ -31,6 +37,9 @@
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(60);
 /// Mean `Retry-After` time while the memory for request bodies is used up.
 const MEAN_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Mean `Retry-After` time of a request that this process cannot end before it stops: another host
+/// can take it at once.
+const MEAN_STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Buffered bytes of pipelined requests at which the router stops reading from the connection
 /// until the current request has its response.
 const MAX_PIPELINED_BYTES: usize = 16_384;
@@ -259,6 +268,12 @@
     };
     let time_left = caller.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = received_at + time_left.min(Duration::from_millis(route.timeout_ms));
+    let slowest_run = gateway.permits.slowest_run(&service, &route.name);
+    let left = deadline.saturating_duration_since(BootInstant::now());
+    if !gateway.stop.may_finish(left, slowest_run, Instant::now()) {
+        let refusal = Refusal::unavailable(Reason::Draining, with_jitter(MEAN_STOP_RETRY_AFTER));
+        return Err(Box::new(RefusedRequest { caller, refusal }));
+    }
     let part_keys = part_keys(&service, &caller.shared_parts);
     let team_priority = admission.team.as_ref().and_then(|team| team.priority);
     Ok(AdmittedRequest {
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -24,7 +24,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::time::timeout,
+    tokio::time::sleep,
 };
 
 /// Time that the router waits beyond the deadline, since endpoints respond at the deadline too.
@@ -42,15 +42,32 @@
     sink: &mut CallerSink<'_, P>,
 ) -> bool {
     let mut dispatch = Dispatch::new(gateway, request);
-    let is_reusable =
-        match timeout(request.time_left() + DEADLINE_SLACK, dispatch.respond(sink)).await {
-            Ok(is_reusable) => is_reusable,
-            Err(_) => dispatch.give_up_at_deadline(sink).await,
-        };
+    let run_end = tokio::select! {
+        biased;
+        is_reusable = dispatch.respond(sink) => RunEnd::Responded { is_reusable },
+        _ = sleep(request.time_left() + DEADLINE_SLACK) => RunEnd::Deadline,
+        _ = gateway.stop.wait_for_requests_end() => RunEnd::Stop,
+    };
+    let is_reusable = match run_end {
+        RunEnd::Responded { is_reusable } => is_reusable,
+        RunEnd::Deadline => dispatch.give_up_at_deadline(sink).await,
+        RunEnd::Stop => dispatch.give_up_at_stop(sink).await,
+    };
     dispatch.log_end();
     is_reusable
 }
 
+/// Why a request is no longer run.
+enum RunEnd {
+    Responded {
+        is_reusable: bool,
+    },
+    /// Its deadline passed.
+    Deadline,
+    /// The process stops.
+    Stop,
+}
+
 /// State of one request while it is sent to endpoints.
 struct Dispatch<'a, P> {
     gateway: &'a Gateway<P>,
@@ -347,6 +364,16 @@
         self.give_up(sink, Refusal::outcome_unknown(Reason::Deadline)).await
     }
 
+    /// Ends a request that outlasts the process.
+    async fn give_up_at_stop(&mut self, sink: &mut CallerSink<'_, P>) -> bool {
+        if !self.request.has_been_sent.get() {
+            let refusal = Refusal::unavailable(Reason::Draining, with_jitter(MEAN_RETRY_AFTER));
+            return self.give_up(sink, refusal).await;
+        }
+        self.history.record(SendOutcome::MayHaveRun);
+        self.give_up(sink, Refusal::outcome_unknown(Reason::Draining)).await
+    }
+
     fn log_end(&self) {
         let kind = self.request.route.kind;
         let team = self.request.team.as_deref();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod retry;
 mod server;
 mod settings;
+mod statistics;
 mod telemetry;
 
 pub use {
--- a/crates/gateway/src/peers/fleet_size.rs
+++ b/crates/gateway/src/peers/fleet_size.rs
@@ -1,5 +1,5 @@
 use {
-    super::held_maximum::HeldMaximum,
+    crate::statistics::HeldMaximum,
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -21,9 +21,9 @@
     /// Until when a host counts, by its id.
     counted_until: HashMap<Box<str>, Instant>,
     /// Number of hosts that a relay counts lately.
-    reporting: HeldMaximum,
+    reporting: HeldMaximum<u32>,
     /// Largest number of hosts that a relay counted in a long time.
-    ever_reporting: HeldMaximum,
+    ever_reporting: HeldMaximum<u32>,
 }
 
 impl Default for FleetSize {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -9,7 +9,6 @@
 mod fleet_size;
 mod followed_relay;
 mod gossip_task;
-mod held_maximum;
 mod host_registry;
 mod host_table;
 mod load_sums;
--- a/crates/gateway/src/queueing/mod.rs
+++ b/crates/gateway/src/queueing/mod.rs
@@ -1,7 +1,7 @@
 mod concurrency_limit;
 mod fair_queue;
-mod moving_mean;
 mod permits;
+mod route_durations;
 mod service_queue;
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/queueing/permits.rs
+++ b/crates/gateway/src/queueing/permits.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// The longest time that a request of the route took lately; `None` if none was complete.
+    pub(crate) fn slowest_run(&self, service: &str, route: &str) -> Option<Duration> {
+        self.queues.borrow().get(service)?.state.borrow().slowest_run(route)
+    }
+
     /// The queue of a service, as JSON for the state dump.
     pub(crate) fn service_state(&self, service: &str) -> Value {
         let queues = self.queues.borrow();
@@ -224,7 +229,8 @@
 
     /// Records that the response of the request was complete.
     pub(crate) fn record_completion(&self, route: &Rc<str>) {
-        self.queue.state.borrow_mut().record_duration(route, self.started_at.elapsed());
+        let duration = self.started_at.elapsed();
+        self.queue.state.borrow_mut().record_duration(route, duration, Instant::now());
     }
 }
 
--- a/crates/gateway/src/queueing/service_queue.rs
+++ b/crates/gateway/src/queueing/service_queue.rs
@@ -9,8 +9,9 @@
     super::{
         concurrency_limit::{ConcurrencyLimit, ServiceLoad},
         fair_queue::{FairQueue, Position, Team},
-        moving_mean::MovingMean,
+        route_durations::RouteDurations,
     },
+    crate::statistics::MovingMean,
     std::{
         collections::HashMap,
         rc::Rc,
@@ -56,8 +57,8 @@
     waiting: FairQueue<T>,
     /// Mean time for which a request is in progress.
     time_in_progress: MovingMean,
-    /// Mean time from the start to the complete response, by route.
-    durations: HashMap<Rc<str>, MovingMean>,
+    /// Times from the start to the complete response, by route.
+    durations: HashMap<Rc<str>, RouteDurations>,
 }
 
 impl<T> Default for ServiceQueue<T> {
@@ -95,7 +96,7 @@
         }
         let position = self.waiting.next_position(arrival.priority, &arrival.team);
         let backlog = self.expected_wait(self.waiting.count_before(position));
-        let duration = self.durations.get(&arrival.route).and_then(MovingMean::get);
+        let duration = self.durations.get(&arrival.route).and_then(RouteDurations::mean);
         let slack = arrival
             .deadline
             .saturating_duration_since(now)
@@ -139,8 +140,14 @@
     }
 
     /// Records the time from the start of a request to its complete response.
-    pub(crate) fn record_duration(&mut self, route: &Rc<str>, duration: Duration) {
-        self.durations.entry(route.clone()).or_default().record(duration);
+    pub(crate) fn record_duration(&mut self, route: &Rc<str>, duration: Duration, now: Instant) {
+        self.durations.entry(route.clone()).or_default().record(duration, now);
+    }
+
+    /// The longest time lately from the start of a request to its complete response; `None` if
+    /// no request of the route was complete.
+    pub(crate) fn slowest_run(&self, route: &str) -> Option<Duration> {
+        self.durations.get(route).map(RouteDurations::slowest)
     }
 
     /// Time until a request starts that has this many before it; zero until a request has ended.
--- a/crates/gateway/src/queueing/tests.rs
+++ b/crates/gateway/src/queueing/tests.rs
@@ -166,7 +166,7 @@
             if self.policy == Policy::Queue {
                 let queue = &mut self.queues[run.host];
                 queue.record_start(held > TARGET_LATENCY);
-                queue.record_duration(&"route".into(), held);
+                queue.record_duration(&"route".into(), held, self.now);
                 queue.end(held);
             }
         }
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -31,6 +31,8 @@
 /// Fraction of the time to apply a configuration change for which the store may delay the
 /// response to a read while there are no new records.
 const POLL_WAIT_FRACTION: f64 = 0.4;
+/// Requests in progress get their last response this long before the process exits.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(300);
 /// Interval between checks for open connections during a stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -139,11 +141,12 @@
 
 /// Stops without interrupting requests: first the load balancer stops opening connections, then
 /// idle connections are closed, then the requests in progress run until their responses are
-/// sent or the grace period ends.
+/// sent. Requests that would outlast the grace period are refused; those that do are told that
+/// their outcome is unknown before the process exits.
 async fn stop<P: Protocol>(gateway: &Gateway<P>) {
     let exit_at = Instant::now() + gateway.settings.bounds.stop_grace().saturating_sub(EXIT_MARGIN);
     event!("stop_started", "connections={}", gateway.connection_count());
-    gateway.stop.begin();
+    gateway.stop.begin((exit_at - LAST_RESPONSE_TIME).into_std());
     gateway.peers.stop_relaying();
     sleep(READINESS_PROBE_TIME.min(exit_at - Instant::now())).await;
     gateway.stop.close_idle();
