Keep following sound records beside odd ones of another writer

Cause: numbers that fit their type but no endpoint passed the decoder. Slots of 2^32-1 overflowed the sum of a service's slots (the process ends in a build with checks, and counts wrong capacity without); a sequence number or start near 2^64 hid all later records of that endpoint, its leaving among them. A listing with an odd record under the key of a sound endpoint removed the endpoint, and hosts that listed it never learnt of the endpoint again from a relay that saw no change. Reasons in the log quoted records of 250 KB, at each listing. Ruled out: nesting (the parser's depth is limited), 400 digits, 1e999, ports 0, 65536 and -1, duplicate fields: rejected before. Change: records are checked for possible slots, sequence numbers and starts; sums saturate; an endpoint keeps its last record beside an unreadable one, and the next sound record counts as a change; an unreadable record is counted and logged once, with a short reason; hosts without a usable address do not share limits; an entry of a listing that is no record does not fail the listing.

--- a/crates/gateway/src/config/route.rs
+++ b/crates/gateway/src/config/route.rs
@@ -39,16 +39,17 @@
     /// Chooses a service at random, in proportion to the weights. Returns `None` if all weights
     /// are 0.
     pub(crate) fn choose_service(&self) -> Option<&Rc<str>> {
-        let total: u32 = self.shares.iter().map(|share| share.weight).sum();
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
         if total == 0 {
             return None;
         }
         let mut remaining = rand::rng().random_range(0..total);
         for share in &self.shares {
-            if remaining < share.weight {
+            let weight = u64::from(share.weight);
+            if remaining < weight {
                 return Some(&share.service);
             }
-            remaining -= share.weight;
+            remaining -= weight;
         }
         None
     }
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -105,6 +105,11 @@
         true
     }
 
+    /// The last record of an endpoint.
+    pub(crate) fn last_record(&self, id: &str) -> Option<EndpointRecord> {
+        self.by_id.borrow().get(id).map(|endpoint| endpoint.record.borrow().clone())
+    }
+
     /// Replaces the contents of the directory with a complete listing. Endpoints that are not
     /// listed are removed as by `remove`.
     pub(crate) fn replace_all(&self, records: Vec<EndpointRecord>, keep_until: Option<Instant>) {
--- a/crates/gateway/src/endpoints/endpoint_record.rs
+++ b/crates/gateway/src/endpoints/endpoint_record.rs
@@ -1,5 +1,9 @@
 use {
-    std::{net::SocketAddr, rc::Rc},
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
     strum::{Display, EnumString, IntoStaticStr},
 };
 
@@ -22,6 +26,24 @@
     pub sequence: u64,
 }
 
+/// Most requests that an endpoint runs at once; a record with more is invalid.
+const MAX_SLOTS: u32 = 65_536;
+/// Largest sequence number: an endpoint that writes ten records a second reaches it after 13 years.
+/// A larger one would hide all later records of its endpoint.
+const MAX_SEQUENCE: u64 = u32::MAX as u64;
+/// How far the clock of an endpoint may be ahead of that of a host. A record that claims a later
+/// start would hide all later records of its endpoint.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(24 * 3_600);
+
+/// Why a record cannot come from an endpoint although its fields have the right types.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum ImplausibleRecord {
+    TooManySlots,
+    SequenceTooLarge,
+    StartedInTheFuture,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum EndpointState {
@@ -31,6 +53,23 @@
 }
 
 impl EndpointRecord {
+    /// Checks that the values are possible, so that a record of another writer does not hide
+    /// those of an endpoint.
+    pub(crate) fn check(&self, now: SystemTime) -> Result<(), ImplausibleRecord> {
+        let started_at = self.started_at_unix_ms.map_or(Duration::ZERO, Duration::from_millis);
+        let latest_start = now.duration_since(UNIX_EPOCH).unwrap_or_default() + MAX_CLOCK_LEAD;
+        if self.slots > MAX_SLOTS {
+            return Err(ImplausibleRecord::TooManySlots);
+        }
+        if self.sequence > MAX_SEQUENCE {
+            return Err(ImplausibleRecord::SequenceTooLarge);
+        }
+        if started_at > latest_start {
+            return Err(ImplausibleRecord::StartedInTheFuture);
+        }
+        Ok(())
+    }
+
     /// Whether this record is from a later start of the endpoint than `known`.
     pub fn is_restart_of(&self, known: &EndpointRecord) -> bool {
         match (self.started_at_unix_ms, known.started_at_unix_ms) {
--- a/crates/gateway/src/endpoints/load_estimate.rs
+++ b/crates/gateway/src/endpoints/load_estimate.rs
@@ -38,7 +38,7 @@
             return f64::from(in_flight) + f64::from(peer_requests);
         }
         let Some(report) = self.valid_report(now) else { return f64::from(in_flight) };
-        let reported = f64::from(report.running + report.waiting);
+        let reported = f64::from(report.running) + f64::from(report.waiting);
         let since_report = f64::from(in_flight) - f64::from(self.in_flight_at_report);
         (reported + since_report).max(f64::from(in_flight))
     }
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -10,8 +10,9 @@
         telemetry::{GatewayMetrics, event},
     },
     std::{
+        collections::BTreeSet,
         rc::Rc,
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime},
     },
 };
 
@@ -20,6 +21,11 @@
 /// Time within which endpoints write expired records again after the store's recovery.
 const RENEWAL_TIME: Duration = Duration::from_millis(2_100);
 
+/// Most keys of unreadable records that are remembered, so that each is logged once.
+const MAX_UNREADABLE_KEYS: usize = 256;
+/// Longest reason in the log: it may quote the record.
+const MAX_REASON_CHARS: usize = 200;
+
 /// Applies endpoint records to the directory of endpoints.
 pub(crate) struct EndpointSink {
     directory: Rc<Directory>,
@@ -27,6 +33,8 @@
     /// Interval at which each endpoint writes its record.
     heartbeat: Duration,
     metrics: Rc<GatewayMetrics>,
+    /// Keys whose newest record could not be read.
+    unreadable_keys: BTreeSet<Box<str>>,
     /// Endpoints whose record is removed before this time stay in use until then: the record
     /// may have expired in an outage of the store.
     keep_removed_until: Option<Instant>,
@@ -39,27 +47,58 @@
         heartbeat: Duration,
         metrics: Rc<GatewayMetrics>,
     ) -> EndpointSink {
-        EndpointSink { directory, decode, heartbeat, metrics, keep_removed_until: None }
+        EndpointSink {
+            directory,
+            decode,
+            heartbeat,
+            metrics,
+            unreadable_keys: BTreeSet::new(),
+            keep_removed_until: None,
+        }
     }
 
     fn removal_grace_end(&self) -> Option<Instant> {
         self.keep_removed_until.filter(|until| Instant::now() < *until)
     }
 
-    fn decode(&self, record: &RawRecord) -> Option<EndpointRecord> {
-        match (self.decode)(&record.key, &record.value) {
-            Ok(endpoint) => Some(endpoint),
+    /// Decodes and checks a record. Counts and logs one that cannot come from an endpoint, unless
+    /// the last one with its key was such a record too.
+    fn decode(&mut self, record: &RawRecord) -> Option<EndpointRecord> {
+        let decoded = (self.decode)(&record.key, &record.value).and_then(|endpoint| match endpoint
+            .check(SystemTime::now())
+        {
+            Ok(()) => Ok(endpoint),
+            Err(implausible) => Err(implausible.to_string().into()),
+        });
+        match decoded {
+            Ok(endpoint) => {
+                self.unreadable_keys.remove(&record.key);
+                Some(endpoint)
+            }
             Err(reason) => {
-                event!(
-                    "endpoint_record_unreadable",
-                    "key={:?} offset={} reason={reason:?}",
-                    record.key,
-                    record.offset
-                );
+                self.record_unreadable(record, &reason);
                 None
             }
         }
     }
+
+    fn record_unreadable(&mut self, record: &RawRecord, reason: &str) {
+        if self.unreadable_keys.len() >= MAX_UNREADABLE_KEYS {
+            self.unreadable_keys.pop_first();
+        }
+        if !self.unreadable_keys.insert(record.key.clone()) {
+            return;
+        }
+        self.metrics.unreadable_endpoint_records.inc();
+        let shown: String = reason.chars().take(MAX_REASON_CHARS).collect();
+        event!(
+            "endpoint_record_unreadable",
+            "key={:?} offset={} bytes={} reason={shown:?}",
+            record.key,
+            record.offset,
+            record.value.len()
+        );
+    }
 }
 
 impl RecordSink for EndpointSink {
@@ -73,11 +112,14 @@
         Duration::ZERO
     }
 
+    /// An endpoint whose record in the listing cannot be read keeps its last one.
     fn replace_all(&mut self, records: &[RawRecord]) {
-        let endpoints = records
-            .iter()
-            .filter(|record| !record.value.is_empty())
-            .filter_map(|record| self.decode(record))
+        let listed = records.iter().filter(|record| !record.value.is_empty());
+        let endpoints = listed
+            .filter_map(|record| match self.decode(record) {
+                Some(endpoint) => Some(endpoint),
+                None => self.directory.last_record(&record.key),
+            })
             .collect();
         self.directory.replace_all(endpoints, self.removal_grace_end());
         self.metrics.endpoints.set(self.directory.len() as i64);
@@ -87,8 +129,10 @@
         let is_changed = if record.value.is_empty() {
             self.directory.remove(&record.key, self.removal_grace_end())
         } else {
+            let was_unreadable = self.unreadable_keys.contains(&record.key);
             match self.decode(record) {
-                Some(endpoint) => self.directory.upsert(endpoint),
+                // hosts that listed the unreadable record do not know the endpoint
+                Some(endpoint) => self.directory.upsert(endpoint) || was_unreadable,
                 None => return false,
             }
         };
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -214,3 +214,31 @@
     assert!(!sink.apply(&raw(2, "b", "\u{fffd}")));
     assert_eq!(directory.len(), 1);
 }
+
+/// Guards against an endpoint that some hosts never learn of again: they listed the log while its
+/// newest record was unreadable, and take changes from a relay that saw no change.
+#[test]
+fn the_record_after_an_unreadable_one_is_passed_on() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    sink.replace_all(&[raw(0, "a", "1")]);
+    assert!(!sink.apply(&raw(1, "a", "torn")));
+    assert!(sink.apply(&raw(2, "a", "2")));
+    assert!(!sink.apply(&raw(3, "a", "3")), "a heartbeat changes nothing");
+    sink.replace_all(&[raw(4, "a", "torn")]);
+    assert_eq!(directory.len(), 1, "the endpoint keeps its last record");
+}
+
+/// Guards against a record of another writer whose sequence number hides all later records of the
+/// endpoint.
+#[test]
+fn a_record_with_an_impossible_number_hides_no_later_one() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    sink.replace_all(&[raw(0, "a", "1")]);
+    sink.apply(&raw(1, "a", "18446744073709551615"));
+    let sequence = || directory.last_record("a").map(|record| record.sequence);
+    assert_eq!(sequence(), Some(1));
+    sink.apply(&raw(2, "a", "2"));
+    assert_eq!(sequence(), Some(2));
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,7 +38,7 @@
         BodyDecoder, BodyFraming, ClientConnection, FramingError, HeadError, Header, Headers,
         RequestHead, ResponseHead,
     },
-    peers::{HostRegistry, RegistryError},
+    peers::{HostListing, HostRegistry, RegistryError},
     placement::{Candidate, Placement, PlacementRequest, choose_endpoint},
     retry::{AttemptHistory, NextStep, RetryBudget, RetryPolicy, SendOutcome, next_step},
     server::{PlatformAdapters, run},
--- a/crates/gateway/src/peers/announcer.rs
+++ b/crates/gateway/src/peers/announcer.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        host_registry::{HostRegistry, RegistryError},
+        host_registry::{HostListing, HostRegistry, RegistryError},
         peer_state::PeerState,
     },
     crate::telemetry::event,
@@ -18,8 +18,8 @@
 pub(crate) async fn announce<R: HostRegistry>(mut registry: R, state: Rc<PeerState>) {
     loop {
         match announce_and_list_hosts(&mut registry, &state).await {
-            Ok(count) => {
-                event!("announced", "hosts={count}");
+            Ok(HostListing { hosts, unreadable_records }) => {
+                event!("announced", "hosts={} unreadable={unreadable_records}", hosts.len());
                 return;
             }
             Err(RegistryError(reason)) => {
@@ -33,12 +33,12 @@
 async fn announce_and_list_hosts<R: HostRegistry>(
     registry: &mut R,
     state: &PeerState,
-) -> Result<usize, RegistryError> {
+) -> Result<HostListing, RegistryError> {
     registry.announce(state.own_host()).await?;
-    let hosts = registry.hosts().await?;
-    for host in &hosts {
+    let listing = registry.hosts().await?;
+    for host in &listing.hosts {
         state.add_host(host);
     }
     state.record_registry();
-    Ok(hosts.len())
+    Ok(listing)
 }
--- a/crates/gateway/src/peers/host_registry.rs
+++ b/crates/gateway/src/peers/host_registry.rs
@@ -6,7 +6,15 @@
     fn announce(&mut self, host: &HostRecord) -> impl Future<Output = Result<(), RegistryError>>;
 
     /// Returns the records of all hosts that were ever announced.
-    fn hosts(&mut self) -> impl Future<Output = Result<Vec<HostRecord>, RegistryError>>;
+    fn hosts(&mut self) -> impl Future<Output = Result<HostListing, RegistryError>>;
+}
+
+/// The records of a registry.
+#[derive(Clone, Debug, Default)]
+pub struct HostListing {
+    pub hosts: Vec<HostRecord>,
+    /// Number of records that are not host records.
+    pub unreadable_records: usize,
 }
 
 /// Reason why a call to the registry failed.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,7 +21,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use host_registry::{HostRegistry, RegistryError};
+pub use host_registry::{HostListing, HostRegistry, RegistryError};
 pub(crate) use {
     announcer::announce,
     feed_kind::FeedKind,
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -97,9 +97,10 @@
         }
     }
 
-    /// Adds a host from the registry.
+    /// Adds a host from the registry, unless its address cannot be used.
     pub(super) fn add_host(&self, host: &HostRecord) {
-        if host.host_id != self.own_host.host_id {
+        let is_usable = host.gossip_address.parse::<SocketAddr>().is_ok_and(|at| at.port() != 0);
+        if is_usable && host.host_id != self.own_host.host_id {
             self.hosts.borrow_mut().upsert_host(host, Instant::now());
             self.fleet_size.borrow_mut().record_host(&host.host_id, Instant::now());
         }
--- a/crates/gateway/src/queueing/permits.rs
+++ b/crates/gateway/src/queueing/permits.rs
@@ -128,9 +128,10 @@
             if endpoint.is_leaving() || endpoint.health.get().is_paused(now) {
                 continue;
             }
-            load.slots += endpoint.record.borrow().slots;
+            load.slots = load.slots.saturating_add(endpoint.record.borrow().slots);
             let others = self.peers.requests_by_other_hosts(endpoint.hash);
-            load.other_requests = load.other_requests.zip(others).map(|(sum, more)| sum + more);
+            load.other_requests =
+                load.other_requests.zip(others).map(|(sum, more)| sum.saturating_add(more));
         }
         load
     }
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -64,6 +64,7 @@
     belief_changes: Family<BeliefLabels, Counter>,
     pub(crate) new_endpoint_connections: Counter,
     pub(crate) refused_retries: Counter,
+    pub(crate) unreadable_endpoint_records: Counter,
     pub(crate) blocked_parts: Gauge,
     pub(crate) caller_connections: Gauge,
     pub(crate) config_version: Gauge,
@@ -89,6 +90,7 @@
             belief_changes: Family::default(),
             new_endpoint_connections: Counter::default(),
             refused_retries: Counter::default(),
+            unreadable_endpoint_records: Counter::default(),
             blocked_parts: Gauge::default(),
             caller_connections: Gauge::default(),
             config_version: Gauge::default(),
@@ -103,6 +105,11 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        registry.register(
+            "unreadable_endpoint_records",
+            "Records of endpoints that could not be read",
+            self.unreadable_endpoint_records.clone(),
+        );
         registry.register("requests", "Requests from callers by outcome", self.requests.clone());
         registry.register(
             "team_requests",
