Let the hosts of a zone read the store in turn, and compress what they pass on

Change: a host without a relay reads when its turn has come, by its rank among the running hosts of the zone, which the relay names and hosts that start together hear from each other, or when its copy becomes too old. A host without records takes them from the relay. The first host in turn relays as soon as it has read; a new relay tells all hosts of its zone. Records are compressed for peers, once for all of them. Failed calls pause longer for later turns, and the endpoints' log is polled by the deployment's bound instead of every 0.75 s.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -60,7 +60,9 @@
 impl RecordSink for ConfigSink {
     const KIND: FeedKind = FeedKind::Config;
 
-    const POLL_PAUSE: Duration = Duration::ZERO;
+    fn poll_pause(&self) -> Duration {
+        Duration::ZERO
+    }
 
     fn poll_wait(&self) -> Duration {
         self.poll_wait
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -32,6 +32,7 @@
     decode: RecordDecoder<EndpointRecord>,
     /// Interval at which each endpoint writes its record.
     heartbeat: Duration,
+    poll_pause: Duration,
     metrics: Rc<GatewayMetrics>,
     /// Keys whose newest record could not be read.
     unreadable_keys: BTreeSet<Box<str>>,
@@ -45,12 +46,14 @@
         directory: Rc<Directory>,
         decode: RecordDecoder<EndpointRecord>,
         heartbeat: Duration,
+        poll_pause: Duration,
         metrics: Rc<GatewayMetrics>,
     ) -> EndpointSink {
         EndpointSink {
             directory,
             decode,
             heartbeat,
+            poll_pause,
             metrics,
             unreadable_keys: BTreeSet::new(),
             keep_removed_until: None,
@@ -104,7 +107,9 @@
 impl RecordSink for EndpointSink {
     const KIND: FeedKind = FeedKind::Endpoints;
 
-    const POLL_PAUSE: Duration = Duration::from_millis(750);
+    fn poll_pause(&self) -> Duration {
+        self.poll_pause
+    }
 
     /// Zero: all endpoints together write several records a second, so a wait would end at
     /// once.
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -19,6 +19,13 @@
 
 /// Longest time between two checks of the relay, and the pause after a failed read from it.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time between two checks whether it is this host's turn to read the store.
+const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// By how much each host whose turn comes before that of this one extends the pause after a failed
+/// call: all hosts of a zone together try as often as a few of them.
+const TURN_BACKOFF: Duration = Duration::from_millis(100);
+/// Most hosts that extend the pause.
+const MAX_TURN_BACKOFFS: u32 = 30;
 
 /// Keeps a sink up to date with one log. Reads from the relay of the zone while it is usable,
 /// and from the store otherwise.
@@ -32,6 +39,8 @@
     /// Offset of the next record; None before the first listing.
     position: Option<Offset>,
     reads_from_relay: bool,
+    /// Since when the host has had no usable relay.
+    without_relay_since: Instant,
     /// After a failed read from the relay, the store is read until this time.
     relay_paused_until: Option<Instant>,
 }
@@ -53,6 +62,7 @@
             health: FeedHealth::new(kind.into(), metrics),
             position: None,
             reads_from_relay: false,
+            without_relay_since: Instant::now(),
             relay_paused_until: None,
         }
     }
@@ -60,30 +70,50 @@
     /// Follows the log for as long as the process runs.
     pub(crate) async fn run(mut self) {
         loop {
-            match (self.usable_relay(), self.position) {
-                (Some(relay), Some(position)) => self.follow_relay(relay, position).await,
-                _ => self.follow_store().await,
+            match self.usable_relay() {
+                Some(relay) => self.follow_relay(relay).await,
+                None if self.may_read_store() => self.follow_store().await,
+                None => self.wait_for_turn().await,
             }
         }
     }
 
+    /// Whether the log is to be read from the store, since the relay failed or it is this host's
+    /// turn.
+    fn may_read_store(&self) -> bool {
+        let has_relay_failed = self.relay_paused_until.is_some_and(|until| Instant::now() < until);
+        has_relay_failed || self.peers.may_read_store(self.kind, self.without_relay_since.elapsed())
+    }
+
+    async fn wait_for_turn(&mut self) {
+        let due = self.sink.expire(Instant::now());
+        let new_status = self.peers.status_received.notified();
+        // after the time-out, the turn is checked again
+        let _ = timeout(limit_pause(TURN_CHECK_INTERVAL, due), new_status).await;
+    }
+
     /// Returns the relay's state of the log if the log is to be read from the relay now.
     fn usable_relay(&mut self) -> Option<RelayedFeedStatus> {
         let is_paused = self.relay_paused_until.is_some_and(|until| Instant::now() < until);
         let relay = self.peers.relayed_feed_status(self.kind).filter(|_| !is_paused);
         if self.reads_from_relay != relay.is_some() {
             self.reads_from_relay = relay.is_some();
+            self.without_relay_since = Instant::now();
             event!("source_changed", "feed={} relayed={}", self.kind, self.reads_from_relay);
         }
         relay
     }
 
-    /// Reads the changes since `position` from the relay, if there are any, and waits for its
-    /// next status.
-    async fn follow_relay(&mut self, relay: RelayedFeedStatus, position: Offset) {
-        if relay.last_change.is_some_and(|offset| offset >= position) {
-            match self.relay_client.changes(relay.address, position).await {
-                Ok(changes) => self.apply_relayed(changes, position),
+    /// Reads the changes since the own position from the relay, if there are any, or all records if
+    /// the host has none. Then waits for the relay's next status.
+    async fn follow_relay(&mut self, relay: RelayedFeedStatus) {
+        let is_behind = self
+            .position
+            .is_none_or(|position| relay.last_change.is_some_and(|offset| offset >= position));
+        if is_behind {
+            let from = self.position.unwrap_or(0);
+            match self.relay_client.changes(relay.address, from).await {
+                Ok(changes) => self.apply_relayed(changes, from),
                 Err(error) => {
                     event!("relay_failed", "feed={} reason={:?}", self.kind, error.to_string());
                     self.relay_paused_until = Some(Instant::now() + RELAY_CHECK_INTERVAL);
@@ -119,7 +149,7 @@
                 value,
             })
             .collect();
-        if changes.is_complete {
+        if changes.is_complete || self.position.is_none() {
             self.replace_all(&records, changes.position);
         } else {
             records.iter().for_each(|record| self.apply(record));
@@ -146,8 +176,8 @@
             Ok(answer) => {
                 let at_end = self.apply_answer(answer, sent_at);
                 let due = self.sink.expire(Instant::now());
-                if at_end && !S::POLL_PAUSE.is_zero() {
-                    sleep(limit_pause(S::POLL_PAUSE, due)).await;
+                if at_end && !self.sink.poll_pause().is_zero() {
+                    sleep(limit_pause(self.sink.poll_pause(), due)).await;
                 }
             }
             Err(FeedError::Expired) => {
@@ -155,7 +185,8 @@
                 self.position = None;
             }
             Err(error) => {
-                let pause = self.health.record_failure(&error);
+                let hosts_before = self.peers.hosts_before_own_turn().min(MAX_TURN_BACKOFFS);
+                let pause = self.health.record_failure(&error) + TURN_BACKOFF * hosts_before;
                 let due = self.sink.expire(Instant::now());
                 sleep(limit_pause(pause, due)).await;
             }
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -12,7 +12,7 @@
     const KIND: FeedKind;
 
     /// Pause after a read that reached the end of the log.
-    const POLL_PAUSE: Duration;
+    fn poll_pause(&self) -> Duration;
 
     /// Longest time for which the store holds a read open while there are no new records.
     fn poll_wait(&self) -> Duration;
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -74,7 +74,9 @@
         link_mbps: 100,
     };
     let max_age = Duration::from_millis(1_500);
-    Rc::new(PeerState::new(own, MaxConfirmationAges { config: max_age, endpoints: max_age }))
+    let peers = PeerState::new(own, MaxConfirmationAges { config: max_age, endpoints: max_age });
+    peers.record_registry();
+    Rc::new(peers)
 }
 
 /// Runs a follower of the configuration until the prepared answers are used up.
@@ -143,7 +145,13 @@
 
 fn endpoint_sink(directory: &Rc<Directory>) -> EndpointSink {
     let metrics = Rc::new(GatewayMetrics::new());
-    EndpointSink::new(directory.clone(), decode_endpoint, Duration::from_millis(1_000), metrics)
+    EndpointSink::new(
+        directory.clone(),
+        decode_endpoint,
+        Duration::from_millis(1_000),
+        Duration::from_millis(750),
+        metrics,
+    )
 }
 
 /// Guards against an empty directory after an outage of the store that was longer than the
--- a/crates/gateway/src/peers/announcer.rs
+++ b/crates/gateway/src/peers/announcer.rs
@@ -16,8 +16,9 @@
 /// This host's record is written first: of two hosts that start at the same time, at least
 /// one then finds the other.
 pub(crate) async fn announce<R: HostRegistry>(mut registry: R, state: Rc<PeerState>) {
+    let mut is_announced = false;
     loop {
-        match announce_and_list_hosts(&mut registry, &state).await {
+        match announce_and_list_hosts(&mut registry, &state, &mut is_announced).await {
             Ok(HostListing { hosts, unreadable_records }) => {
                 event!("announced", "hosts={} unreadable={unreadable_records}", hosts.len());
                 return;
@@ -33,8 +34,12 @@
 async fn announce_and_list_hosts<R: HostRegistry>(
     registry: &mut R,
     state: &PeerState,
+    is_announced: &mut bool,
 ) -> Result<HostListing, RegistryError> {
-    registry.announce(state.own_host()).await?;
+    if !*is_announced {
+        registry.announce(state.own_host()).await?;
+        *is_announced = true;
+    }
     let listing = registry.hosts().await?;
     for host in &listing.hosts {
         state.add_host(host);
--- a/crates/gateway/src/peers/fleet_size.rs
+++ b/crates/gateway/src/peers/fleet_size.rs
@@ -43,6 +43,10 @@
         self.registry_was_read = true;
     }
 
+    pub(super) fn registry_was_read(&self) -> bool {
+        self.registry_was_read
+    }
+
     /// Records a host of the registry, or one that sent a message.
     pub(super) fn record_host(&mut self, host_id: &str, now: Instant) {
         match self.counted_until.get_mut(host_id) {
--- a/crates/gateway/src/peers/followed_relay.rs
+++ b/crates/gateway/src/peers/followed_relay.rs
@@ -34,6 +34,8 @@
     /// Time at which this host sent the report that the status answers. The relay computed
     /// the ages in its status after this time, however long the status was in transit.
     pub(super) report_sent_at: Option<BootInstant>,
+    /// Ranks of the hosts that would relay next.
+    pub(super) successor_ranks: Vec<u64>,
     pub(super) config: FeedStatus,
     pub(super) endpoints: FeedStatus,
 }
--- a/crates/gateway/src/peers/gossip_task.rs
+++ b/crates/gateway/src/peers/gossip_task.rs
@@ -16,6 +16,8 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
 /// One round in this many is a full round, which also reaches hosts that sent nothing lately.
 const ROUNDS_PER_FULL_ROUND: u32 = 5;
+/// The first rounds are full rounds, so that the hosts of a zone that start together find each other.
+const FIRST_FULL_ROUNDS: u32 = 5;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16_384;
 /// Pause after a failed receive.
@@ -40,7 +42,8 @@
     loop {
         rounds.tick().await;
         round = round.wrapping_add(1);
-        let is_full_round = round.is_multiple_of(ROUNDS_PER_FULL_ROUND);
+        let is_full_round =
+            round <= FIRST_FULL_ROUNDS || round.is_multiple_of(ROUNDS_PER_FULL_ROUND);
         let loads = gossip.directory.loads();
         for (address, message) in gossip.state.gossip_messages(&loads, is_full_round) {
             send_message(&gossip.socket, &message, &[address]);
--- a/crates/gateway/src/peers/host_table.rs
+++ b/crates/gateway/src/peers/host_table.rs
@@ -12,6 +12,11 @@
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Hosts that sent nothing for this long are removed.
 const HOST_LIFETIME: Duration = Duration::from_secs(120);
+/// A host counts as running for this long after it was last heard.
+const RUNNING_TIME: Duration = Duration::from_secs(3);
+/// A host that is only known from the registry counts as running for this long: then all running
+/// hosts of the zone were heard.
+const UNHEARD_TIME: Duration = Duration::from_secs(1);
 
 /// The other hosts and zones, with the loads that they last reported.
 #[derive(Debug, Default)]
@@ -26,7 +31,10 @@
     /// Rank in the election of the zone's relay; the lowest rank is the best.
     rank: u64,
     gossip_address: SocketAddr,
+    /// When the host was added, or last heard.
     last_seen_at: Instant,
+    /// Whether the host was heard, not only read from the registry.
+    is_heard: bool,
     report: Option<HostReport>,
 }
 
@@ -48,6 +56,13 @@
     loads: Vec<EndpointLoad>,
 }
 
+impl KnownHost {
+    fn is_running(&self, now: Instant) -> bool {
+        let lifetime = if self.is_heard { RUNNING_TIME } else { UNHEARD_TIME };
+        is_within(self.last_seen_at, lifetime, now)
+    }
+}
+
 /// A host to which the relay sends its status.
 pub(super) struct StatusTarget<'a> {
     pub(super) address: SocketAddr,
@@ -60,7 +75,7 @@
 impl HostTable {
     /// Adds a host, or updates its rank, address and last-seen time. Returns whether the
     /// host is new. A host whose address cannot be parsed is ignored.
-    pub(super) fn upsert_host(&mut self, host: &HostRecord, now: Instant) -> bool {
+    pub(super) fn upsert_host(&mut self, host: &HostRecord, is_heard: bool, now: Instant) -> bool {
         let Ok(gossip_address) = host.gossip_address.parse() else { return false };
         let known = self.hosts.get_mut(&host.host_id);
         let is_new = known.is_none();
@@ -69,12 +84,19 @@
                 known.rank = rank(host);
                 known.gossip_address = gossip_address;
                 known.last_seen_at = now;
+                known.is_heard |= is_heard;
             }
             None => {
                 let zone = host.zone.clone();
                 let rank = rank(host);
-                let known =
-                    KnownHost { zone, rank, gossip_address, last_seen_at: now, report: None };
+                let known = KnownHost {
+                    zone,
+                    rank,
+                    gossip_address,
+                    last_seen_at: now,
+                    is_heard,
+                    report: None,
+                };
                 self.hosts.insert(host.host_id.clone(), known);
             }
         }
@@ -196,10 +218,18 @@
         addresses
     }
 
-    /// Returns the number of hosts of a zone that rank better than this host.
-    pub(super) fn count_better_ranked(&self, zone: &str, own_rank: u64) -> u32 {
+    /// Returns the ranks of the known hosts of a zone.
+    pub(super) fn ranks(&self, zone: &str) -> Vec<u64> {
+        self.hosts.values().filter(|host| host.zone == zone).map(|host| host.rank).collect()
+    }
+
+    /// Returns the ranks of the running hosts of a zone, the best first.
+    pub(super) fn running_ranks(&self, zone: &str, now: Instant) -> Vec<u64> {
         let in_zone = self.hosts.values().filter(|host| host.zone == zone);
-        in_zone.filter(|host| host.rank < own_rank).count() as u32
+        let mut ranks: Vec<u64> =
+            in_zone.filter(|host| host.is_running(now)).map(|host| host.rank).collect();
+        ranks.sort_unstable();
+        ranks
     }
 
     pub(super) fn len(&self) -> usize {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! The confirmation of a log is the last time at which it was known to hold no newer records.
 
 mod announcer;
+mod changes_codec;
 mod feed_kind;
 mod fleet_size;
 mod followed_relay;
@@ -18,6 +19,7 @@
 mod relay_client;
 mod relay_election;
 mod report_clock;
+mod store_turn;
 #[cfg(test)]
 mod tests;
 
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -9,6 +9,7 @@
         published_feed::PublishedFeed,
         relay_election::{ElectionInputs, RELAY_TIMEOUT, rank, should_relay},
         report_clock::ReportClock,
+        store_turn::StoreTurn,
     },
     crate::{
         clock::BootInstant,
@@ -27,6 +28,12 @@
 
 /// Loads of other hosts are used for this long after the last update.
 const OTHER_LOADS_LIFETIME: Duration = Duration::from_millis(1_200);
+/// Most successors that a relay names.
+const MAX_SUCCESSORS: usize = 4;
+/// How long the successors that a relay named count after its last status.
+const SUCCESSORS_LIFETIME: Duration = Duration::from_secs(10);
+/// For this long after it became the relay, a host sends its status to all hosts of the zone.
+const NEW_RELAY_TIME: Duration = Duration::from_secs(1);
 
 /// Greatest age at which this host relies on a relay's confirmation, by log.
 #[derive(Clone, Copy, Debug)]
@@ -43,10 +50,11 @@
     report_clock: ReportClock,
     hosts: RefCell<HostTable>,
     relay: RefCell<Option<FollowedRelay>>,
-    /// Time of the last status with a recent confirmation from a better-ranked relay;
-    /// initially the start of the process.
-    better_relay_seen_at: Cell<Instant>,
+    started_at: Instant,
+    /// Time of the last status with a recent confirmation from a better-ranked relay.
+    better_relay_seen_at: Cell<Option<Instant>>,
     is_relay: Cell<bool>,
+    became_relay_at: Cell<Option<Instant>>,
     is_stopping: Cell<bool>,
     /// Requests in flight from other hosts, by endpoint.
     other_loads: RefCell<LoadSums>,
@@ -68,8 +76,10 @@
             report_clock: ReportClock::new(),
             hosts: RefCell::default(),
             relay: RefCell::default(),
-            better_relay_seen_at: Cell::new(Instant::now()),
+            started_at: Instant::now(),
+            better_relay_seen_at: Cell::new(None),
             is_relay: Cell::new(false),
+            became_relay_at: Cell::new(None),
             is_stopping: Cell::new(false),
             other_loads: RefCell::default(),
             other_loads_updated_at: Cell::new(None),
@@ -101,13 +111,13 @@
     pub(super) fn add_host(&self, host: &HostRecord) {
         let is_usable = host.gossip_address.parse::<SocketAddr>().is_ok_and(|at| at.port() != 0);
         if is_usable && host.host_id != self.own_host.host_id {
-            self.hosts.borrow_mut().upsert_host(host, Instant::now());
+            self.hosts.borrow_mut().upsert_host(host, false, Instant::now());
             self.fleet_size.borrow_mut().record_host(&host.host_id, Instant::now());
         }
     }
 
     /// Records that all hosts of the registry were added.
-    pub(super) fn record_registry(&self) {
+    pub(crate) fn record_registry(&self) {
         self.fleet_size.borrow_mut().record_registry();
     }
 
@@ -122,7 +132,7 @@
         if host.host_id == self.own_host.host_id {
             return;
         }
-        if self.hosts.borrow_mut().upsert_host(host, now) {
+        if self.hosts.borrow_mut().upsert_host(host, true, now) {
             event!("peer_found", "host={} zone={}", host.host_id, host.zone);
         }
         self.fleet_size.borrow_mut().record_host(&host.host_id, now);
@@ -152,7 +162,7 @@
         let sender_rank = rank(&status.host);
         let is_fresh = config_age(&status).is_some_and(|age| age <= self.max_ages.config);
         if is_fresh && sender_rank < self.own_rank {
-            self.better_relay_seen_at.set(now);
+            self.better_relay_seen_at.set(Some(now));
         }
         let mut relay = self.relay.borrow_mut();
         let is_preferred = relay.as_ref().is_none_or(|known| {
@@ -181,6 +191,7 @@
             gossip_address,
             relay_address,
             report_sent_at: status.echo_ms.and_then(|echo_ms| self.report_clock.sent_at(echo_ms)),
+            successor_ranks: status.successor_ranks,
             config: status.config,
             endpoints: status.endpoints,
         });
@@ -266,20 +277,65 @@
         self.fleet_size.borrow().hosts_sharing_limits()
     }
 
+    /// Returns the number of running hosts of the zone that would relay before this one: those that
+    /// the last relay named or, without one, those that were heard lately.
+    fn hosts_before(&self, now: Instant) -> u32 {
+        let relay = self.relay.borrow();
+        let named = relay.as_ref().filter(|relay| {
+            now.saturating_duration_since(relay.received_at) <= SUCCESSORS_LIFETIME
+        });
+        let is_before = |rank: &u64| *rank < self.own_rank;
+        let (hosts, zone) = (self.hosts.borrow(), &self.own_host.zone);
+        let ranks = match named {
+            // all named ones come first, so others may too
+            Some(relay) if relay.successor_ranks.iter().all(is_before) => hosts.ranks(zone),
+            Some(relay) => relay.successor_ranks.clone(),
+            None => hosts.running_ranks(zone, now),
+        };
+        ranks.iter().copied().filter(is_before).count() as u32
+    }
+
+    /// Whether the registry was read or another host was heard of.
+    fn knows_hosts(&self) -> bool {
+        self.fleet_size.borrow().registry_was_read() || self.hosts.borrow().len() > 0
+    }
+
+    /// Whether this host may read a log from the store, which it has been doing without a relay
+    /// for this long.
+    pub(crate) fn may_read_store(&self, kind: FeedKind, without_relay: Duration) -> bool {
+        let max_copy_age = match kind {
+            FeedKind::Config => self.max_ages.config,
+            FeedKind::Endpoints => self.max_ages.endpoints,
+        };
+        let turn = StoreTurn {
+            without_relay,
+            hosts_before: self.hosts_before(Instant::now()),
+            knows_hosts: self.knows_hosts(),
+            copy_age: self.published_feed(kind).borrow().confirmation_age(BootInstant::now()),
+            max_copy_age,
+        };
+        self.is_relay.get() || turn.has_come()
+    }
+
+    /// Number of hosts of the zone whose calls to the store come before those of this host.
+    pub(crate) fn hosts_before_own_turn(&self) -> u32 {
+        self.hosts_before(Instant::now())
+    }
+
     /// Decides whether this host relays and logs a change. Returns the decision.
     pub(super) fn update_relay_role(&self) -> bool {
         let now = BootInstant::now();
         let is_relay = should_relay(&ElectionInputs {
-            since_better_relay: self.better_relay_seen_at.get().elapsed(),
-            better_ranked_hosts: self
-                .hosts
-                .borrow()
-                .count_better_ranked(&self.own_host.zone, self.own_rank),
+            since_better_relay: self.better_relay_seen_at.get().map(|at| at.elapsed()),
+            since_start: self.started_at.elapsed(),
+            knows_hosts: self.knows_hosts(),
+            hosts_before: self.hosts_before(Instant::now()),
             is_stopping: self.is_stopping.get(),
             own_confirmation_age: self.config_feed.borrow().confirmation_age(now),
             max_confirmation_age: self.max_ages.config,
         });
         if self.is_relay.replace(is_relay) != is_relay {
+            self.became_relay_at.set(is_relay.then(Instant::now));
             let age = OptionalMillis(self.config_feed.borrow().confirmation_age(now));
             let hosts = self.hosts.borrow().len();
             event!("relay_changed", "relays={is_relay} config_age_ms={age} hosts={hosts}");
@@ -299,7 +355,8 @@
         self.prefix_uses.borrow_mut().expire(now);
         self.fleet_size.borrow_mut().expire(now);
         if self.update_relay_role() {
-            self.relay_messages(own_loads, is_full_round)
+            let is_new = self.became_relay_at.get().is_some_and(|at| at.elapsed() < NEW_RELAY_TIME);
+            self.relay_messages(own_loads, is_full_round || is_new)
         } else {
             self.report_messages(own_loads, is_full_round)
         }
@@ -374,6 +431,8 @@
             .map(|address| (address, GossipMessage::ZoneLoads(zone_loads.clone())))
             .collect();
         let boot_now = BootInstant::now();
+        let mut successor_ranks = hosts.running_ranks(&self.own_host.zone, now);
+        successor_ranks.truncate(MAX_SUCCESSORS);
         for target in hosts.status_targets(&self.own_host.zone, is_full_round, now) {
             let mut loads = sums.clone();
             loads.subtract(target.reported_loads);
@@ -383,6 +442,7 @@
                 config: self.config_feed.borrow().status(boot_now),
                 endpoints: self.endpoint_feed.borrow().status(boot_now),
                 fleet_hosts,
+                successor_ranks: successor_ranks.clone(),
                 loads: loads.to_loads(),
                 prefixes: uses.of_all.clone(),
             };
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -1,18 +1,13 @@
 use {
-    super::relay_election::max_response_bytes,
+    super::{changes_codec, relay_election::max_response_bytes},
     crate::{
         clock::BootInstant,
         followers::{Offset, RawRecord},
     },
-    mango_wire::{
-        encode_bounded,
-        gossip::{FeedStatus, RelayedChanges, RelayedRecord},
-    },
-    std::{collections::BTreeMap, time::Duration},
+    mango_wire::gossip::{FeedStatus, RelayedChanges, RelayedRecord},
+    std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration},
 };
 
-/// Largest encoded response to a peer's read, in bytes.
-pub(super) const MAX_CHANGES_BYTES: usize = 8 * 1024 * 1024;
 /// Most tombstones (records of removed keys) that are kept for peers.
 const MAX_TOMBSTONES: usize = 512;
 
@@ -31,11 +26,22 @@
     confirmed_at: Option<BootInstant>,
     /// Offset and value by key; an empty value is a tombstone.
     records: BTreeMap<Box<str>, (Offset, Vec<u8>)>,
+    /// The last encoded response: the hosts of a zone read the same records at the same time.
+    encoded: RefCell<Option<EncodedChanges>>,
+}
+
+/// An encoded response, and what it was encoded from.
+#[derive(Debug)]
+struct EncodedChanges {
+    from: Offset,
+    position: Option<Offset>,
+    bytes: Option<Rc<[u8]>>,
 }
 
 impl PublishedFeed {
     /// Stores a record that changed the state.
     pub(crate) fn add(&mut self, record: &RawRecord) {
+        self.encoded.take();
         self.last_change = self.last_change.max(Some(record.offset));
         self.records.insert(record.key.clone(), (record.offset, record.value.clone()));
         let tombstones = self.records.values().filter(|(_, value)| value.is_empty()).count();
@@ -58,6 +64,7 @@
 
     /// Replaces all records by a complete listing.
     pub(crate) fn replace_all(&mut self, records: &[RawRecord], end: Offset) {
+        self.encoded.take();
         self.records.clear();
         self.last_change = None;
         self.listing_end = end;
@@ -111,6 +118,21 @@
         records.sort_by_key(|record| record.offset);
         RelayedChanges { position: self.position.unwrap_or(0), records, is_complete }
     }
+
+    /// The encoded changes since an offset; `None` if they are too large.
+    fn encoded_changes(&self, from: Offset) -> Option<Rc<[u8]>> {
+        let mut encoded = self.encoded.borrow_mut();
+        match &*encoded {
+            Some(last) if last.from == from && last.position == self.position => last.bytes.clone(),
+            _ => {
+                let bytes: Option<Rc<[u8]>> =
+                    changes_codec::encode(&self.changes(from)).map(Into::into);
+                *encoded =
+                    Some(EncodedChanges { from, position: self.position, bytes: bytes.clone() });
+                bytes
+            }
+        }
+    }
 }
 
 /// Encodes the records from an offset on for a peer. Returns None if they are too large
@@ -119,7 +141,6 @@
     feed: &PublishedFeed,
     from: Offset,
     link_mbps: u32,
-) -> Option<Vec<u8>> {
-    let max_bytes = max_response_bytes(link_mbps).min(MAX_CHANGES_BYTES);
-    encode_bounded(&feed.changes(from), max_bytes).ok()
+) -> Option<Rc<[u8]>> {
+    feed.encoded_changes(from).filter(|bytes| bytes.len() <= max_response_bytes(link_mbps))
 }
--- a/crates/gateway/src/peers/relay_client.rs
+++ b/crates/gateway/src/peers/relay_client.rs
@@ -1,17 +1,22 @@
 use {
-    super::{feed_kind::FeedKind, published_feed::MAX_CHANGES_BYTES},
+    super::{
+        changes_codec::{self, MAX_CHANGES_BYTES},
+        feed_kind::FeedKind,
+    },
     crate::{
         followers::{FeedError, Offset},
         http1::ClientConnection,
     },
-    mango_wire::{decode_bounded, gossip::RelayedChanges},
+    mango_wire::gossip::RelayedChanges,
     std::{io, net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Longest time for one read from a relay, including a new connection.
+/// Longest time for one read of changes from a relay, including a new connection.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for a read of all records, which all hosts of a zone make when they start together.
+const FULL_READ_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Reads records of one log from the relay of the zone instead of the store.
 pub(crate) struct RelayClient {
@@ -30,8 +35,9 @@
         address: SocketAddr,
         from: Offset,
     ) -> Result<RelayedChanges, FeedError> {
-        match timeout(READ_TIMEOUT, self.exchange(address, from)).await {
-            Ok(Ok(body)) => decode_bounded(&body, MAX_CHANGES_BYTES)
+        let time_limit = if from == 0 { FULL_READ_TIMEOUT } else { READ_TIMEOUT };
+        match timeout(time_limit, self.exchange(address, from)).await {
+            Ok(Ok(body)) => changes_codec::decode(&body)
                 .map_err(|e| FeedError::Unavailable(e.to_string().into())),
             Ok(Err(error)) => Err(FeedError::Unavailable(error.to_string().into())),
             Err(_) => Err(FeedError::Unavailable("the relay did not respond in time".into())),
--- a/crates/gateway/src/peers/relay_election.rs
+++ b/crates/gateway/src/peers/relay_election.rs
@@ -6,6 +6,7 @@
 //! relay. Two hosts may relay for a moment, which only costs additional calls.
 
 use {
+    super::store_turn::{MAX_TURNS, TURN_INTERVAL, turn_delay},
     mango_wire::gossip::HostRecord,
     std::time::Duration,
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
@@ -13,11 +14,6 @@
 
 /// A relay that sent no status for this long is no longer followed.
 pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
-/// Each host waits this much longer than the next better-ranked host, so that usually
-/// only one takes over.
-const RANK_DELAY: Duration = Duration::from_millis(150);
-/// Largest number of rank delays that a host waits.
-const MAX_RANK_DELAYS: u32 = 12;
 
 /// Returns the rank of a host in its zone; the host with the lowest rank relays. A host
 /// with at least twice the bandwidth ranks before another, since the others read over its
@@ -38,11 +34,15 @@
 /// Inputs of the decision whether this host relays.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ElectionInputs {
-    /// Time since a better-ranked relay sent a status with a recent confirmation, or
-    /// since the start of the process.
-    pub(super) since_better_relay: Duration,
-    /// Number of known hosts of the zone with a better rank.
-    pub(super) better_ranked_hosts: u32,
+    /// Time since a better-ranked relay sent a status with a recent confirmation; `None` if none
+    /// ever did.
+    pub(super) since_better_relay: Option<Duration>,
+    /// Time since the start of the process.
+    pub(super) since_start: Duration,
+    /// Whether the registry was read or another host was heard of.
+    pub(super) knows_hosts: bool,
+    /// Number of running hosts of the zone that would relay before this one.
+    pub(super) hosts_before: u32,
     /// This host is about to stop.
     pub(super) is_stopping: bool,
     /// Time since this host's copy of the configuration log was confirmed to be current;
@@ -54,8 +54,12 @@
 
 /// Returns whether this host has to relay now.
 pub(super) fn should_relay(inputs: &ElectionInputs) -> bool {
-    let delays = inputs.better_ranked_hosts.min(MAX_RANK_DELAYS);
+    let is_due = match inputs.since_better_relay {
+        Some(since) => since > RELAY_TIMEOUT + TURN_INTERVAL * inputs.hosts_before.min(MAX_TURNS),
+        None if inputs.knows_hosts => inputs.since_start >= turn_delay(inputs.hosts_before),
+        None => inputs.since_start > RELAY_TIMEOUT,
+    };
     !inputs.is_stopping
-        && inputs.since_better_relay > RELAY_TIMEOUT + RANK_DELAY * delays
+        && is_due
         && inputs.own_confirmation_age.is_some_and(|age| age <= inputs.max_confirmation_age)
 }
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,18 +1,18 @@
 use {
     super::{
+        changes_codec,
         feed_kind::FeedKind,
         load_sums::{LoadSums, endpoint_hash},
         peer_state::{MaxConfirmationAges, PeerState},
-        published_feed::{MAX_CHANGES_BYTES, PublishedFeed, encode_changes},
+        published_feed::{PublishedFeed, encode_changes},
         relay_election::{ElectionInputs, rank, should_relay},
+        store_turn::StoreTurn,
     },
     crate::{clock::BootInstant, followers::RawRecord},
-    mango_wire::{
-        decode_bounded,
-        gossip::{
-            EndpointLoad, FeedStatus, GossipMessage, HostRecord, RelayStatus, RelayedChanges,
-        },
+    mango_wire::gossip::{
+        EndpointLoad, FeedStatus, GossipMessage, HostRecord, RelayStatus, RelayedChanges,
     },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
     std::time::Duration,
 };
 
@@ -58,6 +58,7 @@
         config: feed.clone(),
         endpoints: feed,
         fleet_hosts: 5,
+        successor_ranks: Vec::new(),
         loads,
         prefixes: Vec::new(),
     })
@@ -80,8 +81,10 @@
 fn a_host_relays_only_while_no_better_relay_is_heard() {
     let fresh = Some(Duration::from_millis(300));
     let silent = ElectionInputs {
-        since_better_relay: Duration::from_secs(1),
-        better_ranked_hosts: 0,
+        since_better_relay: Some(Duration::from_secs(1)),
+        since_start: Duration::from_secs(60),
+        knows_hosts: true,
+        hosts_before: 0,
         is_stopping: false,
         own_confirmation_age: fresh,
         max_confirmation_age: Duration::from_millis(1_500),
@@ -90,14 +93,72 @@
     // a stopping host would soon leave the zone without a relay again
     assert!(!should_relay(&ElectionInputs { is_stopping: true, ..silent }));
     // better-ranked hosts take over first
-    assert!(!should_relay(&ElectionInputs { better_ranked_hosts: 4, ..silent }));
-    assert!(!should_relay(&ElectionInputs { since_better_relay: Duration::ZERO, ..silent }));
+    assert!(!should_relay(&ElectionInputs { hosts_before: 4, ..silent }));
+    assert!(!should_relay(&ElectionInputs { since_better_relay: Some(Duration::ZERO), ..silent }));
     // a host that cannot reach the store must not relay its records
     assert!(!should_relay(&ElectionInputs {
         own_confirmation_age: Some(Duration::from_secs(4)),
         ..silent
     }));
     assert!(!should_relay(&ElectionInputs { own_confirmation_age: None, ..silent }));
+    // at the start of a zone, the first host in turn does not wait for a relay; one that knows no
+    // other host first waits to hear of them
+    let starting =
+        ElectionInputs { since_better_relay: None, since_start: Duration::ZERO, ..silent };
+    assert!(should_relay(&starting));
+    assert!(!should_relay(&ElectionInputs { hosts_before: 1, ..starting }));
+    assert!(!should_relay(&ElectionInputs { knows_hosts: false, ..starting }));
+}
+
+/// Guards against calls to the store that grow with the fleet: the hosts of a zone start or lose
+/// their relay at the same time, the first ones do not run, and each reads when its turn comes
+/// unless the relay has reached it by then.
+#[test]
+fn few_hosts_of_a_zone_read_the_store() {
+    // from the first read to the status at the other hosts: the calls and two gossip rounds
+    const RELAY_TIME: Duration = Duration::from_millis(450);
+    const ZONE_HOSTS: u32 = 60;
+    for (copy_age, missing_hosts) in [(None, 0), (None, 3), (Some(Duration::from_millis(900)), 0)] {
+        let turn = |hosts_before, without_relay| StoreTurn {
+            without_relay,
+            hosts_before,
+            knows_hosts: true,
+            copy_age,
+            max_copy_age: Duration::from_secs(3),
+        };
+        let mut reads_at = Vec::new();
+        for at in (0..4_000).step_by(10).map(Duration::from_millis) {
+            for host in missing_hosts..ZONE_HOSTS {
+                let is_followed = reads_at.iter().any(|(_, first)| *first + RELAY_TIME <= at);
+                let has_read = reads_at.iter().any(|(reader, _)| *reader == host);
+                if !is_followed && !has_read && turn(host, at).has_come() {
+                    reads_at.push((host, at));
+                }
+            }
+        }
+        assert!((1..=4).contains(&reads_at.len()), "{missing_hosts} missing: {reads_at:?}");
+    }
+}
+
+/// Guards against a copy that becomes too old while its host waits for its turn, and against a host
+/// that never starts because it knows no other.
+#[test]
+fn a_host_reads_the_store_in_time() {
+    let waiting = StoreTurn {
+        without_relay: Duration::from_millis(100),
+        hosts_before: 30,
+        knows_hosts: true,
+        copy_age: Some(Duration::from_millis(2_900)),
+        max_copy_age: Duration::from_secs(3),
+    };
+    assert!(!waiting.has_come());
+    assert!(StoreTurn { copy_age: Some(Duration::from_secs(3)), ..waiting }.has_come());
+    let alone = StoreTurn { knows_hosts: false, copy_age: None, ..waiting };
+    assert!(!alone.has_come());
+    assert!(StoreTurn { without_relay: Duration::from_secs(1), ..alone }.has_come());
+    // the last host in turn waits no longer than the one before the maximum
+    let last = StoreTurn { without_relay: Duration::from_millis(2_300), ..waiting };
+    assert!(last.has_come());
 }
 
 /// Guards against an API key that stays valid because a relay status was in transit for long:
@@ -190,7 +251,7 @@
     feed.set_position(9);
     let read = |from| -> RelayedChanges {
         let bytes = encode_changes(&feed, from, 100).expect("within the limit");
-        decode_bounded(&bytes, MAX_CHANGES_BYTES).expect("a message")
+        changes_codec::decode(&bytes).expect("a message")
     };
     let keys = |changes: &RelayedChanges| -> Vec<(u64, String, usize)> {
         changes.records.iter().map(|r| (r.offset, r.key.clone(), r.value.len())).collect()
@@ -241,12 +302,42 @@
         assert!(rank(&host("big")) < rank(&slow(name)));
     }
     let mut feed = PublishedFeed::default();
-    let value = vec![7; 20_000];
+    // bytes that cannot be compressed
+    let mut random = StdRng::seed_from_u64(1);
+    let value = (0..20_000).map(|_| random.random()).collect();
     feed.add(&RawRecord { offset: 1, key: "config".into(), value });
     assert!(encode_changes(&feed, 0, 10).is_none());
     assert!(encode_changes(&feed, 0, 100).is_some());
 }
 
+/// Guards against a configuration that every host of a zone reads from the store because it is too
+/// large for the relay's link, and against changes that do not reach the hosts unchanged.
+#[test]
+fn a_large_configuration_fits_a_slow_link() {
+    let route = |number: usize| {
+        format!(
+            "{{\"name\":\"r-{number:x}\",\"host\":\"h{}.example\",\"pathPrefix\":\"/p{number}/\",\
+             \"kind\":\"streaming\",\"timeoutMs\":12000,\"targetLatencyMs\":800,\"priority\":1,\
+             \"service\":\"s\",\"maxAttempts\":2,\"allowAnonymous\":false,\"sticky\":true}}",
+            number % 9
+        )
+    };
+    let value: Vec<u8> = (0..600).map(route).collect::<Vec<_>>().join(",").into_bytes();
+    assert!(value.len() > 80_000);
+    let mut feed = PublishedFeed::default();
+    feed.replace_all(&[RawRecord { offset: 4, key: "config".into(), value: value.clone() }], 5);
+    feed.set_position(5);
+    let bytes = encode_changes(&feed, 0, 20).expect("within the limit");
+    let changes = changes_codec::decode(&bytes).expect("a message");
+    assert_eq!((changes.position, changes.records[0].value.as_slice()), (5, value.as_slice()));
+    // a later record is not hidden by the response that was encoded before
+    feed.add(&RawRecord { offset: 7, key: "config".into(), value: b"new".to_vec() });
+    let bytes = encode_changes(&feed, 0, 20).expect("within the limit");
+    let changes = changes_codec::decode(&bytes).expect("a message");
+    assert_eq!(changes.records[0].value, b"new");
+    assert!(changes_codec::decode(&bytes[..bytes.len() / 2]).is_err());
+}
+
 /// Guards against requests to an endpoint that was removed in the gap before a relay listed
 /// the log again: peers that had read less receive the complete listing.
 #[test]
@@ -257,7 +348,7 @@
     feed.replace_all(&[record(1, "a")], 9);
     feed.set_position(9);
     let bytes = encode_changes(&feed, 5, 100).expect("within the limit");
-    let changes: RelayedChanges = decode_bounded(&bytes, MAX_CHANGES_BYTES).expect("a message");
+    let changes: RelayedChanges = changes_codec::decode(&bytes).expect("a message");
     assert!(changes.is_complete);
     let keys: Vec<_> = changes.records.iter().map(|record| record.key.as_str()).collect();
     assert_eq!(keys, ["a"]);
--- a/crates/gateway/src/server/internal_server.rs
+++ b/crates/gateway/src/server/internal_server.rs
@@ -134,7 +134,7 @@
     let link_mbps = gateway.peers.own_host().link_mbps;
     let from = query.strip_prefix("from=").and_then(|from| from.parse().ok());
     match from.and_then(|from| encode_changes(feed, from, link_mbps)) {
-        Some(body) => (OK, body),
+        Some(body) => (OK, body.to_vec()),
         None => (NOT_FOUND, Vec::new()),
     }
 }
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -33,6 +33,9 @@
 const POLL_WAIT_FRACTION: f64 = 0.4;
 /// Requests in progress get their last response this long before the process exits.
 const LAST_RESPONSE_TIME: Duration = Duration::from_millis(300);
+/// Pause between two reads of the endpoint records, as a fraction of the time after which a leaving
+/// endpoint must receive no requests.
+const ENDPOINT_POLL_FRACTION: f64 = 0.375;
 /// Interval between checks for open connections during a stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -135,7 +138,9 @@
     spawn_local(Follower::new(config_feed, sink, peers.clone(), metrics.clone()).run());
     let heartbeat = Duration::from_millis(gateway.settings.endpoint_heartbeat_ms);
     let directory = gateway.directory.clone();
-    let sink = EndpointSink::new(directory, decode_endpoint, heartbeat, metrics.clone());
+    let poll_pause = gateway.settings.bounds.endpoint_drain().mul_f64(ENDPOINT_POLL_FRACTION);
+    let sink =
+        EndpointSink::new(directory, decode_endpoint, heartbeat, poll_pause, metrics.clone());
     spawn_local(Follower::new(endpoint_feed, sink, peers.clone(), metrics.clone()).run());
 }
 
