Send nothing to evacuated zones, and start cold endpoints slowly

Change: the operators' log is read for evacuations too; endpoints of evacuated zones are no candidates, and work that finds none is refused at once. Endpoints are cold as their record says, after a connection to them failed or broke, and after an evacuation ended. Each host has turns for a cold endpoint, spread by its place among the hosts, and loses those that it does not use.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -133,6 +133,9 @@
     call: &EndpointCall,
     failure: SendFailure,
 ) -> SendFailure {
+    if failure.cause == FailureCause::ConnectionBroken {
+        gateway.record_possible_restart(call.endpoint());
+    }
     let idle_time = match failure.cause {
         FailureCause::ConnectionBroken => call.idle_time_before_early_break(),
         _ => None,
--- a/crates/gateway/src/dispatch/candidates.rs
+++ b/crates/gateway/src/dispatch/candidates.rs
@@ -1,11 +1,15 @@
 use {
     crate::{
-        callers::PromptPrefix,
-        endpoints::{Endpoint, EndpointId, EndpointRecord},
+        callers::{PromptPrefix, Protocol},
+        endpoints::{ColdLimit, Endpoint, EndpointId, EndpointRecord},
         placement::Candidate,
         server::Gateway,
     },
-    std::{cell::Ref, rc::Rc, time::Instant},
+    std::{
+        cell::Ref,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Endpoints that were already chosen for a request.
@@ -25,7 +29,7 @@
 }
 
 /// Calls `choose` with the current candidates of a service.
-pub(crate) fn with_candidates<P, T>(
+pub(crate) fn with_candidates<P: Protocol, T>(
     gateway: &Gateway<P>,
     service: &str,
     prefix: Option<PromptPrefix>,
@@ -34,23 +38,57 @@
 ) -> T {
     let now = Instant::now();
     let endpoints = gateway.directory.of_service(service);
+    let context = CandidateContext {
+        prefix,
+        attempted,
+        cold_limit: gateway.cold_limit(service),
+        cold_start: gateway.cold_start(service),
+        now,
+    };
     let records: Vec<_> = endpoints.iter().map(|endpoint| endpoint.record.borrow()).collect();
     let list = endpoints
         .iter()
         .zip(&records)
-        .map(|(endpoint, record)| candidate(gateway, endpoint, record, prefix, attempted, now))
+        .map(|(endpoint, record)| candidate(gateway, endpoint, record, &context))
         .collect();
     choose(&Candidates { endpoints: &endpoints, records: &records, list })
 }
 
-fn candidate<'a, P>(
+/// What is the same for all candidates of a request.
+struct CandidateContext<'a> {
+    prefix: Option<PromptPrefix>,
+    attempted: AttemptedEndpoints<'a>,
+    cold_limit: ColdLimit,
+    cold_start: Duration,
+    now: Instant,
+}
+
+/// Whether this host sends no requests to an endpoint now.
+fn is_closed<P: Protocol>(
+    gateway: &Gateway<P>,
+    endpoint: &Endpoint,
+    record: &EndpointRecord,
+    context: &CandidateContext<'_>,
+) -> bool {
+    let now = context.now;
+    if endpoint.is_leaving() || gateway.evacuations.is_evacuated(&record.zone) {
+        return true;
+    }
+    // endpoints whose zone was evacuated may be cold again, and their records may not tell so yet
+    if let Some(ended_at) = gateway.evacuations.ended_at(&record.zone) {
+        let rest = (ended_at + context.cold_start).saturating_duration_since(now);
+        endpoint.record_cold(rest, now);
+    }
+    !endpoint.may_send(&context.cold_limit, now)
+}
+
+fn candidate<'a, P: Protocol>(
     gateway: &Gateway<P>,
     endpoint: &Endpoint,
     record: &'a EndpointRecord,
-    prefix: Option<PromptPrefix>,
-    attempted: AttemptedEndpoints<'_>,
-    now: Instant,
+    context: &CandidateContext<'_>,
 ) -> Candidate<'a> {
+    let CandidateContext { prefix, attempted, now, .. } = *context;
     let (health, load) = (endpoint.health.get(), endpoint.load.get());
     let peer_requests = gateway.peers.requests_by_other_hosts(endpoint.hash);
     Candidate {
@@ -67,7 +105,7 @@
         has_refused: attempted.refused_by.contains(&record.id),
         holds_prefix: prefix
             .is_some_and(|prefix| gateway.peers.endpoint_holds_prefix(prefix.hash, endpoint.hash)),
-        is_leaving: endpoint.is_leaving(),
+        is_closed: is_closed(gateway, endpoint, record, context),
         is_recently_added: endpoint.is_recently_added(now),
         is_same_zone: *record.zone == *gateway.settings.zone,
     }
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -78,6 +78,7 @@
                 gateway.metrics.new_endpoint_connections.inc();
                 let connected = connect(address, CONNECT_TIMEOUT).await.map_err(|_| {
                     endpoint.update_health(|health| health.record_connect_failure(Instant::now()));
+                    gateway.record_possible_restart(endpoint);
                     SendFailure::new(SendOutcome::NotSent, FailureCause::ConnectFailed)
                 });
                 (connected?, None)
@@ -117,6 +118,10 @@
         }
     }
 
+    pub(super) fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
     /// How long the connection was idle before this request; `None` if it is new.
     pub(super) fn idle_time(&self) -> Option<Duration> {
         self.idle_time
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -218,6 +218,7 @@
             };
             let placement = choose_endpoint(&placement_request, &candidates.list)?;
             let endpoint = &candidates.endpoints[placement.target];
+            endpoint.record_send(Instant::now());
             if let Some(prefix) = prefix {
                 self.gateway.peers.record_prefix_use(prefix.hash, endpoint.hash);
             }
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -9,7 +9,7 @@
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
         rc::Rc,
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -43,6 +43,7 @@
             by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.addition_time())));
             return true;
         };
+        let becomes_cold = record.cold_ms > 0 && !existing.is_cold(Instant::now());
         let is_replaced = {
             let current = existing.record.borrow();
             if record.is_older_than(&current) {
@@ -68,7 +69,8 @@
         }
         // a misdirected request may have marked the endpoint as leaving before; other hosts
         // still have to receive the record
-        let is_changed = record.state != existing.record.borrow().state;
+        let is_changed = becomes_cold || record.state != existing.record.borrow().state;
+        existing.record_cold(Duration::from_millis(record.cold_ms), Instant::now());
         if record.state == EndpointState::Draining && !existing.is_leaving() {
             event!(
                 "endpoint_draining",
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -4,6 +4,7 @@
         health::Health,
         idle_connection::IdleConnection,
         load_estimate::LoadEstimate,
+        slow_start::{ColdLimit, SlowStart},
     },
     crate::peers::endpoint_hash,
     std::{
@@ -26,6 +27,7 @@
     pub(crate) hash: u32,
     pub(crate) health: Cell<Health>,
     pub(crate) load: Cell<LoadEstimate>,
+    slow_start: Cell<SlowStart>,
     in_flight: Cell<u32>,
     is_leaving: Cell<bool>,
     /// When the endpoint was added; `None` if it was in the first listing.
@@ -37,16 +39,20 @@
 impl Endpoint {
     pub(crate) fn new(record: EndpointRecord, added_at: Option<Instant>) -> Endpoint {
         let is_leaving = record.state == EndpointState::Draining;
-        Endpoint {
+        let cold_time = Duration::from_millis(record.cold_ms);
+        let endpoint = Endpoint {
             hash: endpoint_hash(&record.id),
             record: RefCell::new(record),
             health: Cell::default(),
             load: Cell::default(),
+            slow_start: Cell::default(),
             in_flight: Cell::new(0),
             is_leaving: Cell::new(is_leaving),
             added_at,
             idle_connections: RefCell::default(),
-        }
+        };
+        endpoint.record_cold(cold_time, Instant::now());
+        endpoint
     }
 
     /// Requests of this process at the endpoint.
@@ -69,6 +75,30 @@
         self.idle_connections.borrow_mut().clear();
     }
 
+    /// Records that the endpoint is, or may be, cold for this time.
+    pub(crate) fn record_cold(&self, time: Duration, now: Instant) {
+        let mut slow_start = self.slow_start.get();
+        slow_start.record_cold(now + time, now);
+        self.slow_start.set(slow_start);
+    }
+
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
+        self.slow_start.get().is_cold(now)
+    }
+
+    /// Whether this host may send a request to the endpoint although it may be cold.
+    pub(crate) fn may_send(&self, limit: &ColdLimit, now: Instant) -> bool {
+        let phase = f64::from(self.hash) / f64::from(u32::MAX);
+        self.slow_start.get().may_send(limit, phase, now)
+    }
+
+    /// Records that this host sends a request to the endpoint.
+    pub(crate) fn record_send(&self, now: Instant) {
+        let mut slow_start = self.slow_start.get();
+        slow_start.record_send(now);
+        self.slow_start.set(slow_start);
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn start_request(self: &Rc<Self>) -> InFlightGuard {
         self.in_flight.set(self.in_flight.get() + 1);
--- a/crates/gateway/src/endpoints/endpoint_record.rs
+++ b/crates/gateway/src/endpoints/endpoint_record.rs
@@ -20,6 +20,8 @@
     /// Requests that the endpoint runs at once.
     pub slots: u32,
     pub state: EndpointState,
+    /// How much longer the endpoint is cold after its start, in ms.
+    pub cold_ms: u64,
     /// Start of the endpoint's process in Unix milliseconds, if the record has it.
     pub started_at_unix_ms: Option<u64>,
     /// Increases with each record of one process.
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -5,6 +5,9 @@
 mod idle_connection;
 mod idle_limit;
 mod load_estimate;
+mod slow_start;
+#[cfg(test)]
+mod slow_start_tests;
 #[cfg(test)]
 mod tests;
 
@@ -13,6 +16,7 @@
     endpoint::{Endpoint, InFlightGuard},
     idle_connection::IdleConnection,
     idle_limit::IdleLimit,
+    slow_start::ColdLimit,
 };
 pub use {
     endpoint_record::{EndpointId, EndpointRecord, EndpointState},
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -14,6 +14,7 @@
         zone: "z".into(),
         slots: 4,
         state: EndpointState::Ready,
+        cold_ms: 0,
         started_at_unix_ms: Some(1_000),
         sequence,
     }
--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -5,20 +5,30 @@
     },
     crate::{
         clock::BootInstant,
-        config::{ConfigState, RoutingConfig},
+        config::{ConfigState, Evacuations, OperatorKey, RoutingConfig},
         peers::FeedKind,
         telemetry::{GatewayMetrics, event},
     },
     std::{
+        collections::BTreeSet,
         rc::Rc,
         time::{Duration, Instant},
     },
 };
 
-/// Applies configuration records to the configuration in force.
+/// How the records of the operators are read.
+#[derive(Clone, Copy, Debug)]
+pub struct OperatorRecords {
+    /// What a key is about; `None` if the router does not use it.
+    pub key: fn(&str) -> Option<OperatorKey>,
+    pub decode_config: RecordDecoder<Rc<RoutingConfig>>,
+}
+
+/// Applies the operators' records: to the configuration in force and to the evacuated zones.
 pub(crate) struct ConfigSink {
     state: Rc<ConfigState>,
-    decode: RecordDecoder<Rc<RoutingConfig>>,
+    evacuations: Rc<Evacuations>,
+    records: OperatorRecords,
     metrics: Rc<GatewayMetrics>,
     /// Longest wait of a read for new records. Each empty answer confirms the configuration,
     /// also for peers, so the wait stays well below the time within which a change must be
@@ -32,11 +42,12 @@
 impl ConfigSink {
     pub(crate) fn new(
         state: Rc<ConfigState>,
-        decode: RecordDecoder<Rc<RoutingConfig>>,
+        evacuations: Rc<Evacuations>,
+        records: OperatorRecords,
         poll_wait: Duration,
         metrics: Rc<GatewayMetrics>,
     ) -> ConfigSink {
-        ConfigSink { state, decode, metrics, poll_wait, is_readable: false }
+        ConfigSink { state, evacuations, records, metrics, poll_wait, is_readable: false }
     }
 
     /// Applies a configuration unless a newer one is in force. Returns whether it was applied.
@@ -55,6 +66,26 @@
         }
         is_applied
     }
+
+    /// Applies a record of the configuration. Returns whether it changed the configuration in force.
+    fn apply_config_record(&mut self, record: &RawRecord) -> bool {
+        let (key, offset) = (&record.key, record.offset);
+        if record.value.is_empty() {
+            event!("config_record_removed", "key={key:?} offset={offset}");
+            return false;
+        }
+        match (self.records.decode_config)(key, &record.value) {
+            Ok(config) => {
+                self.is_readable = true;
+                self.apply_config(config, offset)
+            }
+            Err(reason) => {
+                self.is_readable = false;
+                event!("config_record_unreadable", "key={key:?} offset={offset} reason={reason:?}");
+                false
+            }
+        }
+    }
 }
 
 impl RecordSink for ConfigSink {
@@ -69,27 +100,27 @@
     }
 
     fn replace_all(&mut self, records: &[RawRecord]) {
+        let mut evacuated = BTreeSet::new();
         for record in records {
-            self.apply(record);
+            match (self.records.key)(&record.key) {
+                Some(OperatorKey::Config) => drop(self.apply_config_record(record)),
+                Some(OperatorKey::Evacuation { zone }) if !record.value.is_empty() => {
+                    evacuated.insert(zone);
+                }
+                Some(OperatorKey::Evacuation { .. }) | None => {}
+            }
         }
+        self.evacuations.replace_all(&evacuated, Instant::now());
     }
 
     fn apply(&mut self, record: &RawRecord) -> bool {
-        let (key, offset) = (&record.key, record.offset);
-        if record.value.is_empty() {
-            event!("config_record_removed", "key={key:?} offset={offset}");
-            return false;
-        }
-        match (self.decode)(key, &record.value) {
-            Ok(config) => {
-                self.is_readable = true;
-                self.apply_config(config, offset)
-            }
-            Err(reason) => {
-                self.is_readable = false;
-                event!("config_record_unreadable", "key={key:?} offset={offset} reason={reason:?}");
-                false
+        match (self.records.key)(&record.key) {
+            Some(OperatorKey::Config) => self.apply_config_record(record),
+            Some(OperatorKey::Evacuation { zone }) if record.value.is_empty() => {
+                self.evacuations.end(&zone, Instant::now())
             }
+            Some(OperatorKey::Evacuation { zone }) => self.evacuations.begin(&zone),
+            None => false,
         }
     }
 
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -11,6 +11,7 @@
 
 pub(crate) use {config_sink::ConfigSink, endpoint_sink::EndpointSink, follower::Follower};
 pub use {
+    config_sink::OperatorRecords,
     record_feed::{FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
     record_sink::RecordDecoder,
 };
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -1,11 +1,11 @@
 use {
     super::{
-        ConfigSink, EndpointSink, FeedError, Follower, LogChanges, LogListing, RawRecord,
-        RecordFeed, feed_health::FeedHealth, record_sink::RecordSink,
+        ConfigSink, EndpointSink, FeedError, Follower, LogChanges, LogListing, OperatorRecords,
+        RawRecord, RecordFeed, feed_health::FeedHealth, record_sink::RecordSink,
     },
     crate::{
         clock::BootInstant,
-        config::{CallerLimits, ConfigState, RoutingConfig},
+        config::{CallerLimits, ConfigState, Evacuations, OperatorKey, RoutingConfig},
         endpoints::{Directory, EndpointRecord, EndpointState},
         peers::{MaxConfirmationAges, PeerState},
         telemetry::GatewayMetrics,
@@ -60,6 +60,7 @@
         zone: "z".into(),
         slots: 1,
         state: EndpointState::Ready,
+        cold_ms: 0,
         started_at_unix_ms: None,
         sequence: text.parse().map_err(|_| "not a number")?,
     })
@@ -79,12 +80,26 @@
     Rc::new(peers)
 }
 
+fn operator_key(key: &str) -> Option<OperatorKey> {
+    match key.strip_prefix("zone-") {
+        Some(zone) => Some(OperatorKey::Evacuation { zone: zone.into() }),
+        None => Some(OperatorKey::Config),
+    }
+}
+
+fn config_sink(state: &Rc<ConfigState>, evacuations: &Rc<Evacuations>) -> ConfigSink {
+    let records = OperatorRecords { key: operator_key, decode_config: decode_version };
+    let metrics = Rc::new(GatewayMetrics::new());
+    let poll_wait = Duration::from_millis(100);
+    ConfigSink::new(state.clone(), evacuations.clone(), records, poll_wait, metrics)
+}
+
 /// Runs a follower of the configuration until the prepared answers are used up.
 fn follow_config(feed: ScriptedFeed) -> Rc<ConfigState> {
     let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
     let metrics = Rc::new(GatewayMetrics::new());
-    let sink =
-        ConfigSink::new(state.clone(), decode_version, Duration::from_millis(100), metrics.clone());
+    let evacuations = Rc::new(Evacuations::new(metrics.clone()));
+    let sink = config_sink(&state, &evacuations);
     let follower = Follower::new(feed, sink, peers(), metrics);
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
@@ -250,3 +265,22 @@
     sink.apply(&raw(2, "a", "2"));
     assert_eq!(sequence(), Some(2));
 }
+
+/// Guards against an evacuation that is missed, or that lasts after it was taken back while this
+/// host did not follow the log; and against a record of an evacuation that is taken for a
+/// configuration.
+#[test]
+fn evacuations_last_until_their_record_is_removed() {
+    let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
+    let evacuations = Rc::new(Evacuations::new(Rc::new(GatewayMetrics::new())));
+    let mut sink = config_sink(&state, &evacuations);
+    sink.replace_all(&[raw(0, "config", "3"), raw(1, "zone-a", "{}")]);
+    assert!(evacuations.is_evacuated("a") && evacuations.ended_at("a").is_none());
+    assert!(sink.apply(&raw(2, "zone-b", "{}")));
+    assert!(!sink.apply(&raw(3, "zone-b", "{}")), "it is evacuated already");
+    assert!(sink.apply(&raw(4, "zone-a", "")));
+    assert!(!evacuations.is_evacuated("a") && evacuations.ended_at("a").is_some());
+    sink.replace_all(&[raw(0, "config", "3")]);
+    assert!(evacuations.zones().is_empty() && evacuations.ended_at("b").is_some());
+    assert_eq!(state.version(), 3);
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,11 +29,15 @@
 pub use {
     callers::{CallerRequest, InvalidHeader, PromptPartId, PromptPrefix, Protocol},
     config::{
-        ApiKey, CallerLimits, RequestKind, Route, RoutingConfig, Service, ServiceShare, Team,
+        ApiKey, CallerLimits, OperatorKey, RequestKind, Route, RoutingConfig, Service,
+        ServiceShare, Team,
     },
     dispatch::{EndpointRequest, ResponseMeta},
     endpoints::{EndpointId, EndpointRecord, EndpointState, LoadReport},
-    followers::{FeedError, LogChanges, LogListing, Offset, RawRecord, RecordDecoder, RecordFeed},
+    followers::{
+        FeedError, LogChanges, LogListing, Offset, OperatorRecords, RawRecord, RecordDecoder,
+        RecordFeed,
+    },
     http1::{
         BodyDecoder, BodyFraming, ClientConnection, FramingError, HeadError, Header, Headers,
         RequestHead, ResponseHead,
--- a/crates/gateway/src/peers/fleet_size.rs
+++ b/crates/gateway/src/peers/fleet_size.rs
@@ -66,6 +66,12 @@
         self.counted_until.retain(|_, until| now <= *until);
     }
 
+    /// Place of a host in the order of the counted hosts' IDs, from 0 to 1.
+    pub(super) fn place_of(&self, host_id: &str) -> f64 {
+        let before = self.counted_until.keys().filter(|id| ***id < *host_id).count();
+        before as f64 / (self.counted_until.len() + 1) as f64
+    }
+
     /// Hosts that report to relays, this one included; 0 while it is unknown.
     pub(super) fn reporting_hosts(&self) -> u32 {
         self.reporting.value()
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -322,6 +322,11 @@
         self.hosts_before(Instant::now())
     }
 
+    /// Place of this host in the order of the known hosts' IDs, from 0 to 1.
+    pub(crate) fn own_place(&self) -> f64 {
+        self.fleet_size.borrow().place_of(&self.own_host.host_id)
+    }
+
     /// Decides whether this host relays and logs a change. Returns the decision.
     pub(super) fn update_relay_role(&self) -> bool {
         let now = BootInstant::now();
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -27,8 +27,9 @@
     pub is_same_zone: bool,
     /// The prompt's prefix was sent to the endpoint recently, so its cache should hold it.
     pub holds_prefix: bool,
-    /// Accepts no new requests; other endpoints may still fetch its cache.
-    pub is_leaving: bool,
+    /// Receives no requests from this host now, since it is leaving, evacuated or cold; other
+    /// endpoints may still fetch its cache.
+    pub is_closed: bool,
     /// Added recently, so other endpoints may still hold the prefixes that now rank it first.
     pub is_recently_added: bool,
 }
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -120,7 +120,7 @@
         (0..candidates.len())
             .filter(|&index| {
                 let candidate = &candidates[index];
-                !candidate.is_leaving && !candidate.has_refused && accept(candidate)
+                !candidate.is_closed && !candidate.has_refused && accept(candidate)
             })
             .collect()
     };
--- a/crates/gateway/src/placement/tests.rs
+++ b/crates/gateway/src/placement/tests.rs
@@ -18,7 +18,7 @@
         has_refused: false,
         is_same_zone: true,
         holds_prefix: false,
-        is_leaving: false,
+        is_closed: false,
         is_recently_added: false,
     }
 }
@@ -53,7 +53,7 @@
     let ids = endpoint_ids(12);
     let before: Vec<_> = ids.iter().map(|id| candidate(id, 0.0)).collect();
     let mut after = before.clone();
-    after[3].is_leaving = true;
+    after[3].is_closed = true;
     for hash in 0..500 {
         let old = choose_endpoint(&request(hash), &before).expect("a target");
         let new = choose_endpoint(&request(hash), &after).expect("a target");
@@ -111,7 +111,7 @@
     only.is_paused = true;
     let placement = choose_endpoint(&request(1), &[only.clone()]);
     assert_eq!(placement.map(|placement| placement.target), Some(0));
-    only.is_leaving = true;
+    only.is_closed = true;
     assert_eq!(choose_endpoint(&request(1), &[only]), None);
 }
 
--- a/crates/gateway/src/queueing/permits.rs
+++ b/crates/gateway/src/queueing/permits.rs
@@ -4,7 +4,7 @@
         fair_queue::Position,
         service_queue::{Arrival, Decision, ServiceQueue},
     },
-    crate::{endpoints::Directory, peers::PeerState, telemetry::event},
+    crate::{config::Evacuations, endpoints::Directory, peers::PeerState, telemetry::event},
     serde_json::{Value, json},
     std::{
         cell::{Cell, RefCell},
@@ -40,6 +40,7 @@
 pub(crate) struct Permits {
     directory: Rc<Directory>,
     peers: Rc<PeerState>,
+    evacuations: Rc<Evacuations>,
     queues: RefCell<HashMap<Rc<str>, Rc<PermitQueue>>>,
 }
 
@@ -48,14 +49,19 @@
     service: Rc<str>,
     directory: Rc<Directory>,
     peers: Rc<PeerState>,
+    evacuations: Rc<Evacuations>,
     state: RefCell<ServiceQueue<oneshot::Sender<Permit>>>,
     /// Whether a task starts waiting requests at intervals.
     has_start_task: Cell<bool>,
 }
 
 impl Permits {
-    pub(crate) fn new(directory: Rc<Directory>, peers: Rc<PeerState>) -> Permits {
-        Permits { directory, peers, queues: RefCell::default() }
+    pub(crate) fn new(
+        directory: Rc<Directory>,
+        peers: Rc<PeerState>,
+        evacuations: Rc<Evacuations>,
+    ) -> Permits {
+        Permits { directory, peers, evacuations, queues: RefCell::default() }
     }
 
     /// Waits until the request may be sent. Fails at once if it could not finish in time, and
@@ -107,6 +113,7 @@
                 service: service.clone(),
                 directory: self.directory.clone(),
                 peers: self.peers.clone(),
+                evacuations: self.evacuations.clone(),
                 state: RefCell::default(),
                 has_start_task: Cell::new(false),
             })
@@ -125,10 +132,14 @@
             fleet_hosts: self.peers.fleet_hosts(),
         };
         for endpoint in self.directory.of_service(&self.service) {
-            if endpoint.is_leaving() || endpoint.health.get().is_paused(now) {
+            let record = endpoint.record.borrow();
+            if endpoint.is_leaving()
+                || endpoint.health.get().is_paused(now)
+                || self.evacuations.is_evacuated(&record.zone)
+            {
                 continue;
             }
-            load.slots = load.slots.saturating_add(endpoint.record.borrow().slots);
+            load.slots = load.slots.saturating_add(record.slots);
             let others = self.peers.requests_by_other_hosts(endpoint.hash);
             load.other_requests =
                 load.other_requests.zip(others).map(|(sum, more)| sum.saturating_add(more));
--- a/crates/gateway/src/server/explain.rs
+++ b/crates/gateway/src/server/explain.rs
@@ -68,7 +68,7 @@
 }
 
 /// The endpoint that would be chosen for a request to the service.
-fn explain_placement<P>(
+fn explain_placement<P: Protocol>(
     gateway: &Gateway<P>,
     service: &str,
     prefix: Option<PromptPrefix>,
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -4,9 +4,9 @@
         blocklist::SharedBlocklist,
         callers::Protocol,
         clock::BootInstant,
-        config::{CallerLimits, ConfigState},
+        config::{CallerLimits, ConfigState, Evacuations},
         dispatch::CrashChecks,
-        endpoints::{Directory, IdleLimit},
+        endpoints::{ColdLimit, Directory, Endpoint, IdleLimit},
         memory::BytePool,
         peers::{MaxConfirmationAges, PeerState},
         queueing::Permits,
@@ -20,7 +20,7 @@
         cell::{Cell, RefCell},
         collections::HashMap,
         rc::Rc,
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -39,6 +39,7 @@
     pub(crate) protocol: P,
     pub(crate) settings: GatewaySettings,
     pub(crate) config: Rc<ConfigState>,
+    pub(crate) evacuations: Rc<Evacuations>,
     /// The known endpoints.
     pub(crate) directory: Rc<Directory>,
     pub(crate) metrics: Rc<GatewayMetrics>,
@@ -72,11 +73,13 @@
         ));
         let directory = Rc::<Directory>::default();
         let metrics = Rc::new(GatewayMetrics::new());
+        let evacuations = Rc::new(Evacuations::new(metrics.clone()));
         let blocklist = SharedBlocklist::new(&settings.host, directory.clone(), metrics.clone());
         Gateway {
             blocklist: Rc::new(blocklist),
             crash_checks: Rc::default(),
-            permits: Permits::new(directory.clone(), peers.clone()),
+            permits: Permits::new(directory.clone(), peers.clone(), evacuations.clone()),
+            evacuations,
             directory,
             peers,
             request_bytes: BytePool::new(settings.message_pool_bytes()),
@@ -93,6 +96,36 @@
         }
     }
 
+    /// The limit of the whole fleet for requests to a cold endpoint of a service.
+    pub(crate) fn cold_limit(&self, service: &str) -> ColdLimit {
+        let bounds = &self.settings.bounds;
+        let bearable = self
+            .config
+            .current()
+            .and_then(|config| config.service(service).map(|service| service.cold_requests_per_s))
+            .filter(|requests_per_s| *requests_per_s > 0.0);
+        ColdLimit {
+            requests_per_s: bearable.unwrap_or(0.0) * bounds.cold_request_factor,
+            hosts: self.peers.hosts_sharing_limits(),
+            host_place: if bearable.is_some() { self.peers.own_place() } else { 0.0 },
+            process_age: self.started_at.elapsed(),
+        }
+    }
+
+    /// How long the endpoints of a service are cold after their start.
+    pub(crate) fn cold_start(&self, service: &str) -> Duration {
+        let config = self.config.current();
+        let service = config.as_ref().and_then(|config| config.service(service));
+        Duration::from_millis(service.map_or(0, |service| service.cold_start_ms))
+    }
+
+    /// Records that the connection to an endpoint failed or broke: it may have started again, and
+    /// its record may not tell so yet.
+    pub(crate) fn record_possible_restart(&self, endpoint: &Endpoint) {
+        let cold_start = self.cold_start(&endpoint.record.borrow().service);
+        endpoint.record_cold(cold_start, Instant::now());
+    }
+
     /// Limits of the configuration in force, or the defaults while there is none.
     pub(crate) fn caller_limits(&self) -> CallerLimits {
         self.config.current().map(|config| config.limits).unwrap_or_default()
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -6,9 +6,10 @@
     },
     crate::{
         callers::Protocol,
-        config::RoutingConfig,
         endpoints::EndpointRecord,
-        followers::{ConfigSink, EndpointSink, Follower, RecordDecoder, RecordFeed},
+        followers::{
+            ConfigSink, EndpointSink, Follower, OperatorRecords, RecordDecoder, RecordFeed,
+        },
         peers::{Gossip, HostRegistry, announce, receive_gossip, send_gossip},
         settings::{GatewaySettings, load_settings},
         telemetry::{event, start_logging},
@@ -42,8 +43,8 @@
 /// Implementations of the gateway's interfaces for a platform.
 pub struct PlatformAdapters<P, C, E, R> {
     pub protocol: P,
-    /// Log of the configuration and the decoder of its records.
-    pub config: (C, RecordDecoder<Rc<RoutingConfig>>),
+    /// Log of the operators' records and how they are read.
+    pub operators: (C, OperatorRecords),
     /// Log of the endpoint records and their decoder.
     pub endpoints: (E, RecordDecoder<EndpointRecord>),
     pub registry: R,
@@ -95,7 +96,7 @@
         gateway.settings.zone,
         env!("CARGO_PKG_VERSION")
     );
-    spawn_followers(&gateway, adapters.config, adapters.endpoints);
+    spawn_followers(&gateway, adapters.operators, adapters.endpoints);
     spawn_local(announce(adapters.registry, gateway.peers.clone()));
     let gossip_socket = listeners.gossip;
     let gossip = Gossip {
@@ -125,7 +126,7 @@
 /// Starts the followers that read the configuration and the endpoint records.
 fn spawn_followers<P, C, E>(
     gateway: &Gateway<P>,
-    (config_feed, decode_config): (C, RecordDecoder<Rc<RoutingConfig>>),
+    (operators_feed, operator_records): (C, OperatorRecords),
     (endpoint_feed, decode_endpoint): (E, RecordDecoder<EndpointRecord>),
 ) where
     P: Protocol,
@@ -134,8 +135,9 @@
 {
     let (peers, metrics) = (&gateway.peers, &gateway.metrics);
     let poll_wait = gateway.settings.bounds.config_apply().mul_f64(POLL_WAIT_FRACTION);
-    let sink = ConfigSink::new(gateway.config.clone(), decode_config, poll_wait, metrics.clone());
-    spawn_local(Follower::new(config_feed, sink, peers.clone(), metrics.clone()).run());
+    let (config, evacuations) = (gateway.config.clone(), gateway.evacuations.clone());
+    let sink = ConfigSink::new(config, evacuations, operator_records, poll_wait, metrics.clone());
+    spawn_local(Follower::new(operators_feed, sink, peers.clone(), metrics.clone()).run());
     let heartbeat = Duration::from_millis(gateway.settings.endpoint_heartbeat_ms);
     let directory = gateway.directory.clone();
     let poll_pause = gateway.settings.bounds.endpoint_drain().mul_f64(ENDPOINT_POLL_FRACTION);
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -63,6 +63,10 @@
     pub retry_budget_window_s: f64,
     /// Retries in a window that the whole fleet may send in addition to the ratio.
     pub retry_budget_allowance: f64,
+    /// Requests per second that the whole fleet may send to a cold endpoint, as a multiple of what
+    /// the endpoint bears.
+    #[serde(default = "default_cold_request_factor")]
+    pub cold_request_factor: f64,
 }
 
 impl GatewaySettings {
@@ -99,6 +103,10 @@
     1_024
 }
 
+fn default_cold_request_factor() -> f64 {
+    1.0
+}
+
 fn default_memory_mb() -> f64 {
     128.0
 }
--- a/crates/gateway/src/settings/load.rs
+++ b/crates/gateway/src/settings/load.rs
@@ -30,6 +30,7 @@
         ("bounds.retry_budget_ratio", bounds.retry_budget_ratio),
         ("bounds.retry_budget_window_s", bounds.retry_budget_window_s),
         ("bounds.retry_budget_allowance", bounds.retry_budget_allowance),
+        ("bounds.cold_request_factor", bounds.cold_request_factor),
     ];
     for (field, value) in numbers {
         if !value.is_finite() || value < 0.0 {
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -65,6 +65,7 @@
     pub(crate) new_endpoint_connections: Counter,
     pub(crate) refused_retries: Counter,
     pub(crate) unreadable_endpoint_records: Counter,
+    pub(crate) evacuated_zones: Gauge,
     pub(crate) blocked_parts: Gauge,
     pub(crate) caller_connections: Gauge,
     pub(crate) config_version: Gauge,
@@ -91,6 +92,7 @@
             new_endpoint_connections: Counter::default(),
             refused_retries: Counter::default(),
             unreadable_endpoint_records: Counter::default(),
+            evacuated_zones: Gauge::default(),
             blocked_parts: Gauge::default(),
             caller_connections: Gauge::default(),
             config_version: Gauge::default(),
@@ -110,6 +112,11 @@
             "Records of endpoints that could not be read",
             self.unreadable_endpoint_records.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Zones whose endpoints are to receive no requests",
+            self.evacuated_zones.clone(),
+        );
         registry.register("requests", "Requests from callers by outcome", self.requests.clone());
         registry.register(
             "team_requests",
