Prefer the endpoint to which a connection is open

Cause: hundreds of hosts spread few requests evenly over all endpoints, so nearly each opens a connection. Change: among endpoints of about equal cost, one with an idle connection is chosen; a new connection counts like 0.6 of a queued request. Prompts with prefixes go where their prefix is, so most of the connections stay.

--- a/crates/gateway/src/dispatch/candidates.rs
+++ b/crates/gateway/src/dispatch/candidates.rs
@@ -107,6 +107,7 @@
             .is_some_and(|prefix| gateway.peers.endpoint_holds_prefix(prefix.hash, endpoint.hash)),
         is_closed: is_closed(gateway, endpoint, record, context),
         is_recently_added: endpoint.is_recently_added(now),
+        has_idle_connection: endpoint.idle_connection_count() > 0,
         is_same_zone: *record.zone == *gateway.settings.zone,
     }
 }
--- a/crates/gateway/src/peers/load_changes_tests.rs
+++ b/crates/gateway/src/peers/load_changes_tests.rs
@@ -144,6 +144,7 @@
         was_tried: false,
         has_refused: false,
         is_same_zone: true,
+        has_idle_connection: false,
         holds_prefix: false,
         is_closed: false,
         is_recently_added: false,
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -25,6 +25,8 @@
     /// again.
     pub has_refused: bool,
     pub is_same_zone: bool,
+    /// This router has an open connection to the endpoint that no request uses.
+    pub has_idle_connection: bool,
     /// The prompt's prefix was sent to the endpoint recently, so its cache should hold it.
     pub holds_prefix: bool,
     /// Receives no requests from this host now, since it is leaving, evacuated or cold; other
--- a/crates/gateway/src/placement/choose.rs
+++ b/crates/gateway/src/placement/choose.rs
@@ -42,6 +42,10 @@
 /// Cost of an endpoint in another availability zone, in queued requests.
 const CROSS_ZONE_COST: f64 = 0.3;
 
+/// Cost of an endpoint to which a connection has to be opened, in queued requests. Hundreds of
+/// routers that spread their requests evenly would hardly ever use a connection twice.
+const NEW_CONNECTION_COST: f64 = 0.6;
+
 /// Typical age of load reports from other routers: a report waits for up to one gossip round
 /// of 200 ms at its sender, and for another one at the host that forwards it in the zone.
 const TYPICAL_REPORT_AGE: Duration = Duration::from_millis(250);
@@ -227,11 +231,13 @@
     fn cost(&self, candidate: &Candidate<'_>, tie_breaker: u64) -> f64 {
         let load = self.estimated_requests(candidate) + f64::from(candidate.waiting) + 1.0;
         let zone = if candidate.is_same_zone { 0.0 } else { CROSS_ZONE_COST };
+        let connection = if candidate.has_idle_connection { 0.0 } else { NEW_CONNECTION_COST };
         // less than one request, so that it only orders endpoints with about the same load
         let tie = xxh3_64_with_seed(candidate.id.as_bytes(), tie_breaker) as f64 / u64::MAX as f64;
         load * self.relative_slowness(candidate)
             + FAILURE_COST * candidate.failure_share
             + zone
+            + connection
             + 0.5 * tie
     }
 }
--- a/crates/gateway/src/placement/tests.rs
+++ b/crates/gateway/src/placement/tests.rs
@@ -17,6 +17,7 @@
         was_tried: false,
         has_refused: false,
         is_same_zone: true,
+        has_idle_connection: false,
         holds_prefix: false,
         is_closed: false,
         is_recently_added: false,
@@ -322,3 +323,21 @@
     assert_eq!(moves(10_000), 0);
     assert_eq!(moves(700), 200);
 }
+
+/// Guards against a new connection for nearly every request while hundreds of routers send few
+/// requests each: a router keeps to the endpoint that it is connected to, until that endpoint has a
+/// request more than the others.
+#[test]
+fn open_connections_are_used_while_loads_are_equal() {
+    let ids = endpoint_ids(5);
+    let mut candidates: Vec<_> = ids.iter().map(|id| candidate(id, 1.0)).collect();
+    candidates[3].has_idle_connection = true;
+    let plain = |tie_breaker| PlacementRequest { prefix_hash: None, shared_tokens: 0, tie_breaker };
+    let sent_to_it = |candidates: &[Candidate<'_>]| {
+        let targets = (0..300).filter_map(|tie| choose_endpoint(&plain(tie), candidates));
+        targets.filter(|placement| placement.target == 3).count()
+    };
+    assert_eq!(sent_to_it(&candidates), 300);
+    candidates[3].requests = 2.2;
+    assert_eq!(sent_to_it(&candidates), 0);
+}
