Let a host that starts again write no record

Change: a host reads the registry first and writes only if its own record is not there; it writes first when the whole fleet starts for the first time, as its settings say. The registry is read again only if no host of the zone was found.

--- a/crates/gateway/src/peers/announcer.rs
+++ b/crates/gateway/src/peers/announcer.rs
@@ -4,6 +4,7 @@
         peer_state::PeerState,
     },
     crate::telemetry::event,
+    mango_wire::gossip::HostRecord,
     rand::RngExt,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
@@ -13,37 +14,80 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Publishes this host's address in the registry and reads the other hosts' addresses.
-/// This host's record is written first: of two hosts that start at the same time, at least
-/// one then finds the other.
-pub(crate) async fn announce<R: HostRegistry>(mut registry: R, state: Rc<PeerState>) {
-    let mut is_announced = false;
+/// `is_first_start` says that the whole fleet starts for the first time, so that the registry is
+/// empty.
+pub(crate) async fn announce<R: HostRegistry>(
+    mut registry: R,
+    state: Rc<PeerState>,
+    is_first_start: bool,
+) {
+    let mut next = if is_first_start { Step::Write } else { Step::Read };
     loop {
-        match announce_and_list_hosts(&mut registry, &state, &mut is_announced).await {
-            Ok(HostListing { hosts, unreadable_records }) => {
-                event!("announced", "hosts={} unreadable={unreadable_records}", hosts.len());
-                return;
-            }
+        match take_step(&mut registry, &state, next).await {
+            Ok(Some(following)) => next = following,
+            Ok(None) => return,
             Err(RegistryError(reason)) => {
-                event!("announce_failed", "reason={reason:?}");
+                event!("announce_failed", "step={next} reason={reason:?}");
                 sleep(RETRY_PAUSE.mul_f64(rand::rng().random_range(0.7..1.3))).await;
             }
         }
     }
 }
 
-async fn announce_and_list_hosts<R: HostRegistry>(
+/// A call to the registry.
+///
+/// A host that starts again finds its own record, and needs to write none. Of two hosts that start
+/// at the same time into an empty registry, each writes its record before it reads, so at least one
+/// finds the other. Hosts that find others of their zone hear of later ones from them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Step {
+    Read,
+    Write,
+    WriteOnly,
+}
+
+/// Makes one call and returns the next one, if another is needed.
+async fn take_step<R: HostRegistry>(
     registry: &mut R,
     state: &PeerState,
-    is_announced: &mut bool,
-) -> Result<HostListing, RegistryError> {
-    if !*is_announced {
-        registry.announce(state.own_host()).await?;
-        *is_announced = true;
+    step: Step,
+) -> Result<Option<Step>, RegistryError> {
+    match step {
+        Step::Write => {
+            registry.announce(state.own_host()).await?;
+            Ok(Some(Step::Read))
+        }
+        Step::WriteOnly => {
+            registry.announce(state.own_host()).await?;
+            Ok(None)
+        }
+        Step::Read => {
+            let HostListing { hosts, unreadable_records } = registry.hosts().await?;
+            for host in &hosts {
+                state.add_host(host);
+            }
+            state.record_registry();
+            event!("announced", "hosts={} unreadable={unreadable_records}", hosts.len());
+            Ok(step_after_read(state.own_host(), &hosts))
+        }
     }
-    let listing = registry.hosts().await?;
-    for host in &listing.hosts {
-        state.add_host(host);
+}
+
+/// The call after a read that returned these hosts.
+pub(super) fn step_after_read(own: &HostRecord, hosts: &[HostRecord]) -> Option<Step> {
+    if hosts.iter().any(|host| is_same_record(host, own)) {
+        return None;
     }
-    state.record_registry();
-    Ok(listing)
+    let finds_others =
+        hosts.iter().any(|host| host.zone == own.zone && host.host_id != own.host_id);
+    Some(if finds_others { Step::WriteOnly } else { Step::Write })
+}
+
+fn is_same_record(a: &HostRecord, b: &HostRecord) -> bool {
+    a.host_id == b.host_id
+        && a.zone == b.zone
+        && a.gossip_address == b.gossip_address
+        && a.relay_address == b.relay_address
+        && a.link_mbps == b.link_mbps
 }
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        announcer::{Step, step_after_read},
         changes_codec,
         feed_kind::FeedKind,
         load_sums::{LoadSums, endpoint_hash},
@@ -353,3 +354,18 @@
     let keys: Vec<_> = changes.records.iter().map(|record| record.key.as_str()).collect();
     assert_eq!(keys, ["a"]);
 }
+
+/// Guards against calls to the registry that a start does not need, and against hosts that start
+/// together and never find each other.
+#[test]
+fn a_host_writes_its_record_only_if_the_registry_lacks_it() {
+    let own = host("own");
+    assert_eq!(step_after_read(&own, &[host("a"), own.clone()]), None);
+    let moved = HostRecord { gossip_address: "127.0.0.1:9".to_owned(), ..own.clone() };
+    assert_eq!(step_after_read(&own, &[host("a"), moved]), Some(Step::WriteOnly));
+    assert_eq!(step_after_read(&own, &[host("a")]), Some(Step::WriteOnly));
+    let elsewhere = HostRecord { zone: "other".to_owned(), ..host("a") };
+    for alone in [vec![], vec![elsewhere]] {
+        assert_eq!(step_after_read(&own, &alone), Some(Step::Write), "it reads again after that");
+    }
+}
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -97,7 +97,8 @@
         env!("CARGO_PKG_VERSION")
     );
     spawn_followers(&gateway, adapters.operators, adapters.endpoints);
-    spawn_local(announce(adapters.registry, gateway.peers.clone()));
+    let is_first_start = gateway.settings.is_first_start;
+    spawn_local(announce(adapters.registry, gateway.peers.clone(), is_first_start));
     let gossip_socket = listeners.gossip;
     let gossip = Gossip {
         state: gateway.peers.clone(),
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -39,6 +39,9 @@
     /// Interval at which an endpoint renews its record in the store, in ms.
     pub endpoint_heartbeat_ms: u64,
     pub bounds: Bounds,
+    /// Whether the whole fleet starts for the first time: then no host is registered yet.
+    #[serde(default)]
+    pub is_first_start: bool,
     /// Log specification in the format of `flexi_logger`.
     #[serde(default = "default_log_spec")]
     pub log_spec: String,
