--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod announcer;
 mod changes_codec;
 mod feed_kind;
+mod fleet_loads;
 mod fleet_size;
 mod followed_relay;
 mod gossip_task;
@@ -16,11 +17,13 @@
 #[cfg(test)]
 mod load_changes_tests;
 mod load_sums;
+mod other_loads;
 mod peer_state;
 mod prefix_uses;
 mod published_feed;
 mod relay_client;
 mod relay_election;
+mod relay_role;
 mod report_clock;
 mod store_turn;
 #[cfg(test)]
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -1,14 +1,17 @@
 use {
     super::{
         feed_kind::FeedKind,
+        fleet_loads::FleetLoads,
         fleet_size::FleetSize,
         followed_relay::{FollowedRelay, RelayedFeedStatus},
         host_table::HostTable,
         load_changes::{RisingLoads, notable_loads},
         load_sums::LoadSums,
+        other_loads::OtherLoads,
         prefix_uses::PrefixUses,
         published_feed::PublishedFeed,
-        relay_election::{ElectionInputs, RELAY_TIMEOUT, rank, should_relay},
+        relay_election::{RELAY_TIMEOUT, rank},
+        relay_role::{RelayRole, RoleInputs},
         report_clock::ReportClock,
         store_turn::StoreTurn,
     },
@@ -21,21 +24,17 @@
         RelayStatus, ZoneLoads,
     },
     std::{
-        cell::{Cell, RefCell},
+        cell::RefCell,
         net::SocketAddr,
         time::{Duration, Instant},
     },
     tokio::sync::Notify,
 };
 
-/// Loads of other hosts are used for this long after the last update.
-const OTHER_LOADS_LIFETIME: Duration = Duration::from_millis(1_200);
 /// Most successors that a relay names.
 const MAX_SUCCESSORS: usize = 4;
 /// How long the successors that a relay named count after its last status.
 const SUCCESSORS_LIFETIME: Duration = Duration::from_secs(10);
-/// For this long after it became the relay, a host sends its status to all hosts of the zone.
-const NEW_RELAY_TIME: Duration = Duration::from_secs(1);
 
 /// Greatest age at which this host relies on a relay's confirmation, by log.
 #[derive(Clone, Copy, Debug)]
@@ -52,17 +51,8 @@
     report_clock: ReportClock,
     hosts: RefCell<HostTable>,
     relay: RefCell<Option<FollowedRelay>>,
-    started_at: Instant,
-    /// Time of the last status with a recent confirmation from a better-ranked relay.
-    better_relay_seen_at: Cell<Option<Instant>>,
-    is_relay: Cell<bool>,
-    became_relay_at: Cell<Option<Instant>>,
-    is_stopping: Cell<bool>,
-    /// Requests in flight from other hosts, by endpoint.
-    other_loads: RefCell<LoadSums>,
-    other_loads_updated_at: Cell<Option<Instant>>,
-    /// Own requests in flight that were last sent to the relay, by endpoint.
-    reported_loads: RefCell<LoadSums>,
+    role: RelayRole,
+    other_loads: OtherLoads,
     pub(crate) rising_loads: RisingLoads,
     fleet_size: RefCell<FleetSize>,
     prefix_uses: RefCell<PrefixUses>,
@@ -81,14 +71,8 @@
             report_clock: ReportClock::new(),
             hosts: RefCell::default(),
             relay: RefCell::default(),
-            started_at: Instant::now(),
-            better_relay_seen_at: Cell::new(None),
-            is_relay: Cell::new(false),
-            became_relay_at: Cell::new(None),
-            is_stopping: Cell::new(false),
-            other_loads: RefCell::default(),
-            other_loads_updated_at: Cell::new(None),
-            reported_loads: RefCell::default(),
+            role: RelayRole::new(),
+            other_loads: OtherLoads::default(),
             rising_loads: RisingLoads::default(),
             fleet_size: RefCell::default(),
             prefix_uses: RefCell::default(),
@@ -104,7 +88,7 @@
 
     /// Lets another host take over the relay role before this host stops.
     pub(crate) fn stop_relaying(&self) {
-        self.is_stopping.set(true);
+        self.role.stop();
     }
 
     pub(crate) fn published_feed(&self, kind: FeedKind) -> &RefCell<PublishedFeed> {
@@ -173,18 +157,13 @@
             LoadScope::Zone if !is_own_zone => {
                 self.hosts.borrow_mut().update_zone_loads(&host.zone, &loads);
             }
-            LoadScope::Fleet if is_own_zone && !self.is_relay.get() => {
-                let reported = self.reported_loads.borrow();
-                let mut other_loads = self.other_loads.borrow_mut();
-                for EndpointLoad { endpoint, requests } in loads {
-                    let of_others = requests.saturating_sub(reported.requests(endpoint));
-                    other_loads.set(endpoint, of_others);
-                }
+            LoadScope::Fleet if is_own_zone && !self.role.is_relay() => {
+                self.other_loads.update_from_totals(&loads);
                 return;
             }
             LoadScope::Host | LoadScope::Zone | LoadScope::Fleet => return,
         }
-        if self.is_relay.get() {
+        if self.role.is_relay() {
             loads.iter().for_each(|load| self.rising_loads.record(load.endpoint));
         }
     }
@@ -200,31 +179,25 @@
         let message = |scope, loads| {
             GossipMessage::LoadChanges(LoadChanges { host: self.own_host.clone(), scope, loads })
         };
-        if !self.is_relay.get() {
+        if !self.role.is_relay() {
             let Some(relay) = self.followed_relay_address() else { return Vec::new() };
             let is_rising = |load: &&EndpointLoad| rising.contains(&load.endpoint);
             let loads: Vec<_> = own_loads.iter().filter(is_rising).cloned().collect();
-            let mut reported = self.reported_loads.borrow_mut();
-            loads.iter().for_each(|load| reported.set(load.endpoint, load.requests));
+            self.other_loads.record_risen(&loads);
             return vec![(relay, message(LoadScope::Host, loads))];
         }
         let now = Instant::now();
         let hosts = self.hosts.borrow();
-        let (_, mut zone_sums) = hosts.zone_sums(now);
-        let mut other_loads = zone_sums.clone();
-        hosts.add_other_zone_loads(&mut other_loads, now);
-        zone_sums.add(own_loads);
-        let mut fleet_sums = other_loads.clone();
-        fleet_sums.add(own_loads);
-        self.other_loads.replace(other_loads);
-        let fleet_loads = notable_loads(&rising, &fleet_sums, services);
+        let sums = FleetLoads::sum(&hosts, own_loads, now);
+        let fleet_loads = notable_loads(&rising, &sums.fleet, services);
+        self.other_loads.replace_risen(sums.others);
         if fleet_loads.is_empty() {
             return Vec::new();
         }
         let zone_loads = fleet_loads
             .iter()
             .map(|load| EndpointLoad {
-                requests: zone_sums.requests(load.endpoint),
+                requests: sums.zone.requests(load.endpoint),
                 ..load.clone()
             })
             .collect();
@@ -242,13 +215,13 @@
     /// Follows the sender of a relay status if its confirmation is recent and no better-ranked
     /// relay sends statuses.
     fn receive_status(&self, status: RelayStatus, now: Instant) {
-        if !self.is_relay.get() {
+        if !self.role.is_relay() {
             self.add_remote_uses(&status.prefixes, true, now);
         }
         let sender_rank = rank(&status.host);
         let is_fresh = config_age(&status).is_some_and(|age| age <= self.max_ages.config);
         if is_fresh && sender_rank < self.own_rank {
-            self.better_relay_seen_at.set(Some(now));
+            self.role.record_better_relay(now);
         }
         let mut relay = self.relay.borrow_mut();
         let is_preferred = relay.as_ref().is_none_or(|known| {
@@ -265,7 +238,7 @@
             let age = OptionalMillis(config_age(&status));
             event!("relay_chosen", "host={} age_ms={age}", status.host.host_id);
         }
-        if !self.is_relay.get() {
+        if !self.role.is_relay() {
             let mut other_loads = LoadSums::default();
             other_loads.add(&status.loads);
             self.set_other_loads(other_loads, status.fleet_hosts, now);
@@ -286,15 +259,14 @@
     }
 
     fn set_other_loads(&self, sums: LoadSums, fleet_hosts: u32, now: Instant) {
-        self.other_loads.replace(sums);
-        self.other_loads_updated_at.set(Some(now));
+        self.other_loads.replace(sums, now);
         self.fleet_size.borrow_mut().record_report(fleet_hosts, now);
     }
 
     /// Returns the state of a log according to the relay. None if its confirmation is too old
     /// or this host relays itself.
     pub(crate) fn relayed_feed_status(&self, kind: FeedKind) -> Option<RelayedFeedStatus> {
-        if self.is_relay.get() {
+        if self.role.is_relay() {
             return None;
         }
         let relay = self.relay.borrow();
@@ -313,11 +285,7 @@
     /// Returns the requests of other hosts at an endpoint. None if no update was received
     /// recently.
     pub(crate) fn requests_by_other_hosts(&self, endpoint: u32) -> Option<u32> {
-        let is_recent = self
-            .other_loads_updated_at
-            .get()
-            .is_some_and(|at| at.elapsed() <= OTHER_LOADS_LIFETIME);
-        is_recent.then(|| self.other_loads.borrow().requests(endpoint))
+        self.other_loads.requests(endpoint)
     }
 
     /// Returns whether any host sent a prefix to an endpoint so recently that the endpoint
@@ -334,12 +302,12 @@
     /// Records prefix uses by other hosts, and queues them for forwarding if this host
     /// relays.
     fn add_remote_uses(&self, uses: &[PrefixUse], is_from_own_zone: bool, now: Instant) {
-        let is_relay = self.is_relay.get();
+        let is_relay = self.role.is_relay();
         self.prefix_uses.borrow_mut().record_remote(uses, is_from_own_zone, is_relay, now);
     }
 
     pub(crate) fn is_relay(&self) -> bool {
-        self.is_relay.get()
+        self.role.is_relay()
     }
 
     /// Returns the id of the relay that this host follows.
@@ -400,7 +368,7 @@
             copy_age: self.published_feed(kind).borrow().confirmation_age(BootInstant::now()),
             max_copy_age,
         };
-        self.is_relay.get() || turn.has_come()
+        self.role.is_relay() || turn.has_come()
     }
 
     /// Number of hosts of the zone whose calls to the store come before those of this host.
@@ -416,17 +384,14 @@
     /// Decides whether this host relays and logs a change. Returns the decision.
     pub(super) fn update_relay_role(&self) -> bool {
         let now = BootInstant::now();
-        let is_relay = should_relay(&ElectionInputs {
-            since_better_relay: self.better_relay_seen_at.get().map(|at| at.elapsed()),
-            since_start: self.started_at.elapsed(),
+        let is_changed = self.role.update(&RoleInputs {
             knows_hosts: self.knows_hosts(),
             hosts_before: self.hosts_before(Instant::now()),
-            is_stopping: self.is_stopping.get(),
             own_confirmation_age: self.config_feed.borrow().confirmation_age(now),
             max_confirmation_age: self.max_ages.config,
         });
-        if self.is_relay.replace(is_relay) != is_relay {
-            self.became_relay_at.set(is_relay.then(Instant::now));
+        let is_relay = self.role.is_relay();
+        if is_changed {
             let age = OptionalMillis(self.config_feed.borrow().confirmation_age(now));
             let hosts = self.hosts.borrow().len();
             event!("relay_changed", "relays={is_relay} config_age_ms={age} hosts={hosts}");
@@ -446,8 +411,7 @@
         self.prefix_uses.borrow_mut().expire(now);
         self.fleet_size.borrow_mut().expire(now);
         if self.update_relay_role() {
-            let is_new = self.became_relay_at.get().is_some_and(|at| at.elapsed() < NEW_RELAY_TIME);
-            self.relay_messages(own_loads, is_full_round || is_new)
+            self.relay_messages(own_loads, is_full_round || self.role.is_new_relay())
         } else {
             self.report_messages(own_loads, is_full_round)
         }
@@ -490,9 +454,7 @@
         is_full_round: bool,
     ) -> Vec<(SocketAddr, GossipMessage)> {
         let targets = self.report_targets(is_full_round);
-        let mut reported = LoadSums::default();
-        reported.add(own_loads);
-        self.reported_loads.replace(reported);
+        self.other_loads.record_report(own_loads);
         let report = LoadReport {
             host: self.own_host.clone(),
             sent_at_ms: self.report_clock.timestamp_ms(),
@@ -511,19 +473,14 @@
     ) -> Vec<(SocketAddr, GossipMessage)> {
         let now = Instant::now();
         let hosts = self.hosts.borrow();
-        let (reporting, mut sums) = hosts.zone_sums(now);
-        // what this host uses as the loads of other hosts
-        let mut other_loads = sums.clone();
-        sums.add(own_loads);
+        let sums = FleetLoads::sum(&hosts, own_loads, now);
         let uses = self.prefix_uses.borrow_mut().take_relayed();
         let zone_loads = ZoneLoads {
             host: self.own_host.clone(),
-            hosts: reporting + 1,
-            loads: sums.to_loads(),
+            hosts: sums.zone_hosts,
+            loads: sums.zone.to_loads(),
             prefixes: uses.of_zone,
         };
-        let fleet_hosts = reporting + 1 + hosts.add_other_zone_loads(&mut sums, now);
-        hosts.add_other_zone_loads(&mut other_loads, now);
         let mut messages: Vec<(SocketAddr, GossipMessage)> = hosts
             .other_zone_relays(&self.own_host.zone, is_full_round)
             .into_iter()
@@ -533,14 +490,14 @@
         let mut successor_ranks = hosts.running_ranks(&self.own_host.zone, now);
         successor_ranks.truncate(MAX_SUCCESSORS);
         for target in hosts.status_targets(&self.own_host.zone, is_full_round, now) {
-            let mut loads = sums.clone();
+            let mut loads = sums.fleet.clone();
             loads.subtract(target.reported_loads);
             let status = RelayStatus {
                 host: self.own_host.clone(),
                 echo_ms: target.echo_ms,
                 config: self.config_feed.borrow().status(boot_now),
                 endpoints: self.endpoint_feed.borrow().status(boot_now),
-                fleet_hosts,
+                fleet_hosts: sums.fleet_hosts,
                 successor_ranks: successor_ranks.clone(),
                 loads: loads.to_loads(),
                 prefixes: uses.of_all.clone(),
@@ -548,7 +505,7 @@
             messages.push((target.address, GossipMessage::RelayStatus(status)));
         }
         drop(hosts);
-        self.set_other_loads(other_loads, fleet_hosts, now);
+        self.set_other_loads(sums.others, sums.fleet_hosts, now);
         messages
     }
 }
