Leave cold endpoints of services without a limit open

Cause, by reading: a service that names no requests per second for cold endpoints got a limit of none, so its endpoints would have received nothing while their records say that they are cold. Change: without that figure there is no limit.

--- a/crates/gateway/src/config/service.rs
+++ b/crates/gateway/src/config/service.rs
@@ -8,6 +8,6 @@
     pub max_connections: u32,
     /// How long an endpoint is cold after its start, in ms; 0 if it never is.
     pub cold_start_ms: u64,
-    /// Requests per second of all hosts together that a cold endpoint bears.
+    /// Requests per second of all hosts together that a cold endpoint bears; 0 if there is no limit.
     pub cold_requests_per_s: f64,
 }
--- a/crates/gateway/src/endpoints/slow_start.rs
+++ b/crates/gateway/src/endpoints/slow_start.rs
@@ -21,7 +21,8 @@
 /// The limit of the whole fleet for one cold endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ColdLimit {
-    pub(crate) requests_per_s: f64,
+    /// Requests per second of the whole fleet; `None` if there is no limit.
+    pub(crate) requests_per_s: Option<f64>,
     /// Hosts among which the limit is divided; `None` if unknown.
     pub(crate) hosts: Option<u32>,
     /// Place of this host in the order of the hosts' IDs, from 0 to 1.
@@ -63,10 +64,11 @@
     /// differs between endpoints, so that the same hosts are not first at all of them.
     pub(crate) fn may_send(&self, limit: &ColdLimit, endpoint_phase: f64, now: Instant) -> bool {
         let Some(cold) = self.cold.filter(|cold| now < cold.until) else { return true };
+        let Some(requests_per_s) = limit.requests_per_s else { return true };
         let Some(hosts) = limit.hosts.filter(|_| limit.process_age >= MIN_PROCESS_AGE) else {
             return false;
         };
-        let rate_per_s = limit.requests_per_s * USED_FRACTION / f64::from(hosts.max(1));
+        let rate_per_s = requests_per_s * USED_FRACTION / f64::from(hosts.max(1));
         if rate_per_s <= 0.0 {
             return false;
         }
--- a/crates/gateway/src/endpoints/slow_start_tests.rs
+++ b/crates/gateway/src/endpoints/slow_start_tests.rs
@@ -86,7 +86,7 @@
             }
             host.slow_start.record_cold(start + COLD_TIME, now);
             let limit = ColdLimit {
-                requests_per_s: BEARABLE_PER_S * FACTOR,
+                requests_per_s: Some(BEARABLE_PER_S * FACTOR),
                 hosts: Some(host.counted_hosts),
                 host_place: host.place,
                 process_age,
@@ -145,7 +145,7 @@
 fn an_unknown_fleet_size_closes_cold_endpoints_only() {
     let now = Instant::now();
     let limit = ColdLimit {
-        requests_per_s: BEARABLE_PER_S,
+        requests_per_s: Some(BEARABLE_PER_S),
         hosts: None,
         host_place: 0.5,
         process_age: Duration::from_secs(60),
@@ -157,3 +157,18 @@
     let warm_at = now + Duration::from_secs(3);
     assert!(!slow_start.is_cold(warm_at) && slow_start.may_send(&limit, 0.0, warm_at));
 }
+
+/// Guards against endpoints that are closed after their start although their service has no limit.
+#[test]
+fn a_service_without_a_limit_is_not_closed() {
+    let now = Instant::now();
+    let limit = ColdLimit {
+        requests_per_s: None,
+        hosts: Some(9),
+        host_place: 0.0,
+        process_age: Duration::from_secs(60),
+    };
+    let mut slow_start = SlowStart::default();
+    slow_start.record_cold(now + Duration::from_secs(3), now);
+    assert!(slow_start.may_send(&limit, 0.0, now));
+}
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -105,7 +105,7 @@
             .and_then(|config| config.service(service).map(|service| service.cold_requests_per_s))
             .filter(|requests_per_s| *requests_per_s > 0.0);
         ColdLimit {
-            requests_per_s: bearable.unwrap_or(0.0) * bounds.cold_request_factor,
+            requests_per_s: bearable.map(|per_s| per_s * bounds.cold_request_factor),
             hosts: self.peers.hosts_sharing_limits(),
             host_place: if bearable.is_some() { self.peers.own_place() } else { 0.0 },
             process_age: self.started_at.elapsed(),
