Let the first hosts in turn read the store at once, and answer new hosts at once

Change: the first four hosts of a zone read without a wait. A host asks for a round of gossip when its first copy is confirmed, when it first hears a relay, and, as a relay, when a host reports for the first time.

--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -125,7 +125,7 @@
         if let Some(at) = relay.confirmed_at.filter(|_| own_position >= relay.position) {
             self.health.record_relay_confirmation(at);
             self.sink.confirmed(at);
-            self.peers.published_feed(self.kind).borrow_mut().confirm(at);
+            self.peers.confirm_feed(self.kind, at);
         }
         // the records up to the relay's position did not change the state: skip them
         if relay.last_change.is_none_or(|offset| offset < own_position)
@@ -247,7 +247,7 @@
 
     fn confirm(&mut self, at: BootInstant) {
         self.sink.confirmed(at);
-        self.peers.published_feed(self.kind).borrow_mut().confirm(at);
+        self.peers.confirm_feed(self.kind, at);
     }
 }
 
--- a/crates/gateway/src/peers/gossip_task.rs
+++ b/crates/gateway/src/peers/gossip_task.rs
@@ -20,6 +20,8 @@
 const FIRST_FULL_ROUNDS: u32 = 5;
 /// Time for which rising loads are collected before they are sent.
 const CHANGE_DELAY: Duration = Duration::from_millis(25);
+/// Time for which reasons for a round before the next regular one are collected.
+const WANTED_ROUND_DELAY: Duration = Duration::from_millis(10);
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16_384;
 /// Pause after a failed receive.
@@ -45,6 +47,7 @@
         tokio::select! {
             biased;
             _ = rounds.tick() => {}
+            _ = gossip.state.round_wanted.notified() => sleep(WANTED_ROUND_DELAY).await,
             _ = gossip.state.rising_loads.wait() => {
                 sleep(CHANGE_DELAY).await;
                 send_changes(&gossip);
--- a/crates/gateway/src/peers/host_table.rs
+++ b/crates/gateway/src/peers/host_table.rs
@@ -103,12 +103,16 @@
         is_new
     }
 
-    /// Stores a load report if its host is known.
-    pub(super) fn add_report(&mut self, report: LoadReport, now: Instant) {
-        if let Some(known) = self.hosts.get_mut(&report.host.host_id) {
-            let LoadReport { sent_at_ms, loads, .. } = report;
-            known.report = Some(HostReport { received_at: now, sent_at_ms, loads });
-        }
+    /// Stores a load report if its host is known. Returns whether it is the first one lately.
+    pub(super) fn add_report(&mut self, report: LoadReport, now: Instant) -> bool {
+        let Some(known) = self.hosts.get_mut(&report.host.host_id) else { return false };
+        let is_first = known
+            .report
+            .as_ref()
+            .is_none_or(|last| !is_within(last.received_at, REPORT_LIFETIME, now));
+        let LoadReport { sent_at_ms, loads, .. } = report;
+        known.report = Some(HostReport { received_at: now, sent_at_ms, loads });
+        is_first
     }
 
     /// Stores the loads of another zone if the address of its relay can be parsed.
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -58,6 +58,8 @@
     prefix_uses: RefCell<PrefixUses>,
     pub(crate) config_feed: RefCell<PublishedFeed>,
     pub(crate) endpoint_feed: RefCell<PublishedFeed>,
+    /// Asks for a round of gossip before the next regular one.
+    pub(super) round_wanted: Notify,
     /// Wakes the followers when a relay status was received.
     pub(crate) status_received: Notify,
 }
@@ -78,6 +80,7 @@
             prefix_uses: RefCell::default(),
             config_feed: RefCell::default(),
             endpoint_feed: RefCell::default(),
+            round_wanted: Notify::new(),
             status_received: Notify::new(),
         }
     }
@@ -131,7 +134,10 @@
         match message {
             GossipMessage::LoadReport(report) if report.host.zone == self.own_host.zone => {
                 self.add_remote_uses(&report.prefixes, true, now);
-                self.hosts.borrow_mut().add_report(report, now);
+                let is_first = self.hosts.borrow_mut().add_report(report, now);
+                if is_first && self.role.is_relay() {
+                    self.round_wanted.notify_one();
+                }
             }
             GossipMessage::RelayStatus(status) if status.host.zone == self.own_host.zone => {
                 self.receive_status(status, now);
@@ -237,6 +243,8 @@
         if relay.as_ref().is_none_or(|known| known.host_id != status.host.host_id) {
             let age = OptionalMillis(config_age(&status));
             event!("relay_chosen", "host={} age_ms={age}", status.host.host_id);
+            // the relay answers the report, which makes its confirmations usable
+            self.round_wanted.notify_one();
         }
         if !self.role.is_relay() {
             let mut other_loads = LoadSums::default();
@@ -371,6 +379,15 @@
         self.role.is_relay() || turn.has_come()
     }
 
+    /// Records that this host's copy of a log was current at a time.
+    pub(crate) fn confirm_feed(&self, kind: FeedKind, at: BootInstant) {
+        self.published_feed(kind).borrow_mut().confirm(at);
+        if self.relay.borrow().is_none() && !self.role.is_relay() {
+            // this host may be the first of its zone that can relay
+            self.round_wanted.notify_one();
+        }
+    }
+
     /// Number of hosts of the zone whose calls to the store come before those of this host.
     pub(crate) fn hosts_before_own_turn(&self) -> u32 {
         self.hosts_before(Instant::now())
--- a/crates/gateway/src/peers/store_turn.rs
+++ b/crates/gateway/src/peers/store_turn.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: all hosts of a fleet start at once, or lose their relay at once. If each of them
 //! read the store, the calls would grow with the fleet and share the store's bandwidth. The hosts
-//! of a zone take turns by their rank: usually the first one reads, becomes the relay, and the
-//! others follow it before it is their turn.
+//! of a zone take turns by their rank: the first few read at once, the first one becomes the relay,
+//! and the others follow it before it is their turn.
 
 use std::time::Duration;
 
@@ -11,6 +11,9 @@
 const REGISTRY_TIME: Duration = Duration::from_millis(1_000);
 /// Time in which the first host in turn reads the store and reaches the others as their relay.
 pub(super) const FIRST_TURN_TIME: Duration = Duration::from_millis(500);
+/// Hosts of a zone that read at once: a small zone serves again sooner than its relay could reach
+/// it, and one of them usually runs.
+const FIRST_READERS: u32 = 4;
 /// Each host waits this much longer than the one before it.
 pub(super) const TURN_INTERVAL: Duration = Duration::from_millis(150);
 /// Largest number of intervals that a host waits.
@@ -39,7 +42,7 @@
         if !self.knows_hosts {
             return self.without_relay >= REGISTRY_TIME;
         }
-        self.hosts_before == 0 || self.without_relay >= turn_delay(self.hosts_before)
+        self.hosts_before < FIRST_READERS || self.without_relay >= turn_delay(self.hosts_before)
     }
 }
 
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -141,6 +141,20 @@
     }
 }
 
+/// Guards against a zone that serves late after all its hosts were killed: the first hosts in turn
+/// do not wait for each other.
+#[test]
+fn the_first_hosts_of_a_zone_read_at_once() {
+    let turn = |hosts_before| StoreTurn {
+        without_relay: Duration::ZERO,
+        hosts_before,
+        knows_hosts: true,
+        copy_age: None,
+        max_copy_age: Duration::from_secs(3),
+    };
+    assert_eq!((0..60).filter(|&before| turn(before).has_come()).count(), 4);
+}
+
 /// Guards against a copy that becomes too old while its host waits for its turn, and against a host
 /// that never starts because it knows no other.
 #[test]
