--- a/crates/gateway/src/dispatch/candidates.rs
+++ b/crates/gateway/src/dispatch/candidates.rs
@@ -74,7 +74,7 @@
     if endpoint.is_leaving() || gateway.evacuations.is_evacuated(&record.zone) {
         return true;
     }
-    // endpoints whose zone was evacuated may be cold again, and their records may not tell so yet
+    // endpoints of a zone that was evacuated may be cold again before their records tell so
     if let Some(ended_at) = gateway.evacuations.ended_at(&record.zone) {
         let rest = (ended_at + context.cold_start).saturating_duration_since(now);
         endpoint.record_cold(rest, now);
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -362,8 +362,8 @@
         self.fleet_size.borrow().registry_was_read() || self.hosts.borrow().len() > 0
     }
 
-    /// Whether this host may read a log from the store, which it has been doing without a relay
-    /// for this long.
+    /// Whether this host may read a log from the store itself, after this time without a usable
+    /// relay.
     pub(crate) fn may_read_store(&self, kind: FeedKind, without_relay: Duration) -> bool {
         let max_copy_age = match kind {
             FeedKind::Config => self.max_ages.config,
@@ -393,7 +393,7 @@
         self.hosts_before(Instant::now())
     }
 
-    /// Place of this host in the order of the known hosts' IDs, from 0 to 1.
+    /// Place of this host in the order of the IDs of all known hosts, from 0 to 1.
     pub(crate) fn own_place(&self) -> f64 {
         self.fleet_size.borrow().place_of(&self.own_host.host_id)
     }
