Let a new host read the registry again after it has written its record

Cause: hosts that found others of their zone did not read again after they had written. From its log: host-0 and host-2 each found the four others. Ruled out: the load of the machine and the four first readers, which all followed a relay 0.8 s later. Change: only a host that finds its own record stops there.

--- a/crates/gateway/src/peers/announcer.rs
+++ b/crates/gateway/src/peers/announcer.rs
@@ -36,15 +36,13 @@
 
 /// A call to the registry.
 ///
-/// A host that starts again finds its own record, and needs to write none. Of two hosts that start
-/// at the same time into an empty registry, each writes its record before it reads, so at least one
-/// finds the other. Hosts that find others of their zone hear of later ones from them.
+/// A host that starts again finds its own record, and needs to write none. Any other host reads after
+/// it has written: of two hosts that start at the same time, at least one then finds the other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum Step {
     Read,
     Write,
-    WriteOnly,
 }
 
 /// Makes one call and returns the next one, if another is needed.
@@ -58,10 +56,6 @@
             registry.announce(state.own_host()).await?;
             Ok(Some(Step::Read))
         }
-        Step::WriteOnly => {
-            registry.announce(state.own_host()).await?;
-            Ok(None)
-        }
         Step::Read => {
             let HostListing { hosts, unreadable_records } = registry.hosts().await?;
             for host in &hosts {
@@ -76,12 +70,8 @@
 
 /// The call after a read that returned these hosts.
 pub(super) fn step_after_read(own: &HostRecord, hosts: &[HostRecord]) -> Option<Step> {
-    if hosts.iter().any(|host| is_same_record(host, own)) {
-        return None;
-    }
-    let finds_others =
-        hosts.iter().any(|host| host.zone == own.zone && host.host_id != own.host_id);
-    Some(if finds_others { Step::WriteOnly } else { Step::Write })
+    let is_registered = hosts.iter().any(|host| is_same_record(host, own));
+    (!is_registered).then_some(Step::Write)
 }
 
 fn is_same_record(a: &HostRecord, b: &HostRecord) -> bool {
