--- a/review/harness/runner.rs
+++ b/review/harness/runner.rs
@@ -9,7 +9,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, AtomicU32, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -33,10 +33,8 @@
     pub born: u128,
     pub work: Duration,
     pub is_streaming: bool,
-    pub sequence: AtomicU64,
-    pub in_progress: AtomicU32,
+    sequence: AtomicU64,
     runs: Arc<Mutex<Vec<Run>>>,
-    is_beating: AtomicBool,
 }
 
 /// What a runner does at its heartbeats when the store fails.
@@ -64,9 +62,7 @@
             work,
             is_streaming,
             sequence: AtomicU64::new(0),
-            in_progress: AtomicU32::new(0),
             runs: runs.clone(),
-            is_beating: AtomicBool::new(true),
         });
         let accepting = runner.clone();
         thread::spawn(move || {
@@ -92,10 +88,10 @@
     pub fn beat(self: &Arc<Self>, store: &Arc<Store>, beats: Beats, record: &Arc<Record>) {
         let (runner, store, record) = (self.clone(), store.clone(), record.clone());
         thread::spawn(move || {
-            while runner.is_beating.load(Ordering::Relaxed) {
+            loop {
                 if store.is_up() {
                     let sequence = runner.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-                    store.put("keyed.servers", &runner.id, &runner.entry(sequence));
+                    store.beat(&runner.id, &runner.entry(0), &runner.entry(sequence));
                     thread::sleep(beats.interval);
                 } else {
                     while !store.is_up() {
@@ -121,7 +117,6 @@
                 }
                 continue;
             }
-            self.in_progress.fetch_add(1, Ordering::Relaxed);
             self.runs.lock().expect("runs").push(Run {
                 id: id.clone(),
                 path: head.target().to_owned(),
@@ -144,7 +139,6 @@
                 }
                 _ => write_response(&mut reader.stream, "200 OK", &headers, body.as_bytes()),
             };
-            self.in_progress.fetch_sub(1, Ordering::Relaxed);
             if sent.is_err() {
                 return;
             }
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -43,8 +43,8 @@
 struct State {
     topics: HashMap<String, Topic>,
     outage: Outage,
-    /// When the runners' entries were written last.
-    written_at: HashMap<String, Instant>,
+    /// When the runners' entries were written last, and what they said apart from `seq`.
+    written: HashMap<String, (Instant, String)>,
 }
 
 pub struct Store {
@@ -60,7 +60,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let store = Arc::new(Store {
             address: listener.local_addr().expect("an address"),
-            state: Mutex::new(State { topics: HashMap::new(), outage: Outage::None, written_at: HashMap::new() }),
+            state: Mutex::new(State { topics: HashMap::new(), outage: Outage::None, written: HashMap::new() }),
             changed: Condvar::new(),
             entry_lifetime,
         });
@@ -94,8 +94,21 @@
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut state = self.state.lock().expect("state");
         state.topics.entry(topic.to_owned()).or_default().append(key, value.as_bytes());
-        if topic == "keyed.servers" {
-            state.written_at.insert(key.to_owned(), Instant::now());
+        if let Some((_, content)) = state.written.get_mut(key) {
+            // the runner's next heartbeat changes the entry again
+            content.clear();
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// A heartbeat of a runner. The entry changes when more than `seq` changes; `content` is the
+    /// rest of it.
+    pub fn beat(&self, id: &str, content: &str, entry: &str) {
+        let mut state = self.state.lock().expect("state");
+        let known = state.written.insert(id.to_owned(), (Instant::now(), content.to_owned()));
+        if known.is_none_or(|(_, last)| last != content) {
+            state.topics.entry("keyed.servers".to_owned()).or_default().append(id, entry.as_bytes());
         }
         drop(state);
         self.changed.notify_all();
@@ -106,13 +119,13 @@
         let Some(lifetime) = self.entry_lifetime else { return };
         let mut state = self.state.lock().expect("state");
         let silent: Vec<String> = state
-            .written_at
+            .written
             .iter()
-            .filter(|(_, at)| at.elapsed() > lifetime)
+            .filter(|(_, (at, _))| at.elapsed() > lifetime)
             .map(|(key, _)| key.clone())
             .collect();
         for key in &silent {
-            state.written_at.remove(key);
+            state.written.remove(key);
             state.topics.entry("keyed.servers".to_owned()).or_default().append(key, b"");
         }
         drop(state);
