--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -52,7 +52,13 @@
         };
         let tcp = |port: u16| TcpListener::bind(("127.0.0.1", port)).is_ok();
         let udp = |port: u16| UdpSocket::bind(("127.0.0.1", port)).is_ok();
-        Addresses { callers: port(&tcp), ready: port(&tcp), metrics: port(&tcp), side: port(&tcp), gossip: port(&udp) }
+        Addresses {
+            callers: port(&tcp),
+            ready: port(&tcp),
+            metrics: port(&tcp),
+            side: port(&tcp),
+            gossip: port(&udp),
+        }
     }
 }
 
@@ -84,7 +90,8 @@
             let name = format!("front-z-{number}");
             let addresses = Addresses::reserve(&mut used);
             let settings = folder.join(format!("{name}.json"));
-            fs::write(&settings, settings_text(&name, &addresses, store.address)).map_err(|e| e.to_string())?;
+            fs::write(&settings, settings_text(&name, &addresses, store.address))
+                .map_err(|e| e.to_string())?;
             let log = folder.join(format!("{name}.log"));
             let child = spawn(&settings, &log)?;
             fleet.routers.push(Router { name, addresses, settings, log, child });
@@ -130,8 +137,14 @@
             let text = http::call(router.addresses.side, request, Duration::from_secs(1))
                 .map(|(_, body)| String::from_utf8_lossy(&body).into_owned())
                 .unwrap_or_default();
-            let known: Vec<&str> = text.lines().filter(|line| line.starts_with("mangobridge_endpoints ")).collect();
-            record.line(&format!("router {} ready={} {}", router.name, router.is_ready(), known.join(" ")));
+            let known: Vec<&str> =
+                text.lines().filter(|line| line.starts_with("mangobridge_endpoints ")).collect();
+            record.line(&format!(
+                "router {} ready={} {}",
+                router.name,
+                router.is_ready(),
+                known.join(" ")
+            ));
         }
     }
 }
@@ -151,7 +164,8 @@
 impl Router {
     pub fn is_ready(&self) -> bool {
         let request = b"GET /mangobridge/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
-        http::call(self.addresses.ready, request, Duration::from_millis(500)).is_ok_and(|(head, _)| head.status() == 200)
+        http::call(self.addresses.ready, request, Duration::from_millis(500))
+            .is_ok_and(|(head, _)| head.status() == 200)
     }
 }
 
@@ -195,7 +209,8 @@
             thread::spawn(move || {
                 let mut misses = 0;
                 loop {
-                    let request = b"GET /mangobridge/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
+                    let request =
+                        b"GET /mangobridge/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
                     let is_ready = http::call(address, request, Duration::from_millis(900))
                         .is_ok_and(|(head, _)| head.status() == 200);
                     misses = if is_ready { 0 } else { misses + 1 };
@@ -210,7 +225,8 @@
     /// The routers that get new connections.
     pub fn usable(&self) -> Vec<usize> {
         let in_rotation = self.in_rotation.lock().expect("rotation");
-        let usable: Vec<usize> = (0..in_rotation.len()).filter(|index| in_rotation[*index]).collect();
+        let usable: Vec<usize> =
+            (0..in_rotation.len()).filter(|index| in_rotation[*index]).collect();
         if usable.len() * 2 < in_rotation.len() { (0..in_rotation.len()).collect() } else { usable }
     }
 }
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -33,7 +33,11 @@
     /// A value of the target's query.
     pub fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target().split_once('?')?;
-        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
     }
 }
 
@@ -87,7 +91,8 @@
 
     /// Reads the body of a message with a length or in chunks.
     pub fn body(&mut self, head: &Head) -> io::Result<Vec<u8>> {
-        if head.get("transfer-encoding").is_some_and(|value| value.eq_ignore_ascii_case("chunked")) {
+        if head.get("transfer-encoding").is_some_and(|value| value.eq_ignore_ascii_case("chunked"))
+        {
             let mut body = Vec::new();
             loop {
                 while find(&self.buffer, b"\r\n").is_none() {
@@ -98,7 +103,8 @@
                 let end = find(&self.buffer, b"\r\n").unwrap_or(0);
                 let line = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
                 self.buffer.drain(..end + 2);
-                let size = usize::from_str_radix(line.trim(), 16).map_err(|_| io::Error::other("bad chunk"))?;
+                let size = usize::from_str_radix(line.trim(), 16)
+                    .map_err(|_| io::Error::other("bad chunk"))?;
                 let chunk = self.take(size + 2)?;
                 body.extend_from_slice(&chunk[..size]);
                 if size == 0 {
@@ -115,8 +121,15 @@
     bytes.windows(part.len()).position(|window| window == part)
 }
 
-pub fn write_response(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> io::Result<()> {
-    let mut output = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+pub fn write_response(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &str,
+    body: &[u8],
+) -> io::Result<()> {
+    let mut output =
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len())
+            .into_bytes();
     output.extend_from_slice(body);
     stream.write_all(&output)
 }
--- a/review/harness/runner.rs
+++ b/review/harness/runner.rs
@@ -112,7 +112,9 @@
             let id = head.get("x-attempt-id").unwrap_or_default().to_owned();
             if head.get("x-target-instance").is_some_and(|target| target != self.id) {
                 let headers = format!("X-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n");
-                if write_response(&mut reader.stream, "421 Misdirected Request", &headers, b"").is_err() {
+                if write_response(&mut reader.stream, "421 Misdirected Request", &headers, b"")
+                    .is_err()
+                {
                     return;
                 }
                 continue;
@@ -129,7 +131,9 @@
             let headers = format!("X-Attempt-Id: {id}\r\nX-Server-Signature: {}.{id}\r\n", self.id);
             let sent = match (head.method(), self.is_streaming) {
                 ("HEAD", _) => {
-                    let head = format!("HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\n\r\n");
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\n\r\n"
+                    );
                     std::io::Write::write_all(&mut reader.stream, head.as_bytes())
                 }
                 (_, true) => {
--- a/review/harness/scenarios.rs
+++ b/review/harness/scenarios.rs
@@ -44,7 +44,9 @@
 pub fn config(version: u64, routes: &[String], services: &[&str]) -> String {
     let services: Vec<String> = services
         .iter()
-        .map(|name| format!("{{\"name\":\"{name}\",\"healthPath\":\"/healthz\",\"maxConnections\":800}}"))
+        .map(|name| {
+            format!("{{\"name\":\"{name}\",\"healthPath\":\"/healthz\",\"maxConnections\":800}}")
+        })
         .collect();
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\
@@ -72,7 +74,13 @@
 }
 
 /// Sends one request and records its answer.
-pub fn send_request(method: &str, path: &str, router: usize, address: SocketAddr, record: &Record) -> Sent {
+pub fn send_request(
+    method: &str,
+    path: &str,
+    router: usize,
+    address: SocketAddr,
+    record: &Record,
+) -> Sent {
     let id = new_id();
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n\r\n"
--- a/review/harness/scenarios/foreign_entry.rs
+++ b/review/harness/scenarios/foreign_entry.rs
@@ -45,7 +45,8 @@
             is_written = true;
             // no zone, no version, no coldRemainingMs, no born; the writer counts in seconds
             let runner = &runners[2];
-            let seconds = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+            let seconds =
+                SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
             let entry = format!(
                 "{{\"service\":\"portal\",\"address\":\"{}\",\"slots\":64,\"state\":\"ready\",\"seq\":{seconds}}}",
                 runner.address
@@ -69,11 +70,17 @@
     for run in &runs {
         let allowed = if run.path.starts_with("/submit/") { "portal" } else { "tables" };
         let at = run.at.saturating_duration_since(started_at).as_secs_f64();
-        record.line(&format!("run {} {} by {} of {} at {at:.3}", run.id, run.path, run.runner, run.service));
+        record.line(&format!(
+            "run {} {} by {} of {} at {at:.3}",
+            run.id, run.path, run.runner, run.service
+        ));
         if run.service != allowed {
             wrong += 1;
         }
     }
-    record.line(&format!("requests that ran: {}, by a service to which no configuration lets them go: {wrong}", runs.len()));
+    record.line(&format!(
+        "requests that ran: {}, by a service to which no configuration lets them go: {wrong}",
+        runs.len()
+    ));
     Ok(wrong == 0)
 }
--- a/review/harness/scenarios/head_request.rs
+++ b/review/harness/scenarios/head_request.rs
@@ -7,19 +7,14 @@
     runner::{Beats, Runner},
     store::Store,
 };
-use std::{
-    io::Write,
-    net::TcpStream,
-    sync::Arc,
-    thread,
-    time::Duration,
-};
+use std::{io::Write, net::TcpStream, sync::Arc, thread, time::Duration};
 
 const ROUNDS: usize = 20;
 
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let store = Store::start(Some(Duration::from_millis(3_600)));
-    let routes = [route("r1", "/chat/", "streaming", "llm"), route("r2", "/t/", "idempotent", "tables")];
+    let routes =
+        [route("r1", "/chat/", "streaming", "llm"), route("r2", "/t/", "idempotent", "tables")];
     store.put("keyed.op", "config", &config(3, &routes, &["llm", "tables"]));
     let runs = Arc::default();
     let beats = Beats { interval: Duration::from_millis(1_200), return_delay: Duration::ZERO };
@@ -47,19 +42,26 @@
         reader.stream.write_all(request.as_bytes()).map_err(|e| e.to_string())?;
         let Ok(Some(head)) = reader.head() else { return Err("no answer".to_owned()) };
         let body = if has_trouble { Vec::new() } else { reader.body(&head).unwrap_or_default() };
-        record.line(&format!("request {id} {method} /chat/1 status={} body={:?}", head.status(), text(&body)));
+        record.line(&format!(
+            "request {id} {method} /chat/1 status={} body={:?}",
+            head.status(),
+            text(&body)
+        ));
         // no request waits on the connection, which stays open
         while let Ok(1..) = reader.read_more() {}
         let stray = reader.buffer.clone();
         record.line(&format!("bytes that came with no request waiting: {:?}", text(&stray)));
         // the next request on the kept connection
         let id = new_id();
-        let request =
-            format!("GET /t/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n\r\n");
+        let request = format!(
+            "GET /t/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n\r\n"
+        );
         reader.stream.write_all(request.as_bytes()).map_err(|e| e.to_string())?;
         while let Ok(1..) = reader.read_more() {}
         let first_line = text(&reader.buffer).lines().next().unwrap_or_default().to_owned();
-        record.line(&format!("request {id} GET /t/1: the first line of what the client gets is {first_line:?}"));
+        record.line(&format!(
+            "request {id} GET /t/1: the first line of what the client gets is {first_line:?}"
+        ));
         if !stray.is_empty() || !first_line.starts_with("HTTP/1.1 ") {
             foreign += 1;
         }
--- a/review/harness/scenarios/large_zone.rs
+++ b/review/harness/scenarios/large_zone.rs
@@ -76,7 +76,9 @@
     // the store is stable, so that calm machines are in touch, `stabilityWindowMs` after its return
     let due = (acknowledged_at + CONFIG_APPLY).max(returned_at + STABILITY_WINDOW);
     let mut late = 0;
-    for request in sent.iter().filter(|request| request.at > due && request.body.starts_with("i-old")) {
+    for request in
+        sent.iter().filter(|request| request.at > due && request.body.starts_with("i-old"))
+    {
         late += 1;
         let after_ack = (request.at - acknowledged_at).as_millis();
         let after_return = (request.at - returned_at).as_millis();
@@ -86,9 +88,17 @@
             request.id, request.router
         ));
     }
-    let last_old = sent.iter().filter(|request| request.body.starts_with("i-old")).map(|request| request.at).max();
+    let last_old = sent
+        .iter()
+        .filter(|request| request.body.starts_with("i-old"))
+        .map(|request| request.at)
+        .max();
     let last_old = last_old.map_or(0, |at| (at - returned_at).as_millis());
-    record.line(&format!("requests: {}; last one at the old service {last_old} ms after the return", sent.len()));
-    record.line(&format!("requests of machines in touch at the old service after the bound: {late}"));
+    record.line(&format!(
+        "requests: {}; last one at the old service {last_old} ms after the return",
+        sent.len()
+    ));
+    record
+        .line(&format!("requests of machines in touch at the old service after the bound: {late}"));
     Ok(late == 0)
 }
--- a/review/harness/scenarios/recover.rs
+++ b/review/harness/scenarios/recover.rs
@@ -28,7 +28,13 @@
     let runs = Arc::new(Mutex::new(Vec::new()));
     let beats = Beats { interval: HEARTBEAT, return_delay: RETURN_DELAY };
     for number in 1..=RUNNERS {
-        let runner = Runner::start(&format!("i-{number}"), "tables", Duration::from_millis(30), false, &runs);
+        let runner = Runner::start(
+            &format!("i-{number}"),
+            "tables",
+            Duration::from_millis(30),
+            false,
+            &runs,
+        );
         runner.beat(&store, beats, record);
     }
     let mut fleet = Fleet::start(ROUTERS, &store)?;
@@ -63,7 +69,9 @@
     let (served_before, before) = served_share(&sent, started_at, fault_at);
     let (served_after, after) = served_share(&sent, back_at + RECOVER_TIME, Instant::now());
     record.line(&format!("served before the fault: {served_before} of {before}"));
-    record.line(&format!("served later than recoverS after the machines are back: {served_after} of {after}"));
+    record.line(&format!(
+        "served later than recoverS after the machines are back: {served_after} of {after}"
+    ));
     let is_broken = served_before * 4 >= before && served_after * 4 < after;
     Ok(!is_broken)
 }
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -60,7 +60,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let store = Arc::new(Store {
             address: listener.local_addr().expect("an address"),
-            state: Mutex::new(State { topics: HashMap::new(), outage: Outage::None, written: HashMap::new() }),
+            state: Mutex::new(State {
+                topics: HashMap::new(),
+                outage: Outage::None,
+                written: HashMap::new(),
+            }),
             changed: Condvar::new(),
             entry_lifetime,
         });
@@ -108,7 +112,11 @@
         let mut state = self.state.lock().expect("state");
         let known = state.written.insert(id.to_owned(), (Instant::now(), content.to_owned()));
         if known.is_none_or(|(_, last)| last != content) {
-            state.topics.entry("keyed.servers".to_owned()).or_default().append(id, entry.as_bytes());
+            state
+                .topics
+                .entry("keyed.servers".to_owned())
+                .or_default()
+                .append(id, entry.as_bytes());
         }
         drop(state);
         self.changed.notify_all();
@@ -187,16 +195,24 @@
                     .iter()
                     .filter(|(key, _)| key.as_str() > after)
                     .map(|(key, (offset, value))| {
-                        format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+                        format!(
+                            "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                            base64(value)
+                        )
                     })
                     .collect();
                 let end = topic.records.len();
-                let text = format!("{{\"items\":[{}],\"truncated\":false,\"end\":{end}}}", items.join(","));
+                let text = format!(
+                    "{{\"items\":[{}],\"truncated\":false,\"end\":{end}}}",
+                    items.join(",")
+                );
                 Some(("200 OK", text.into_bytes()))
             }
             "/mangobridge/log-read" => {
-                let from: usize = head.query("from").and_then(|text| text.parse().ok()).unwrap_or(0);
-                let wait: u64 = head.query("waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let from: usize =
+                    head.query("from").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let wait: u64 =
+                    head.query("waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
                 let until = Instant::now() + Duration::from_millis(wait);
                 loop {
                     match state.outage {
@@ -230,7 +246,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let value = chunk.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let value = chunk.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
         for index in 0..4 {
             match index <= chunk.len() {
                 true => text.push(DIGITS[(value >> (18 - 6 * index)) as usize & 63] as char),
