--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -150,3 +150,26 @@
     let body = reader.body(&head)?;
     Ok((head, body))
 }
+
+/// One request on a connection that is kept open; a new one is opened if there is none.
+pub fn call_on(
+    connection: &mut Option<Reader>,
+    address: SocketAddr,
+    request: &[u8],
+    limit: Duration,
+) -> io::Result<(Head, Vec<u8>)> {
+    // taken out, so that a connection that fails is not used again
+    let mut reader = match connection.take() {
+        Some(mut reader) => {
+            reader.stream.write_all(request)?;
+            reader
+        }
+        None => send(address, request, limit)?,
+    };
+    let head = reader.head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let body = reader.body(&head)?;
+    if !head.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        *connection = Some(reader);
+    }
+    Ok((head, body))
+}
--- a/review/harness/scenarios.rs
+++ b/review/harness/scenarios.rs
@@ -96,6 +96,33 @@
     Sent { id, router, at, status, body }
 }
 
+/// Sends one request on an open connection, which is opened if there is none.
+pub fn send_on_connection(
+    connection: &mut Option<http::Reader>,
+    path: &str,
+    router: usize,
+    address: SocketAddr,
+    record: &Record,
+) -> Sent {
+    let id = new_id();
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n\r\n"
+    );
+    let is_new = connection.is_none();
+    let at = Instant::now();
+    let answer =
+        http::call_on(connection, address, request.as_bytes(), Duration::from_millis(1_700));
+    let (status, body) = match answer {
+        Ok((head, body)) => (head.status(), String::from_utf8_lossy(&body).trim().to_owned()),
+        Err(_) => (0, String::new()),
+    };
+    let shown: String = body.chars().take(60).collect();
+    record.line(&format!(
+        "request {id} {path} router={router} new={is_new} status={status} body={shown:?}"
+    ));
+    Sent { id, router, at, status, body }
+}
+
 /// Clients that send requests at a steady rate, each through a router that the balancer uses.
 pub fn start_clients(
     per_second: u32,
--- a/review/harness/scenarios/large_zone.rs
+++ b/review/harness/scenarios/large_zone.rs
@@ -2,14 +2,17 @@
 //! that moves a route. `configApplyMs` after its acknowledgement, machines in touch must not send
 //! requests to the old service.
 
-use super::{Sent, config, route, send_request, sleep_until};
+use super::{Sent, config, route, send_on_connection, sleep_until};
 use crate::{
     fleet::{Fleet, Record},
     runner::{Beats, Runner},
     store::{Outage, Store},
 };
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -38,6 +41,25 @@
     let fleet = Fleet::start(ROUTERS, &store)?;
     fleet.wait_ready()?;
     let callers = fleet.callers();
+    // a client with an open connection at each router; it stays with its router
+    let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = callers
+        .into_iter()
+        .enumerate()
+        .map(|(router, address)| {
+            let (sent, record, is_over) = (sent.clone(), record.clone(), is_over.clone());
+            thread::spawn(move || {
+                let mut connection = None;
+                while !is_over.load(Ordering::Relaxed) {
+                    let request =
+                        send_on_connection(&mut connection, "/t/1", router, address, &record);
+                    sent.lock().expect("requests").push(request);
+                    thread::sleep(Duration::from_millis(40));
+                }
+            })
+        })
+        .collect();
     let started_at = Instant::now();
     sleep_until(started_at + Duration::from_secs(5));
     if has_trouble {
@@ -52,23 +74,8 @@
     store.put("keyed.op", "config", &config(9, &routes("new"), &["old", "new"]));
     let acknowledged_at = Instant::now();
     record.line("a configuration that moves the route is acknowledged");
-    // a few requests go directly to each router
-    let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
-    let until = returned_at + Duration::from_secs(10);
-    let clients: Vec<_> = callers
-        .into_iter()
-        .enumerate()
-        .map(|(router, address)| {
-            let (sent, record) = (sent.clone(), record.clone());
-            thread::spawn(move || {
-                while Instant::now() < until {
-                    let request = send_request("GET", "/t/1", router, address, &record);
-                    sent.lock().expect("requests").push(request);
-                    thread::sleep(Duration::from_millis(40));
-                }
-            })
-        })
-        .collect();
+    sleep_until(returned_at + Duration::from_secs(9));
+    is_over.store(true, Ordering::Relaxed);
     for client in clients {
         let _ = client.join();
     }
