Log which records a host takes from its relay, and endpoints that return

A relay read 26 records and passed 15 on (from=15 position=41 records=15): the removals, not the records with which endpoints were back.

--- a/crates/ctl/src/trace/report.rs
+++ b/crates/ctl/src/trace/report.rs
@@ -8,7 +8,7 @@
 const CONTEXT_MS: u64 = 6_000;
 
 /// Events that change the state of a whole host and carry no request id.
-const CONTEXT_EVENTS: [&str; 14] = [
+const CONTEXT_EVENTS: [&str; 15] = [
     "started",
     "stop_started",
     "stopped",
@@ -19,6 +19,7 @@
     "relay_chosen",
     "relay_changed",
     "relay_failed",
+    "records_relayed",
     "source_changed",
     "config_applied",
     "log_expired",
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -27,7 +27,9 @@
     /// Applies a record of an endpoint, unless it is older than the last one. Returns whether
     /// the endpoint is new, was replaced or changed its state.
     pub(crate) fn upsert(&self, record: EndpointRecord) -> bool {
-        self.removal_times.borrow_mut().remove(&record.id);
+        if self.removal_times.borrow_mut().remove(&record.id).is_some() {
+            event!("endpoint_returned", "endpoint={} sequence={}", record.id, record.sequence);
+        }
         let mut by_id = self.by_id.borrow_mut();
         let Some(existing) = by_id.get(&record.id) else {
             event!(
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -140,6 +140,14 @@
     }
 
     fn apply_relayed(&mut self, changes: RelayedChanges, position: Offset) {
+        event!(
+            "records_relayed",
+            "feed={} from={position} position={} records={} complete={}",
+            self.kind,
+            changes.position,
+            changes.records.len(),
+            changes.is_complete
+        );
         let records: Vec<RawRecord> = changes
             .records
             .into_iter()
