Pass removals and returns of endpoints on whatever the relay itself knows

Cause: a relay passed on the records that changed its own directory. A host that had kept the endpoints through the outage told its zone of their removal and not of their return; the next relay did not know them and did not pass on that they left.

Change: what is passed on depends on the records of the log alone (followers::KnownRecords), no longer on the directory. Removals always are.

--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -24,9 +24,8 @@
 }
 
 impl Directory {
-    /// Applies a record of an endpoint, unless it is older than the last one. Returns whether
-    /// the endpoint is new, was replaced or changed its state.
-    pub(crate) fn upsert(&self, record: EndpointRecord) -> bool {
+    /// Applies a record of an endpoint, unless it is older than the last one.
+    pub(crate) fn upsert(&self, record: EndpointRecord) {
         if self.removal_times.borrow_mut().remove(&record.id).is_some() {
             event!("endpoint_returned", "endpoint={} sequence={}", record.id, record.sequence);
         }
@@ -43,13 +42,12 @@
                 record.sequence
             );
             by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.addition_time())));
-            return true;
+            return;
         };
-        let becomes_cold = record.cold_ms > 0 && !existing.is_cold(Instant::now());
         let is_replaced = {
             let current = existing.record.borrow();
             if record.is_older_than(&current) {
-                return false;
+                return;
             }
             record.is_restart_of(&current)
                 || record.address != current.address
@@ -67,11 +65,8 @@
             );
             existing.set_leaving();
             by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.addition_time())));
-            return true;
+            return;
         }
-        // a misdirected request may have marked the endpoint as leaving before; other hosts
-        // still have to receive the record
-        let is_changed = becomes_cold || record.state != existing.record.borrow().state;
         existing.record_cold(Duration::from_millis(record.cold_ms), Instant::now());
         if record.state == EndpointState::Draining && !existing.is_leaving() {
             event!(
@@ -84,13 +79,12 @@
             existing.set_leaving();
         }
         existing.record.replace(record);
-        is_changed
     }
 
     /// Removes an endpoint whose record is gone. If `keep_until` is set and the endpoint is
     /// not leaving, it stays in use until then, since its record may have expired only because
-    /// the store was unreachable. Returns whether the endpoint was in the directory.
-    pub(crate) fn remove(&self, id: &str, keep_until: Option<Instant>) -> bool {
+    /// the store was unreachable.
+    pub(crate) fn remove(&self, id: &str, keep_until: Option<Instant>) {
         if let Some(until) = keep_until
             && let Some((id, endpoint)) = self.by_id.borrow().get_key_value(id)
             && !endpoint.is_leaving()
@@ -100,18 +94,12 @@
                 event!("endpoint_missing", "endpoint={id} kept_ms={kept_ms}");
                 until
             });
-            return true;
+            return;
         }
         self.removal_times.borrow_mut().remove(id);
-        let Some(endpoint) = self.by_id.borrow_mut().remove(id) else { return false };
+        let Some(endpoint) = self.by_id.borrow_mut().remove(id) else { return };
         event!("endpoint_gone", "endpoint={id} service={}", endpoint.record.borrow().service);
         endpoint.set_leaving();
-        true
-    }
-
-    /// The last record of an endpoint.
-    pub(crate) fn last_record(&self, id: &str) -> Option<EndpointRecord> {
-        self.by_id.borrow().get(id).map(|endpoint| endpoint.record.borrow().clone())
     }
 
     /// Replaces the contents of the directory with a complete listing. Endpoints that are not
--- a/crates/gateway/src/endpoints/endpoint_record.rs
+++ b/crates/gateway/src/endpoints/endpoint_record.rs
@@ -88,4 +88,16 @@
             _ => self.sequence < known.sequence,
         }
     }
+
+    /// Whether this record, which is newer than `known`, says nothing else but that the endpoint
+    /// still runs.
+    pub(crate) fn is_heartbeat_after(&self, known: &EndpointRecord) -> bool {
+        let only_heartbeat = EndpointRecord {
+            sequence: self.sequence,
+            // an endpoint gets warmer with time; more means that it is cold again
+            cold_ms: self.cold_ms.min(known.cold_ms),
+            ..known.clone()
+        };
+        *self == only_heartbeat
+    }
 }
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        known_records::KnownRecords,
         record_feed::RawRecord,
         record_sink::{RecordDecoder, RecordSink},
     },
@@ -34,6 +35,7 @@
     heartbeat: Duration,
     poll_pause: Duration,
     metrics: Rc<GatewayMetrics>,
+    known: KnownRecords,
     /// Keys whose newest record could not be read.
     unreadable_keys: BTreeSet<Box<str>>,
     /// Endpoints whose record is removed before this time stay in use until then: the record
@@ -55,6 +57,7 @@
             heartbeat,
             poll_pause,
             metrics,
+            known: KnownRecords::default(),
             unreadable_keys: BTreeSet::new(),
             keep_removed_until: None,
         }
@@ -123,26 +126,31 @@
         let endpoints = listed
             .filter_map(|record| match self.decode(record) {
                 Some(endpoint) => Some(endpoint),
-                None => self.directory.last_record(&record.key),
+                None => self.known.get(&record.key).cloned(),
             })
             .collect();
+        self.known.replace_all(endpoints);
+        let endpoints = self.known.all().cloned().collect();
         self.directory.replace_all(endpoints, self.removal_grace_end());
         self.metrics.endpoints.set(self.directory.len() as i64);
     }
 
+    /// Peers need each removal, also of an endpoint that this host does not know.
     fn apply(&mut self, record: &RawRecord) -> bool {
-        let is_changed = if record.value.is_empty() {
-            self.directory.remove(&record.key, self.removal_grace_end())
+        let is_news = if record.value.is_empty() {
+            self.known.remove(&record.key);
+            self.directory.remove(&record.key, self.removal_grace_end());
+            true
         } else {
             let was_unreadable = self.unreadable_keys.contains(&record.key);
-            match self.decode(record) {
-                // hosts that listed the unreadable record do not know the endpoint
-                Some(endpoint) => self.directory.upsert(endpoint) || was_unreadable,
-                None => return false,
-            }
+            let Some(endpoint) = self.decode(record) else { return false };
+            let is_news = self.known.update(&endpoint);
+            self.directory.upsert(endpoint);
+            // hosts that listed the unreadable record do not know the endpoint
+            is_news || was_unreadable
         };
         self.metrics.endpoints.set(self.directory.len() as i64);
-        is_changed
+        is_news
     }
 
     fn confirmed(&mut self, _at: BootInstant) {}
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint_sink;
 mod feed_health;
 mod follower;
+mod known_records;
 mod record_feed;
 mod record_sink;
 #[cfg(test)]
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -20,7 +20,8 @@
     /// Replaces the state by the newest record of every key.
     fn replace_all(&mut self, records: &[RawRecord]);
 
-    /// Applies one record. Returns whether it changed the state.
+    /// Applies one record. Returns whether peers need it too: it says something that the records
+    /// before it did not.
     fn apply(&mut self, record: &RawRecord) -> bool;
 
     /// Called when all records up to this time are applied.
