--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -195,6 +195,13 @@
             Err(error) => {
                 let hosts_before = self.peers.hosts_before_own_turn().min(MAX_TURN_BACKOFFS);
                 let pause = self.health.record_failure(&error) + TURN_BACKOFF * hosts_before;
+                event!(
+                    "store_call_failed",
+                    "feed={} elapsed_ms={} pause_ms={} hosts_before={hosts_before}",
+                    self.kind,
+                    BootInstant::now().saturating_duration_since(sent_at).as_millis(),
+                    pause.as_millis()
+                );
                 let due = self.sink.expire(Instant::now());
                 sleep(limit_pause(pause, due)).await;
             }
