End the pause after a failed call when a relay can be read

Cause: after a failed call a host pauses for 0.7 s and 0.1 s more for each host before it, up to 3.7 s, and did not look at the relay of its zone meanwhile. Evidence: each of 38 hosts had chosen the relay 0.09 s before the first of them applied the version, and applied it when its own pause ended. Ruled out by the log: no relay, a failed read from it, calls that hang (0.66 s at most).

Change: the pause ends as soon as the log can be read from a relay.

Test that failed before: a_pause_after_a_failed_call_ends_when_a_relay_is_heard (version 0 instead of 9 after 400 ms).

--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -14,7 +14,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::time::{sleep, timeout},
+    tokio::time::{sleep, timeout, timeout_at},
 };
 
 /// Longest time between two checks of the relay, and the pause after a failed read from it.
@@ -92,10 +92,16 @@
         let _ = timeout(limit_pause(TURN_CHECK_INTERVAL, due), new_status).await;
     }
 
+    /// The relay's state of the log; `None` if there is no relay or the last read from it failed a
+    /// moment ago.
+    fn relay_status(&self) -> Option<RelayedFeedStatus> {
+        let is_paused = self.relay_paused_until.is_some_and(|until| Instant::now() < until);
+        self.peers.relayed_feed_status(self.kind).filter(|_| !is_paused)
+    }
+
     /// Returns the relay's state of the log if the log is to be read from the relay now.
     fn usable_relay(&mut self) -> Option<RelayedFeedStatus> {
-        let is_paused = self.relay_paused_until.is_some_and(|until| Instant::now() < until);
-        let relay = self.peers.relayed_feed_status(self.kind).filter(|_| !is_paused);
+        let relay = self.relay_status();
         if self.reads_from_relay != relay.is_some() {
             self.reads_from_relay = relay.is_some();
             self.without_relay_since = Instant::now();
@@ -203,7 +209,21 @@
                     pause.as_millis()
                 );
                 let due = self.sink.expire(Instant::now());
-                sleep(limit_pause(pause, due)).await;
+                self.pause_without_relay(limit_pause(pause, due)).await;
+            }
+        }
+    }
+
+    /// Pauses, but not beyond the time at which the log can be read from a relay.
+    async fn pause_without_relay(&self, pause: Duration) {
+        let ends_at = Instant::now() + pause;
+        loop {
+            let new_status = self.peers.status_received.notified();
+            if self.relay_status().is_some() {
+                return;
+            }
+            if timeout_at(ends_at.into(), new_status).await.is_err() {
+                return;
             }
         }
     }
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -8,6 +8,8 @@
 mod record_feed;
 mod record_sink;
 #[cfg(test)]
+mod relay_tests;
+#[cfg(test)]
 mod tests;
 
 pub(crate) use {config_sink::ConfigSink, endpoint_sink::EndpointSink, follower::Follower};
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -17,8 +17,8 @@
 
 /// A log that returns prepared answers and then never answers again.
 #[derive(Clone, Default)]
-struct ScriptedFeed {
-    listings: Rc<RefCell<VecDeque<Result<LogListing, FeedError>>>>,
+pub(super) struct ScriptedFeed {
+    pub(super) listings: Rc<RefCell<VecDeque<Result<LogListing, FeedError>>>>,
     changes: Rc<RefCell<VecDeque<Result<LogChanges, FeedError>>>>,
 }
 
@@ -40,7 +40,7 @@
     }
 }
 
-fn raw(offset: u64, key: &str, value: &str) -> RawRecord {
+pub(super) fn raw(offset: u64, key: &str, value: &str) -> RawRecord {
     RawRecord { offset, key: key.into(), value: value.as_bytes().to_vec() }
 }
 
@@ -71,20 +71,27 @@
     })
 }
 
-fn peers() -> Rc<PeerState> {
-    let own = HostRecord {
+pub(super) fn own_host() -> HostRecord {
+    HostRecord {
         host_id: "own".to_owned(),
         zone: "z".to_owned(),
         gossip_address: "127.0.0.1:1".to_owned(),
         relay_address: "127.0.0.1:2".to_owned(),
         link_mbps: 100,
-    };
-    let max_age = Duration::from_millis(1_500);
+    }
+}
+
+/// The state of a host that has read the registry.
+pub(super) fn peers_of(own: HostRecord, max_age: Duration) -> Rc<PeerState> {
     let peers = PeerState::new(own, MaxConfirmationAges { config: max_age, endpoints: max_age });
     peers.record_registry();
     Rc::new(peers)
 }
 
+fn peers() -> Rc<PeerState> {
+    peers_of(own_host(), Duration::from_millis(1_500))
+}
+
 fn operator_key(key: &str) -> Option<OperatorKey> {
     match key.strip_prefix("zone-") {
         Some(zone) => Some(OperatorKey::Evacuation { zone: zone.into() }),
@@ -92,7 +99,7 @@
     }
 }
 
-fn config_sink(state: &Rc<ConfigState>, evacuations: &Rc<Evacuations>) -> ConfigSink {
+pub(super) fn config_sink(state: &Rc<ConfigState>, evacuations: &Rc<Evacuations>) -> ConfigSink {
     let records = OperatorRecords { key: operator_key, decode_config: decode_version };
     let metrics = Rc::new(GatewayMetrics::new());
     let poll_wait = Duration::from_millis(100);
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -115,7 +115,7 @@
         self.fleet_size.borrow_mut().record_registry();
     }
 
-    pub(super) fn receive(&self, message: GossipMessage) {
+    pub(crate) fn receive(&self, message: GossipMessage) {
         let now = Instant::now();
         let host = match &message {
             GossipMessage::LoadReport(report) => &report.host,
@@ -418,7 +418,7 @@
 
     /// Returns the messages of one gossip round with their receivers. A full round also
     /// reaches hosts that sent nothing lately.
-    pub(super) fn gossip_messages(
+    pub(crate) fn gossip_messages(
         &self,
         own_loads: &[EndpointLoad],
         is_full_round: bool,
