Limit the pause after a failed call to the age that a copy may have

Change: a pause is at most as long as this host relies on an unconfirmed copy of the log, 0.75 of the bound.

Test that failed before: a_pause_without_a_relay_is_shorter_than_a_change_may_ take (version 0 instead of 9 after 2 s).

--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -200,7 +200,9 @@
             }
             Err(error) => {
                 let hosts_before = self.peers.hosts_before_own_turn().min(MAX_TURN_BACKOFFS);
-                let pause = self.health.record_failure(&error) + TURN_BACKOFF * hosts_before;
+                let backoff = self.health.record_failure(&error) + TURN_BACKOFF * hosts_before;
+                // the hosts before may not run, and then no relay ends the pause
+                let pause = backoff.min(self.peers.max_age(self.kind));
                 event!(
                     "store_call_failed",
                     "feed={} elapsed_ms={} pause_ms={} hosts_before={hosts_before}",
--- a/crates/gateway/src/followers/relay_tests.rs
+++ b/crates/gateway/src/followers/relay_tests.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        FeedError, Follower, RawRecord,
+        FeedError, Follower, LogListing, RawRecord,
         tests::{ScriptedFeed, config_sink, own_host, peers_of, raw},
     },
     crate::{
@@ -27,6 +27,10 @@
 
 /// Time in which a host has to apply what its relay knows.
 const APPLY_TIME: Duration = Duration::from_millis(400);
+/// Time within which a change of the configuration must be in force.
+const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_000);
+/// Greatest age of a usable confirmation.
+const MAX_AGE: Duration = Duration::from_millis(1_500);
 const LINK_MBPS: u32 = 100;
 
 /// Serves these records to peers, as the relay of a zone does. Returns its address.
@@ -92,29 +96,64 @@
     }));
 }
 
+/// A follower of the configuration on the last host of a zone, whose copy is too old to be used.
+struct LastHost {
+    peers: Rc<PeerState>,
+    state: Rc<ConfigState>,
+    feed: ScriptedFeed,
+}
+
+impl LastHost {
+    /// `listings` are the answers of the store, in order.
+    fn new(listings: impl IntoIterator<Item = Result<LogListing, FeedError>>) -> LastHost {
+        let peers = peers_of(HostRecord { link_mbps: 1, ..own_host() }, MAX_AGE);
+        add_hosts_before(&peers, 30);
+        let long_ago = BootInstant::now().checked_sub(MAX_AGE).expect("a time after the boot");
+        peers.confirm_feed(FeedKind::Config, long_ago);
+        let feed = ScriptedFeed::default();
+        feed.listings.borrow_mut().extend(listings);
+        LastHost { peers, state: Rc::new(ConfigState::new(Duration::from_secs(3))), feed }
+    }
+
+    /// Runs the follower while `events` happen.
+    fn run(&self, events: impl Future<Output = ()>) {
+        let metrics = Rc::new(GatewayMetrics::new());
+        let sink = config_sink(&self.state, &Rc::new(Evacuations::new(metrics.clone())));
+        let follower = Follower::new(self.feed.clone(), sink, self.peers.clone(), metrics);
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            spawn_local(follower.run());
+            events.await;
+        });
+    }
+}
+
+fn refused() -> Result<LogListing, FeedError> {
+    Err(FeedError::Unavailable("refused".into()))
+}
+
 /// Guards against requests by an old configuration after an outage of the store: a host at the end of
 /// the order of a large zone paused for seconds beside a relay that had the new one.
 #[test]
 fn a_pause_after_a_failed_call_ends_when_a_relay_is_heard() {
-    let max_age = Duration::from_millis(1_500);
-    let peers = peers_of(HostRecord { link_mbps: 1, ..own_host() }, max_age);
-    add_hosts_before(&peers, 30);
-    let long_ago = BootInstant::now().checked_sub(max_age).expect("a time after the boot");
-    peers.confirm_feed(FeedKind::Config, long_ago);
-    let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
-    let metrics = Rc::new(GatewayMetrics::new());
-    let sink = config_sink(&state, &Rc::new(Evacuations::new(metrics.clone())));
-    let feed = ScriptedFeed::default();
-    feed.listings.borrow_mut().push_back(Err(FeedError::Unavailable("refused".into())));
+    let host = LastHost::new([refused()]);
     let relay_address = serve_records(&[raw(8, "config", "9")], 9);
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
-        spawn_local(Follower::new(feed.clone(), sink, peers.clone(), metrics).run());
+    host.run(async {
         sleep(Duration::from_millis(200)).await;
-        assert!(feed.listings.borrow().is_empty(), "the call to the store has failed");
-        receive_status(&peers, relay_address, 9);
+        assert!(host.feed.listings.borrow().is_empty(), "the call to the store has failed");
+        receive_status(&host.peers, relay_address, 9);
         sleep(APPLY_TIME).await;
     });
-    assert_eq!(state.version(), 9);
+    assert_eq!(host.state.version(), 9);
+}
+
+/// Guards against the same fault in a zone whose first hosts do not run, so that none relays: the last
+/// ones paused for longer than a change may take.
+#[test]
+fn a_pause_without_a_relay_is_shorter_than_a_change_may_take() {
+    let listing = LogListing { records: vec![raw(8, "config", "9")], end: 9 };
+    let host = LastHost::new([refused(), Ok(listing)]);
+    host.run(async { sleep(CONFIG_APPLY_TIME).await });
+    assert_eq!(host.state.version(), 9);
 }
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -280,14 +280,21 @@
         let relay = self.relay.borrow();
         let followed =
             relay.as_ref().filter(|followed| followed.received_at.elapsed() <= RELAY_TIMEOUT)?;
-        let (feed, max_age) = match kind {
-            FeedKind::Config => (followed.feed_status(&followed.config), self.max_ages.config),
-            FeedKind::Endpoints => {
-                (followed.feed_status(&followed.endpoints), self.max_ages.endpoints)
-            }
-        };
+        let feed = followed.feed_status(match kind {
+            FeedKind::Config => &followed.config,
+            FeedKind::Endpoints => &followed.endpoints,
+        });
         let age = BootInstant::now().saturating_duration_since(feed.confirmed_at?);
-        (age <= max_age).then_some(feed)
+        (age <= self.max_age(kind)).then_some(feed)
+    }
+
+    /// Greatest age at which this host relies on a confirmation of a log, by a relay or of its own
+    /// copy.
+    pub(crate) fn max_age(&self, kind: FeedKind) -> Duration {
+        match kind {
+            FeedKind::Config => self.max_ages.config,
+            FeedKind::Endpoints => self.max_ages.endpoints,
+        }
     }
 
     /// Returns the requests of other hosts at an endpoint. None if no update was received
@@ -365,16 +372,12 @@
     /// Whether this host may read a log from the store itself, after this time without a usable
     /// relay.
     pub(crate) fn may_read_store(&self, kind: FeedKind, without_relay: Duration) -> bool {
-        let max_copy_age = match kind {
-            FeedKind::Config => self.max_ages.config,
-            FeedKind::Endpoints => self.max_ages.endpoints,
-        };
         let turn = StoreTurn {
             without_relay,
             hosts_before: self.hosts_before(Instant::now()),
             knows_hosts: self.knows_hosts(),
             copy_age: self.published_feed(kind).borrow().confirmation_age(BootInstant::now()),
-            max_copy_age,
+            max_copy_age: self.max_age(kind),
         };
         self.role.is_relay() || turn.has_come()
     }
