Keep expired endpoint records for the whole time in which they return

After an outage of the store in which records expire, hosts dropped endpoints 0.1 to 0.9 s after its return, while their records are back within 2.1 s.

Cause: the time is shortened by the heartbeats in the log, and the removals of the expired records were counted as heartbeats.

Change: only records of endpoints count. The log line says both numbers.

Test that failed before: removals_do_not_shorten_the_time_for_which_expired_ records_are_kept. The other tests pass the records instead of their number.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -130,7 +130,7 @@
         }
     }
 
-    fn store_recovered(&mut self, _outage: Duration, _records: usize) {}
+    fn store_recovered(&mut self, _outage: Duration, _changes: &[RawRecord]) {}
 
     fn expire(&mut self, _now: Instant) -> Option<Instant> {
         None
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -155,19 +155,21 @@
 
     fn confirmed(&mut self, _at: BootInstant) {}
 
-    fn store_recovered(&mut self, outage: Duration, records: usize) {
+    fn store_recovered(&mut self, outage: Duration, changes: &[RawRecord]) {
         if outage < self.heartbeat * MIN_OUTAGE_HEARTBEATS {
             return;
         }
         let endpoints = self.directory.len().max(1) as f64;
+        let heartbeats = changes.iter().filter(|record| !record.value.is_empty()).count();
         // each endpoint writes one record per heartbeat: the number of records shows for how
         // long the endpoints could reach the store while this host could not
-        let store_present = self.heartbeat.mul_f64(records as f64 / endpoints).min(outage);
+        let store_present = self.heartbeat.mul_f64(heartbeats as f64 / endpoints).min(outage);
         let grace = RENEWAL_TIME.saturating_sub(store_present);
         event!(
             "endpoint_records_after_absence",
-            "away_ms={} records={records} store_present_ms={} grace_ms={}",
+            "away_ms={} records={} heartbeats={heartbeats} store_present_ms={} grace_ms={}",
             outage.as_millis(),
+            changes.len(),
             store_present.as_millis(),
             grace.as_millis()
         );
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -236,7 +236,7 @@
         match answer {
             StoreAnswer::Listing(LogListing { records, end }) => {
                 if let Some(outage) = outage {
-                    self.sink.store_recovered(outage, 0);
+                    self.sink.store_recovered(outage, &[]);
                 }
                 self.replace_all(&records, end);
                 self.set_position(end);
@@ -251,7 +251,7 @@
             }
             StoreAnswer::Changes(LogChanges { records, next, end }, _, wait) => {
                 if let Some(outage) = outage {
-                    self.sink.store_recovered(outage, records.len());
+                    self.sink.store_recovered(outage, &records);
                 }
                 for record in &records {
                     self.apply(record);
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -27,11 +27,10 @@
     /// Called when all records up to this time are applied.
     fn confirmed(&mut self, at: BootInstant);
 
-    /// Called when the store answers again after failed calls. `outage` is the time since the
-    /// store last answered or a relay last confirmed the log, `records` the number of changes
-    /// in this answer, or 0 if it is a listing.
-    fn store_recovered(&mut self, outage: Duration, records: usize);
-
+    /// Called when the store answers again after failed calls, before the records of this answer are
+    /// applied. `outage` is the time since the store last answered or a relay last confirmed the
+    /// log, `changes` are the records since then; empty if the answer is a listing.
+    fn store_recovered(&mut self, outage: Duration, changes: &[RawRecord]);
     /// Removes what has expired by `now`. Returns when the next removal is due.
     fn expire(&mut self, now: Instant) -> Option<Instant>;
 }
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -181,6 +181,11 @@
     )
 }
 
+/// This number of heartbeats of the endpoints `a` and `b`.
+fn heartbeats(count: usize) -> Vec<RawRecord> {
+    (0..count).map(|index| raw(2 + index as u64, ["a", "b"][index % 2], "2")).collect()
+}
+
 /// Guards against an empty directory after an outage of the store that was longer than the
 /// lifetime of its records.
 #[test]
@@ -188,7 +193,7 @@
     let directory = Rc::new(Directory::default());
     let mut sink = endpoint_sink(&directory);
     sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
-    sink.store_recovered(Duration::from_secs(6), 2);
+    sink.store_recovered(Duration::from_secs(6), &heartbeats(2));
     sink.apply(&raw(2, "a", ""));
     assert_eq!(directory.len(), 2);
     assert!(sink.expire(std::time::Instant::now()).is_some());
@@ -201,7 +206,7 @@
     let directory = Rc::new(Directory::default());
     let mut sink = endpoint_sink(&directory);
     sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
-    sink.store_recovered(Duration::from_secs(6), 11);
+    sink.store_recovered(Duration::from_secs(6), &heartbeats(11));
     sink.apply(&raw(2, "a", ""));
     assert_eq!(directory.len(), 1);
 }
@@ -215,7 +220,7 @@
     let mut sink = endpoint_sink(&directory);
     sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
     // both endpoints write one heartbeat per second: the store has been back for a second
-    sink.store_recovered(Duration::from_secs(9), 2);
+    sink.store_recovered(Duration::from_secs(9), &heartbeats(2));
     sink.apply(&raw(4, "a", ""));
     let now = std::time::Instant::now();
     let until = sink.expire(now).expect("a time");
@@ -223,6 +228,22 @@
     assert!(until - now >= Duration::from_millis(900), "{:?}", until - now);
 }
 
+/// Guards against endpoints that are dropped although their records are about to be written again:
+/// the removals in the log were taken for heartbeats, as if the store had been back for a while.
+#[test]
+fn removals_do_not_shorten_the_time_for_which_expired_records_are_kept() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
+    let removals = [raw(2, "a", ""), raw(3, "b", "")];
+    sink.store_recovered(Duration::from_secs(6), &removals);
+    assert!(removals.iter().all(|removal| sink.apply(removal)));
+    let now = std::time::Instant::now();
+    let until = sink.expire(now).expect("a time");
+    // the time within which endpoints are back
+    assert!(until - now >= Duration::from_millis(1_950), "{:?}", until - now);
+}
+
 /// Guards against an outage that is measured from before the last confirmation by a relay, which
 /// keeps endpoints in use that have left: a host had followed a relay for 40 s, then the store
 /// refused its calls for 1.5 s.
@@ -281,7 +302,7 @@
     let directory = Rc::new(Directory::default());
     let mut sink = endpoint_sink(&directory);
     sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
-    sink.store_recovered(Duration::from_secs(6), 0);
+    sink.store_recovered(Duration::from_secs(6), &[]);
     assert!(sink.apply(&raw(2, "a", "")));
     assert_eq!(directory.len(), 2, "the endpoint is kept");
     assert!(sink.apply(&raw(3, "a", "2")));
