Separate what a host decides about a log from how it reads it

LogCopy holds the position and decides what follows from a listing, from changes and from a relay's status; Follower reads and waits. Sinks get the time passed. The tests of the endpoint sink have a file of their own. No change of behaviour; the tests are the same but for the time that they pass.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -99,7 +99,7 @@
         self.poll_wait
     }
 
-    fn replace_all(&mut self, records: &[RawRecord]) {
+    fn replace_all(&mut self, records: &[RawRecord], now: Instant) {
         let mut evacuated = BTreeSet::new();
         for record in records {
             match (self.records.key)(&record.key) {
@@ -110,14 +110,14 @@
                 Some(OperatorKey::Evacuation { .. }) | None => {}
             }
         }
-        self.evacuations.replace_all(&evacuated, Instant::now());
+        self.evacuations.replace_all(&evacuated, now);
     }
 
-    fn apply(&mut self, record: &RawRecord) -> bool {
+    fn apply(&mut self, record: &RawRecord, now: Instant) -> bool {
         match (self.records.key)(&record.key) {
             Some(OperatorKey::Config) => self.apply_config_record(record),
             Some(OperatorKey::Evacuation { zone }) if record.value.is_empty() => {
-                self.evacuations.end(&zone, Instant::now())
+                self.evacuations.end(&zone, now)
             }
             Some(OperatorKey::Evacuation { zone }) => self.evacuations.begin(&zone),
             None => false,
@@ -130,7 +130,7 @@
         }
     }
 
-    fn store_recovered(&mut self, _outage: Duration, _changes: &[RawRecord]) {}
+    fn store_recovered(&mut self, _outage: Duration, _changes: &[RawRecord], _now: Instant) {}
 
     fn expire(&mut self, _now: Instant) -> Option<Instant> {
         None
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    fn removal_grace_end(&self) -> Option<Instant> {
-        self.keep_removed_until.filter(|until| Instant::now() < *until)
+    fn removal_grace_end(&self, now: Instant) -> Option<Instant> {
+        self.keep_removed_until.filter(|until| now < *until)
     }
 
     /// Decodes and checks a record. Counts and logs one that cannot come from an endpoint, unless
@@ -121,7 +121,7 @@
     }
 
     /// An endpoint whose record in the listing cannot be read keeps its last one.
-    fn replace_all(&mut self, records: &[RawRecord]) {
+    fn replace_all(&mut self, records: &[RawRecord], now: Instant) {
         let listed = records.iter().filter(|record| !record.value.is_empty());
         let endpoints = listed
             .filter_map(|record| match self.decode(record) {
@@ -131,15 +131,15 @@
             .collect();
         self.known.replace_all(endpoints);
         let endpoints = self.known.all().cloned().collect();
-        self.directory.replace_all(endpoints, self.removal_grace_end());
+        self.directory.replace_all(endpoints, self.removal_grace_end(now));
         self.metrics.endpoints.set(self.directory.len() as i64);
     }
 
     /// Peers need each removal, also of an endpoint that this host does not know.
-    fn apply(&mut self, record: &RawRecord) -> bool {
+    fn apply(&mut self, record: &RawRecord, now: Instant) -> bool {
         let is_news = if record.value.is_empty() {
             self.known.remove(&record.key);
-            self.directory.remove(&record.key, self.removal_grace_end());
+            self.directory.remove(&record.key, self.removal_grace_end(now));
             true
         } else {
             let was_unreadable = self.unreadable_keys.contains(&record.key);
@@ -155,7 +155,7 @@
 
     fn confirmed(&mut self, _at: BootInstant) {}
 
-    fn store_recovered(&mut self, outage: Duration, changes: &[RawRecord]) {
+    fn store_recovered(&mut self, outage: Duration, changes: &[RawRecord], now: Instant) {
         if outage < self.heartbeat * MIN_OUTAGE_HEARTBEATS {
             return;
         }
@@ -173,7 +173,7 @@
             store_present.as_millis(),
             grace.as_millis()
         );
-        self.keep_removed_until = Some(Instant::now() + grace);
+        self.keep_removed_until = Some(now + grace);
     }
 
     fn expire(&mut self, now: Instant) -> Option<Instant> {
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         feed_health::FeedHealth,
-        record_feed::{FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
+        log_copy::LogCopy,
+        record_feed::{FeedError, LogChanges, LogListing, Offset, RecordFeed},
         record_sink::RecordSink,
     },
     crate::{
@@ -9,7 +10,6 @@
         peers::{FeedKind, PeerState, RelayClient, RelayedFeedStatus},
         telemetry::{GatewayMetrics, event},
     },
-    mango_wire::gossip::{RelayedChanges, RelayedRecord},
     std::{
         rc::Rc,
         time::{Duration, Instant},
@@ -31,13 +31,11 @@
 /// and from the store otherwise.
 pub(crate) struct Follower<F, S> {
     feed: F,
-    sink: S,
+    copy: LogCopy<S>,
     kind: FeedKind,
     relay_client: RelayClient,
     peers: Rc<PeerState>,
     health: FeedHealth,
-    /// Offset of the next record; None before the first listing.
-    position: Option<Offset>,
     reads_from_relay: bool,
     /// Since when the host has had no usable relay.
     without_relay_since: Instant,
@@ -55,12 +53,11 @@
         let kind = S::KIND;
         Follower {
             feed,
-            sink,
+            copy: LogCopy::new(sink, peers.clone()),
             kind,
             relay_client: RelayClient::new(kind),
             peers,
             health: FeedHealth::new(kind.into(), metrics),
-            position: None,
             reads_from_relay: false,
             without_relay_since: Instant::now(),
             relay_paused_until: None,
@@ -86,7 +83,7 @@
     }
 
     async fn wait_for_turn(&mut self) {
-        let due = self.sink.expire(Instant::now());
+        let due = self.copy.sink.expire(Instant::now());
         let new_status = self.peers.status_received.notified();
         // after the time-out, the turn is checked again
         let _ = timeout(limit_pause(TURN_CHECK_INTERVAL, due), new_status).await;
@@ -113,13 +110,9 @@
     /// Reads the changes since the own position from the relay, if there are any, or all records if
     /// the host has none. Then waits for the relay's next status.
     async fn follow_relay(&mut self, relay: RelayedFeedStatus) {
-        let is_behind = self
-            .position
-            .is_none_or(|position| relay.last_change.is_some_and(|offset| offset >= position));
-        if is_behind {
-            let from = self.position.unwrap_or(0);
+        if let Some(from) = self.copy.missing_from(&relay) {
             match self.relay_client.changes(relay.address, from).await {
-                Ok(changes) => self.apply_relayed(changes, from),
+                Ok(changes) => self.copy.apply_relayed(changes, from, Instant::now()),
                 Err(error) => {
                     event!("relay_failed", "feed={} reason={:?}", self.kind, error.to_string());
                     self.relay_paused_until = Some(Instant::now() + RELAY_CHECK_INTERVAL);
@@ -127,59 +120,27 @@
                 }
             }
         }
-        let own_position = self.position.unwrap_or(0);
-        if let Some(at) = relay.confirmed_at.filter(|_| own_position >= relay.position) {
+        if let Some(at) = self.copy.follow_status(&relay) {
             self.health.record_relay_confirmation(at);
-            self.sink.confirmed(at);
-            self.peers.confirm_feed(self.kind, at);
         }
-        // the records up to the relay's position did not change the state: skip them
-        if relay.last_change.is_none_or(|offset| offset < own_position)
-            && relay.position > own_position
-        {
-            self.set_position(relay.position);
-        }
-        let due = self.sink.expire(Instant::now());
+        let due = self.copy.sink.expire(Instant::now());
         let new_status = self.peers.status_received.notified();
         // after the time-out, the relay is checked again without a new status
         let _ = timeout(limit_pause(RELAY_CHECK_INTERVAL, due), new_status).await;
     }
 
-    fn apply_relayed(&mut self, changes: RelayedChanges, position: Offset) {
-        event!(
-            "records_relayed",
-            "feed={} from={position} position={} records={} complete={}",
-            self.kind,
-            changes.position,
-            changes.records.len(),
-            changes.is_complete
-        );
-        let records: Vec<RawRecord> = changes
-            .records
-            .into_iter()
-            .map(|RelayedRecord { offset, key, value }| RawRecord {
-                offset,
-                key: key.into(),
-                value,
-            })
-            .collect();
-        if changes.is_complete || self.position.is_none() {
-            self.replace_all(&records, changes.position);
-        } else {
-            records.iter().for_each(|record| self.apply(record));
-        }
-        self.set_position(changes.position.max(position));
-    }
-
     /// Reads the log from the store once, and pauses at its end or after a failure.
     async fn follow_store(&mut self) {
         let sent_at = BootInstant::now();
-        let result = match self.position {
+        let result = match self.copy.position() {
             None => self.feed.list_newest().await.map(StoreAnswer::Listing),
             Some(from) => {
                 // after a failure, a read without a wait confirms the state at once
-                let wait =
-                    if self.health.is_failing() { Duration::ZERO } else { self.sink.poll_wait() };
+                let wait = if self.health.is_failing() {
+                    Duration::ZERO
+                } else {
+                    self.copy.sink.poll_wait()
+                };
                 self.feed
                     .changes(from, wait)
                     .await
@@ -189,14 +150,14 @@
         match result {
             Ok(answer) => {
                 let at_end = self.apply_answer(answer, sent_at);
-                let due = self.sink.expire(Instant::now());
-                if at_end && !self.sink.poll_pause().is_zero() {
-                    sleep(limit_pause(self.sink.poll_pause(), due)).await;
+                let due = self.copy.sink.expire(Instant::now());
+                if at_end && !self.copy.sink.poll_pause().is_zero() {
+                    sleep(limit_pause(self.copy.sink.poll_pause(), due)).await;
                 }
             }
             Err(FeedError::Expired) => {
-                event!("log_expired", "feed={} offset={:?}", self.kind, self.position);
-                self.position = None;
+                event!("log_expired", "feed={} offset={:?}", self.kind, self.copy.position());
+                self.copy.reset_position();
             }
             Err(error) => {
                 let hosts_before = self.peers.hosts_before_own_turn().min(MAX_TURN_BACKOFFS);
@@ -210,7 +171,7 @@
                     BootInstant::now().saturating_duration_since(sent_at).as_millis(),
                     pause.as_millis()
                 );
-                let due = self.sink.expire(Instant::now());
+                let due = self.copy.sink.expire(Instant::now());
                 self.pause_without_relay(limit_pause(pause, due)).await;
             }
         }
@@ -233,59 +194,24 @@
     /// Applies an answer of the store. Returns whether the end of the log is reached.
     fn apply_answer(&mut self, answer: StoreAnswer, sent_at: BootInstant) -> bool {
         let outage = self.health.record_success();
+        let now = Instant::now();
         match answer {
-            StoreAnswer::Listing(LogListing { records, end }) => {
-                if let Some(outage) = outage {
-                    self.sink.store_recovered(outage, &[]);
-                }
-                self.replace_all(&records, end);
-                self.set_position(end);
-                self.confirm(sent_at);
+            StoreAnswer::Listing(listing) => {
+                self.copy.apply_listing(listing, outage, sent_at, now);
                 // the next read returns the records that were written during the listing
                 false
             }
             StoreAnswer::Changes(LogChanges { end, .. }, from, _) if end < from => {
                 event!("log_rewound", "feed={} offset={from} end={end}", self.kind);
-                self.position = None;
+                self.copy.reset_position();
                 false
             }
-            StoreAnswer::Changes(LogChanges { records, next, end }, _, wait) => {
-                if let Some(outage) = outage {
-                    self.sink.store_recovered(outage, &records);
-                }
-                for record in &records {
-                    self.apply(record);
-                }
-                self.set_position(next);
-                // a read that did not reach the end of the log must not confirm it
-                if next >= end {
-                    self.confirm(confirmation_time(sent_at, wait, records.is_empty()));
-                }
-                next >= end
+            StoreAnswer::Changes(changes, _, wait) => {
+                let complete_at = confirmation_time(sent_at, wait, changes.records.is_empty());
+                self.copy.apply_changes(changes, outage, complete_at, now)
             }
         }
     }
-
-    fn replace_all(&mut self, records: &[RawRecord], end: Offset) {
-        self.sink.replace_all(records);
-        self.peers.published_feed(self.kind).borrow_mut().replace_all(records, end);
-    }
-
-    fn apply(&mut self, record: &RawRecord) {
-        if self.sink.apply(record) {
-            self.peers.published_feed(self.kind).borrow_mut().add(record);
-        }
-    }
-
-    fn set_position(&mut self, position: Offset) {
-        self.position = Some(position);
-        self.peers.published_feed(self.kind).borrow_mut().set_position(position);
-    }
-
-    fn confirm(&mut self, at: BootInstant) {
-        self.sink.confirmed(at);
-        self.peers.confirm_feed(self.kind, at);
-    }
 }
 
 /// Answer of the store to a read.
--- /dev/null
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -0,0 +1,152 @@
+use {
+    super::{
+        record_feed::{LogChanges, LogListing, Offset, RawRecord},
+        record_sink::RecordSink,
+    },
+    crate::{
+        clock::BootInstant,
+        peers::{PeerState, RelayedFeedStatus},
+        telemetry::event,
+    },
+    mango_wire::gossip::{RelayedChanges, RelayedRecord},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// This host's copy of one log, which it also passes on to its peers. Decides what follows from what
+/// was read, without input or output of its own.
+pub(super) struct LogCopy<S> {
+    pub(super) sink: S,
+    peers: Rc<PeerState>,
+    /// Offset of the next record; `None` before the first listing.
+    position: Option<Offset>,
+}
+
+impl<S: RecordSink> LogCopy<S> {
+    pub(super) fn new(sink: S, peers: Rc<PeerState>) -> LogCopy<S> {
+        LogCopy { sink, peers, position: None }
+    }
+
+    pub(super) fn position(&self) -> Option<Offset> {
+        self.position
+    }
+
+    /// Forgets the position, so that all records are read again.
+    pub(super) fn reset_position(&mut self) {
+        self.position = None;
+    }
+
+    /// The offset from which on records have to be read from the relay; `None` if the copy has all
+    /// that the relay passes on.
+    pub(super) fn missing_from(&self, relay: &RelayedFeedStatus) -> Option<Offset> {
+        let Some(position) = self.position else { return Some(0) };
+        relay.last_change.is_some_and(|offset| offset >= position).then_some(position)
+    }
+
+    /// Applies the records that a relay returned for a read from this offset.
+    pub(super) fn apply_relayed(&mut self, changes: RelayedChanges, from: Offset, now: Instant) {
+        event!(
+            "records_relayed",
+            "feed={} from={from} position={} records={} complete={}",
+            S::KIND,
+            changes.position,
+            changes.records.len(),
+            changes.is_complete
+        );
+        let records: Vec<RawRecord> = changes
+            .records
+            .into_iter()
+            .map(|RelayedRecord { offset, key, value }| RawRecord {
+                offset,
+                key: key.into(),
+                value,
+            })
+            .collect();
+        if changes.is_complete || self.position.is_none() {
+            self.replace_all(&records, changes.position, now);
+        } else {
+            records.iter().for_each(|record| self.apply(record, now));
+        }
+        self.set_position(changes.position.max(from));
+    }
+
+    /// Takes over the position and the confirmation of a relay, as far as the copy has all records
+    /// that the relay passes on. Returns the time of the confirmation.
+    pub(super) fn follow_status(&mut self, relay: &RelayedFeedStatus) -> Option<BootInstant> {
+        let own_position = self.position.unwrap_or(0);
+        let at = relay.confirmed_at.filter(|_| own_position >= relay.position);
+        if let Some(at) = at {
+            self.confirm(at);
+        }
+        // the records up to the relay's position did not change the state: skip them
+        if relay.last_change.is_none_or(|offset| offset < own_position)
+            && relay.position > own_position
+        {
+            self.set_position(relay.position);
+        }
+        at
+    }
+
+    /// Applies a complete listing. `outage` is set if calls to the store had failed before.
+    pub(super) fn apply_listing(
+        &mut self,
+        listing: LogListing,
+        outage: Option<Duration>,
+        sent_at: BootInstant,
+        now: Instant,
+    ) {
+        if let Some(outage) = outage {
+            self.sink.store_recovered(outage, &[], now);
+        }
+        self.replace_all(&listing.records, listing.end, now);
+        self.set_position(listing.end);
+        self.confirm(sent_at);
+    }
+
+    /// Applies records that the store returned for a read from the position on. The log held no
+    /// others at `complete_at`, if these are the last ones. Returns whether they are.
+    pub(super) fn apply_changes(
+        &mut self,
+        changes: LogChanges,
+        outage: Option<Duration>,
+        complete_at: BootInstant,
+        now: Instant,
+    ) -> bool {
+        let LogChanges { records, next, end } = changes;
+        if let Some(outage) = outage {
+            self.sink.store_recovered(outage, &records, now);
+        }
+        for record in &records {
+            self.apply(record, now);
+        }
+        self.set_position(next);
+        // a read that did not reach the end of the log must not confirm it
+        if next >= end {
+            self.confirm(complete_at);
+        }
+        next >= end
+    }
+
+    fn replace_all(&mut self, records: &[RawRecord], end: Offset, now: Instant) {
+        self.sink.replace_all(records, now);
+        self.peers.published_feed(S::KIND).borrow_mut().replace_all(records, end);
+    }
+
+    fn apply(&mut self, record: &RawRecord, now: Instant) {
+        if self.sink.apply(record, now) {
+            self.peers.published_feed(S::KIND).borrow_mut().add(record);
+        }
+    }
+
+    fn set_position(&mut self, position: Offset) {
+        self.position = Some(position);
+        self.peers.published_feed(S::KIND).borrow_mut().set_position(position);
+    }
+
+    fn confirm(&mut self, at: BootInstant) {
+        self.sink.confirmed(at);
+        self.peers.confirm_feed(S::KIND, at);
+    }
+}
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -2,9 +2,12 @@
 
 mod config_sink;
 mod endpoint_sink;
+#[cfg(test)]
+mod endpoint_sink_tests;
 mod feed_health;
 mod follower;
 mod known_records;
+mod log_copy;
 mod record_feed;
 mod record_sink;
 #[cfg(test)]
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -18,11 +18,11 @@
     fn poll_wait(&self) -> Duration;
 
     /// Replaces the state by the newest record of every key.
-    fn replace_all(&mut self, records: &[RawRecord]);
+    fn replace_all(&mut self, records: &[RawRecord], now: Instant);
 
     /// Applies one record. Returns whether peers need it too: it says something that the records
     /// before it did not.
-    fn apply(&mut self, record: &RawRecord) -> bool;
+    fn apply(&mut self, record: &RawRecord, now: Instant) -> bool;
 
     /// Called when all records up to this time are applied.
     fn confirmed(&mut self, at: BootInstant);
@@ -30,7 +30,7 @@
     /// Called when the store answers again after failed calls, before the records of this answer are
     /// applied. `outage` is the time since the store last answered or a relay last confirmed the
     /// log, `changes` are the records since then; empty if the answer is a listing.
-    fn store_recovered(&mut self, outage: Duration, changes: &[RawRecord]);
+    fn store_recovered(&mut self, outage: Duration, changes: &[RawRecord], now: Instant);
     /// Removes what has expired by `now`. Returns when the next removal is due.
     fn expire(&mut self, now: Instant) -> Option<Instant>;
 }
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -1,17 +1,22 @@
 use {
     super::{
-        ConfigSink, EndpointSink, FeedError, Follower, LogChanges, LogListing, OperatorRecords,
-        RawRecord, RecordFeed, feed_health::FeedHealth, record_sink::RecordSink,
+        ConfigSink, FeedError, Follower, LogChanges, LogListing, OperatorRecords, RawRecord,
+        RecordFeed, feed_health::FeedHealth, record_sink::RecordSink,
     },
     crate::{
         clock::BootInstant,
         config::{CallerLimits, ConfigState, Evacuations, OperatorKey, RoutingConfig},
-        endpoints::{Directory, EndpointRecord, EndpointState},
         peers::{MaxConfirmationAges, PeerState},
         telemetry::GatewayMetrics,
     },
     mango_wire::gossip::HostRecord,
-    std::{cell::RefCell, collections::VecDeque, future::pending, rc::Rc, time::Duration},
+    std::{
+        cell::RefCell,
+        collections::VecDeque,
+        future::pending,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::{task::LocalSet, time::timeout},
 };
 
@@ -51,26 +56,6 @@
     Ok(Rc::new(RoutingConfig::new(version, limits, Vec::new(), Vec::new(), None)))
 }
 
-/// Decodes `SEQUENCE` or `SEQUENCE draining`.
-fn decode_endpoint(key: &str, bytes: &[u8]) -> Result<EndpointRecord, Box<str>> {
-    let text = std::str::from_utf8(bytes).map_err(|_| "not text")?;
-    let (text, state) = match text.strip_suffix(" draining") {
-        Some(sequence) => (sequence, EndpointState::Draining),
-        None => (text, EndpointState::Ready),
-    };
-    Ok(EndpointRecord {
-        id: key.into(),
-        service: "s".into(),
-        address: "127.0.0.1:9".parse().map_err(|_| "address")?,
-        zone: "z".into(),
-        slots: 1,
-        state,
-        cold_ms: 0,
-        started_at_unix_ms: None,
-        sequence: text.parse().map_err(|_| "not a number")?,
-    })
-}
-
 pub(super) fn own_host() -> HostRecord {
     HostRecord {
         host_id: "own".to_owned(),
@@ -170,80 +155,6 @@
     assert_eq!(follow_config(feed).version(), 3);
 }
 
-fn endpoint_sink(directory: &Rc<Directory>) -> EndpointSink {
-    let metrics = Rc::new(GatewayMetrics::new());
-    EndpointSink::new(
-        directory.clone(),
-        decode_endpoint,
-        Duration::from_millis(1_000),
-        Duration::from_millis(750),
-        metrics,
-    )
-}
-
-/// This number of heartbeats of the endpoints `a` and `b`.
-fn heartbeats(count: usize) -> Vec<RawRecord> {
-    (0..count).map(|index| raw(2 + index as u64, ["a", "b"][index % 2], "2")).collect()
-}
-
-/// Guards against an empty directory after an outage of the store that was longer than the
-/// lifetime of its records.
-#[test]
-fn records_that_expired_in_an_outage_are_kept_for_a_while() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
-    sink.store_recovered(Duration::from_secs(6), &heartbeats(2));
-    sink.apply(&raw(2, "a", ""));
-    assert_eq!(directory.len(), 2);
-    assert!(sink.expire(std::time::Instant::now()).is_some());
-}
-
-/// Guards against requests to endpoints that left while only this host could not reach the
-/// store: the log then holds the heartbeats of the other endpoints.
-#[test]
-fn removals_apply_at_once_when_endpoints_reached_the_store() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
-    sink.store_recovered(Duration::from_secs(6), &heartbeats(11));
-    sink.apply(&raw(2, "a", ""));
-    assert_eq!(directory.len(), 1);
-}
-
-/// Guards against requests to an endpoint that leaves shortly after the store's recovery: a
-/// host that reaches the store later than others keeps removed endpoints only for the rest of
-/// the time in which endpoints write expired records again.
-#[test]
-fn expired_records_are_kept_from_the_recovery_of_the_store_on() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
-    // both endpoints write one heartbeat per second: the store has been back for a second
-    sink.store_recovered(Duration::from_secs(9), &heartbeats(2));
-    sink.apply(&raw(4, "a", ""));
-    let now = std::time::Instant::now();
-    let until = sink.expire(now).expect("a time");
-    assert!(until - now <= Duration::from_millis(1_150), "{:?}", until - now);
-    assert!(until - now >= Duration::from_millis(900), "{:?}", until - now);
-}
-
-/// Guards against endpoints that are dropped although their records are about to be written again:
-/// the removals in the log were taken for heartbeats, as if the store had been back for a while.
-#[test]
-fn removals_do_not_shorten_the_time_for_which_expired_records_are_kept() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
-    let removals = [raw(2, "a", ""), raw(3, "b", "")];
-    sink.store_recovered(Duration::from_secs(6), &removals);
-    assert!(removals.iter().all(|removal| sink.apply(removal)));
-    let now = std::time::Instant::now();
-    let until = sink.expire(now).expect("a time");
-    // the time within which endpoints are back
-    assert!(until - now >= Duration::from_millis(1_950), "{:?}", until - now);
-}
-
 /// Guards against an outage that is measured from before the last confirmation by a relay, which
 /// keeps endpoints in use that have left: a host had followed a relay for 40 s, then the store
 /// refused its calls for 1.5 s.
@@ -261,78 +172,6 @@
     assert!(outage <= since, "{outage:?}, confirmed {since:?} ago");
 }
 
-/// Guards against invalid records of other writers that prevent valid records from being applied.
-#[test]
-fn unreadable_records_add_no_endpoint() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "torn"), raw(1, "b", "1")]);
-    assert!(!sink.apply(&raw(2, "b", "\u{fffd}")));
-    assert_eq!(directory.len(), 1);
-}
-
-/// Guards against an endpoint that some hosts never learn of again: they listed the log while its
-/// newest record was unreadable, and take changes from a relay that saw no change.
-#[test]
-fn the_record_after_an_unreadable_one_is_passed_on() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "1")]);
-    assert!(!sink.apply(&raw(1, "a", "torn")));
-    assert!(sink.apply(&raw(2, "a", "2")));
-    assert!(!sink.apply(&raw(3, "a", "3")), "a heartbeat changes nothing");
-    sink.replace_all(&[raw(4, "a", "torn")]);
-    assert_eq!(directory.len(), 1, "the endpoint keeps its last record");
-}
-
-/// Guards against requests to an endpoint that has left: a relay that did not know the endpoint, since
-/// it had followed a host that lost it, passed its removal on to none of the hosts that knew it.
-#[test]
-fn the_removal_of_an_endpoint_that_the_relay_does_not_know_is_passed_on() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "1")]);
-    assert!(sink.apply(&raw(1, "b", "")));
-}
-
-/// Guards against hosts that lose an endpoint for good: the relay kept an endpoint whose record had
-/// expired in an outage, passed the removal on, and did not pass on that the record was back.
-#[test]
-fn a_record_that_is_back_is_passed_on_by_a_relay_that_kept_the_endpoint() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")]);
-    sink.store_recovered(Duration::from_secs(6), &[]);
-    assert!(sink.apply(&raw(2, "a", "")));
-    assert_eq!(directory.len(), 2, "the endpoint is kept");
-    assert!(sink.apply(&raw(3, "a", "2")));
-}
-
-/// Guards against a draining record that is not passed on, because a misdirected request had already
-/// marked the endpoint as leaving.
-#[test]
-fn a_drain_is_passed_on_even_if_the_endpoint_is_already_leaving() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "1")]);
-    directory.of_service("s")[0].set_leaving();
-    assert!(sink.apply(&raw(1, "a", "2 draining")));
-}
-
-/// Guards against a record of another writer whose sequence number hides all later records of the
-/// endpoint.
-#[test]
-fn a_record_with_an_impossible_number_hides_no_later_one() {
-    let directory = Rc::new(Directory::default());
-    let mut sink = endpoint_sink(&directory);
-    sink.replace_all(&[raw(0, "a", "1")]);
-    sink.apply(&raw(1, "a", "18446744073709551615"));
-    let sequence = || directory.of_service("s")[0].record.borrow().sequence;
-    assert_eq!(sequence(), 1);
-    sink.apply(&raw(2, "a", "2"));
-    assert_eq!(sequence(), 2);
-}
-
 /// Guards against an evacuation that is missed, or that lasts after it was taken back while this
 /// host did not follow the log; and against a record of an evacuation that is taken for a
 /// configuration.
@@ -341,13 +180,14 @@
     let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
     let evacuations = Rc::new(Evacuations::new(Rc::new(GatewayMetrics::new())));
     let mut sink = config_sink(&state, &evacuations);
-    sink.replace_all(&[raw(0, "config", "3"), raw(1, "zone-a", "{}")]);
+    let now = Instant::now();
+    sink.replace_all(&[raw(0, "config", "3"), raw(1, "zone-a", "{}")], now);
     assert!(evacuations.is_evacuated("a") && evacuations.ended_at("a").is_none());
-    assert!(sink.apply(&raw(2, "zone-b", "{}")));
-    assert!(!sink.apply(&raw(3, "zone-b", "{}")), "it is evacuated already");
-    assert!(sink.apply(&raw(4, "zone-a", "")));
+    assert!(sink.apply(&raw(2, "zone-b", "{}"), now));
+    assert!(!sink.apply(&raw(3, "zone-b", "{}"), now), "it is evacuated already");
+    assert!(sink.apply(&raw(4, "zone-a", ""), now));
     assert!(!evacuations.is_evacuated("a") && evacuations.ended_at("a").is_some());
-    sink.replace_all(&[raw(0, "config", "3")]);
+    sink.replace_all(&[raw(0, "config", "3")], now);
     assert!(evacuations.zones().is_empty() && evacuations.ended_at("b").is_some());
     assert_eq!(state.version(), 3);
 }
