Let hosts keep expired endpoints as long as the relay that they follow

Cause: only a host that reads the store itself knew of the outage. Log lines: endpoint_gone and endpoint_added 0.05 to 2 s apart on hosts with records_relayed, endpoint_missing on the relay.

Change: a relay's status says since when it has followed the log without an outage, and whether one ended then; a host that was confirmed last before keeps removed endpoints until that time plus the time in which they return. The first record after a removal is no heartbeat either.

The test of an outage that begins after the last confirmation by a relay is now one of LogCopy, with the same times and a stricter check (that the endpoint is dropped).

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -130,7 +130,11 @@
         }
     }
 
-    fn store_recovered(&mut self, _outage: Duration, _changes: &[RawRecord], _now: Instant) {}
+    fn return_time(&self, _outage: Duration, _changes: &[RawRecord], now: Instant) -> Instant {
+        now
+    }
+
+    fn store_returned(&mut self, _outage: Duration, _at: Instant) {}
 
     fn expire(&mut self, _now: Instant) -> Option<Instant> {
         None
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -67,6 +67,21 @@
         self.keep_removed_until.filter(|until| now < *until)
     }
 
+    /// Number of records with which known endpoints say that they still run. The first one after a
+    /// removal says only that its endpoint is back.
+    fn count_heartbeats(&self, changes: &[RawRecord]) -> usize {
+        let mut removed: BTreeSet<&str> = BTreeSet::new();
+        let mut heartbeats = 0;
+        for record in changes {
+            if record.value.is_empty() {
+                removed.insert(&record.key);
+            } else if !removed.remove(&*record.key) && self.known.get(&record.key).is_some() {
+                heartbeats += 1;
+            }
+        }
+        heartbeats
+    }
+
     /// Decodes and checks a record. Counts and logs one that cannot come from an endpoint, unless
     /// the last one with its key was such a record too.
     fn decode(&mut self, record: &RawRecord) -> Option<EndpointRecord> {
@@ -155,25 +170,26 @@
 
     fn confirmed(&mut self, _at: BootInstant) {}
 
-    fn store_recovered(&mut self, outage: Duration, changes: &[RawRecord], now: Instant) {
+    fn return_time(&self, outage: Duration, changes: &[RawRecord], now: Instant) -> Instant {
+        let endpoints = self.known.all().count().max(1);
+        // each endpoint writes one record per heartbeat: the number of records shows for how
+        // long the endpoints could reach the store while this host could not
+        let heartbeats = self.count_heartbeats(changes) as f64 / endpoints as f64;
+        let store_present = self.heartbeat.mul_f64(heartbeats).min(outage);
+        now.checked_sub(store_present).unwrap_or(now)
+    }
+
+    fn store_returned(&mut self, outage: Duration, at: Instant) {
         if outage < self.heartbeat * MIN_OUTAGE_HEARTBEATS {
             return;
         }
-        let endpoints = self.directory.len().max(1) as f64;
-        let heartbeats = changes.iter().filter(|record| !record.value.is_empty()).count();
-        // each endpoint writes one record per heartbeat: the number of records shows for how
-        // long the endpoints could reach the store while this host could not
-        let store_present = self.heartbeat.mul_f64(heartbeats as f64 / endpoints).min(outage);
-        let grace = RENEWAL_TIME.saturating_sub(store_present);
         event!(
             "endpoint_records_after_absence",
-            "away_ms={} records={} heartbeats={heartbeats} store_present_ms={} grace_ms={}",
+            "away_ms={} store_present_ms={}",
             outage.as_millis(),
-            changes.len(),
-            store_present.as_millis(),
-            grace.as_millis()
+            at.elapsed().as_millis()
         );
-        self.keep_removed_until = Some(now + grace);
+        self.keep_removed_until = self.keep_removed_until.max(Some(at + RENEWAL_TIME));
     }
 
     fn expire(&mut self, now: Instant) -> Option<Instant> {
--- a/crates/gateway/src/followers/feed_health.rs
+++ b/crates/gateway/src/followers/feed_health.rs
@@ -1,9 +1,6 @@
 use {
     super::record_feed::FeedError,
-    crate::{
-        clock::BootInstant,
-        telemetry::{GatewayMetrics, OptionalMillis, event},
-    },
+    crate::telemetry::{GatewayMetrics, OptionalMillis, event},
     rand::RngExt,
     std::{rc::Rc, time::Duration},
 };
@@ -18,36 +15,31 @@
 pub(super) struct FeedHealth {
     name: &'static str,
     metrics: Rc<GatewayMetrics>,
-    /// Last time at which the store answered or a relay confirmed the log.
-    confirmed_at: Option<BootInstant>,
     /// Consecutive failed calls.
     failures: u32,
+    /// Whether a call failed since the last success or the last confirmation by a relay.
+    has_failed: bool,
 }
 
 impl FeedHealth {
     pub(super) fn new(name: &'static str, metrics: Rc<GatewayMetrics>) -> FeedHealth {
-        FeedHealth { name, metrics, confirmed_at: None, failures: 0 }
+        FeedHealth { name, metrics, failures: 0, has_failed: false }
     }
 
-    /// Records that a relay confirmed the log up to this time.
-    pub(super) fn record_relay_confirmation(&mut self, at: BootInstant) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+    pub(super) fn record_relay_confirmation(&mut self) {
+        self.has_failed = false;
     }
 
-    /// Records a successful call. After failed calls, returns the time since the store last
-    /// answered or a relay last confirmed the log, if either happened before.
-    pub(super) fn record_success(&mut self) -> Option<Duration> {
-        let now = BootInstant::now();
+    /// Records a successful call; `away` is the time since the log was last confirmed. Returns
+    /// whether calls failed since then.
+    pub(super) fn record_success(&mut self, away: Option<Duration>) -> bool {
         self.metrics.count_store_call(self.name, "ok");
         let failures = std::mem::take(&mut self.failures);
-        let last = self.confirmed_at.replace(now);
-        if failures == 0 {
-            return None;
+        if failures > 0 {
+            let away = OptionalMillis(away);
+            event!("store_regained", "feed={} failures={failures} away_ms={away}", self.name);
         }
-        let outage = last.map(|at| now.saturating_duration_since(at));
-        let shown_outage = OptionalMillis(outage);
-        event!("store_regained", "feed={} failures={failures} away_ms={shown_outage}", self.name);
-        outage
+        std::mem::take(&mut self.has_failed)
     }
 
     /// Records a failed call. Returns the pause before the next call.
@@ -57,11 +49,18 @@
             event!("store_lost", "feed={} reason={:?}", self.name, error.to_string());
         }
         self.failures += 1;
+        self.has_failed = true;
         let pause = MIN_BACKOFF.saturating_mul(1 << (self.failures - 1).min(4)).min(MAX_BACKOFF);
         pause.mul_f64(rand::rng().random_range(0.6..1.0))
     }
 
+    /// Whether the last call failed.
     pub(super) fn is_failing(&self) -> bool {
         self.failures > 0
     }
+
+    /// Whether a call failed since the last success or the last confirmation by a relay.
+    pub(super) fn has_failed(&self) -> bool {
+        self.has_failed
+    }
 }
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -110,6 +110,7 @@
     /// Reads the changes since the own position from the relay, if there are any, or all records if
     /// the host has none. Then waits for the relay's next status.
     async fn follow_relay(&mut self, relay: RelayedFeedStatus) {
+        self.copy.record_outage(&relay, self.health.has_failed(), Instant::now());
         if let Some(from) = self.copy.missing_from(&relay) {
             match self.relay_client.changes(relay.address, from).await {
                 Ok(changes) => self.copy.apply_relayed(changes, from, Instant::now()),
@@ -120,8 +121,8 @@
                 }
             }
         }
-        if let Some(at) = self.copy.follow_status(&relay) {
-            self.health.record_relay_confirmation(at);
+        if self.copy.follow_status(&relay, Instant::now()) {
+            self.health.record_relay_confirmation();
         }
         let due = self.copy.sink.expire(Instant::now());
         let new_status = self.peers.status_received.notified();
@@ -193,11 +194,11 @@
 
     /// Applies an answer of the store. Returns whether the end of the log is reached.
     fn apply_answer(&mut self, answer: StoreAnswer, sent_at: BootInstant) -> bool {
-        let outage = self.health.record_success();
         let now = Instant::now();
+        let has_failed = self.health.record_success(self.copy.confirmation_age(now));
         match answer {
             StoreAnswer::Listing(listing) => {
-                self.copy.apply_listing(listing, outage, sent_at, now);
+                self.copy.apply_listing(listing, has_failed, sent_at, now);
                 // the next read returns the records that were written during the listing
                 false
             }
@@ -208,7 +209,7 @@
             }
             StoreAnswer::Changes(changes, _, wait) => {
                 let complete_at = confirmation_time(sent_at, wait, changes.records.is_empty());
-                self.copy.apply_changes(changes, outage, complete_at, now)
+                self.copy.apply_changes(changes, has_failed, complete_at, now)
             }
         }
     }
--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        confirmations::Confirmations,
         record_feed::{LogChanges, LogListing, Offset, RawRecord},
         record_sink::RecordSink,
     },
@@ -22,11 +23,12 @@
     peers: Rc<PeerState>,
     /// Offset of the next record; `None` before the first listing.
     position: Option<Offset>,
+    confirmations: Confirmations,
 }
 
 impl<S: RecordSink> LogCopy<S> {
     pub(super) fn new(sink: S, peers: Rc<PeerState>) -> LogCopy<S> {
-        LogCopy { sink, peers, position: None }
+        LogCopy { sink, peers, position: None, confirmations: Confirmations::default() }
     }
 
     pub(super) fn position(&self) -> Option<Offset> {
@@ -38,6 +40,30 @@
         self.position = None;
     }
 
+    /// Time since the copy was last known to be current.
+    pub(super) fn confirmation_age(&self, now: Instant) -> Option<Duration> {
+        self.confirmations.age(now)
+    }
+
+    /// Records an outage of the store of which the relay has seen the end, before anything else of
+    /// the relay is taken over. `has_failed` says that calls of this host failed since the last
+    /// confirmation: a relay that has only just started has seen no outage.
+    pub(super) fn record_outage(
+        &mut self,
+        relay: &RelayedFeedStatus,
+        has_failed: bool,
+        now: Instant,
+    ) {
+        let (Some(since), Some(last)) = (relay.continuous_since, self.confirmations.last()) else {
+            return;
+        };
+        // a relay that followed the log all the time would have passed removals on
+        if since > last && (relay.follows_outage || has_failed) {
+            self.sink.store_returned(now.saturating_duration_since(last), since);
+            self.confirmations.record_end_of_outage(since);
+        }
+    }
+
     /// The offset from which on records have to be read from the relay; `None` if the copy has all
     /// that the relay passes on.
     pub(super) fn missing_from(&self, relay: &RelayedFeedStatus) -> Option<Offset> {
@@ -73,12 +99,12 @@
     }
 
     /// Takes over the position and the confirmation of a relay, as far as the copy has all records
-    /// that the relay passes on. Returns the time of the confirmation.
-    pub(super) fn follow_status(&mut self, relay: &RelayedFeedStatus) -> Option<BootInstant> {
+    /// that the relay passes on. Returns whether the copy is current.
+    pub(super) fn follow_status(&mut self, relay: &RelayedFeedStatus, now: Instant) -> bool {
         let own_position = self.position.unwrap_or(0);
-        let at = relay.confirmed_at.filter(|_| own_position >= relay.position);
-        if let Some(at) = at {
-            self.confirm(at);
+        let confirmed_at = relay.confirmed_at.filter(|_| own_position >= relay.position);
+        if let Some(at) = confirmed_at {
+            self.confirm(at, now);
         }
         // the records up to the relay's position did not change the state: skip them
         if relay.last_change.is_none_or(|offset| offset < own_position)
@@ -86,23 +112,23 @@
         {
             self.set_position(relay.position);
         }
-        at
+        confirmed_at.is_some()
     }
 
-    /// Applies a complete listing. `outage` is set if calls to the store had failed before.
+    /// Applies a complete listing. `has_failed` says that calls to the store failed before.
     pub(super) fn apply_listing(
         &mut self,
         listing: LogListing,
-        outage: Option<Duration>,
+        has_failed: bool,
         sent_at: BootInstant,
         now: Instant,
     ) {
-        if let Some(outage) = outage {
-            self.sink.store_recovered(outage, &[], now);
+        if has_failed {
+            self.end_outage(&[], now);
         }
         self.replace_all(&listing.records, listing.end, now);
         self.set_position(listing.end);
-        self.confirm(sent_at);
+        self.confirm(sent_at, now);
     }
 
     /// Applies records that the store returned for a read from the position on. The log held no
@@ -110,13 +136,13 @@
     pub(super) fn apply_changes(
         &mut self,
         changes: LogChanges,
-        outage: Option<Duration>,
+        has_failed: bool,
         complete_at: BootInstant,
         now: Instant,
     ) -> bool {
         let LogChanges { records, next, end } = changes;
-        if let Some(outage) = outage {
-            self.sink.store_recovered(outage, &records, now);
+        if has_failed {
+            self.end_outage(&records, now);
         }
         for record in &records {
             self.apply(record, now);
@@ -124,11 +150,25 @@
         self.set_position(next);
         // a read that did not reach the end of the log must not confirm it
         if next >= end {
-            self.confirm(complete_at);
+            self.confirm(complete_at, now);
         }
         next >= end
     }
 
+    /// Records that the store answers again, with these changes.
+    fn end_outage(&mut self, changes: &[RawRecord], now: Instant) {
+        let returned_at = match self.confirmations.age(now) {
+            Some(outage) => {
+                let returned_at = self.sink.return_time(outage, changes, now);
+                self.sink.store_returned(outage, returned_at);
+                returned_at
+            }
+            // the host has started in the outage
+            None => now,
+        };
+        self.confirmations.record_end_of_outage(returned_at);
+    }
+
     fn replace_all(&mut self, records: &[RawRecord], end: Offset, now: Instant) {
         self.sink.replace_all(records, now);
         self.peers.published_feed(S::KIND).borrow_mut().replace_all(records, end);
@@ -145,8 +185,10 @@
         self.peers.published_feed(S::KIND).borrow_mut().set_position(position);
     }
 
-    fn confirm(&mut self, at: BootInstant) {
+    fn confirm(&mut self, at: BootInstant, now: Instant) {
+        let age = BootInstant::now().saturating_duration_since(at);
+        self.confirmations.record(now.checked_sub(age).unwrap_or(now));
         self.sink.confirmed(at);
-        self.peers.confirm_feed(S::KIND, at);
+        self.peers.confirm_feed(S::KIND, at, self.confirmations.continuity());
     }
 }
--- /dev/null
+++ b/crates/gateway/src/followers/log_copy_tests.rs
@@ -0,0 +1,119 @@
+use {
+    super::{
+        EndpointSink, LogChanges, LogListing,
+        endpoint_sink_tests::endpoint_sink,
+        log_copy::LogCopy,
+        record_sink::RecordSink,
+        tests::{own_host, peers_of, raw},
+    },
+    crate::{clock::BootInstant, endpoints::Directory, peers::RelayedFeedStatus},
+    mango_wire::gossip::{RelayedChanges, RelayedRecord},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// A host that listed the endpoints `a` and `b`.
+struct Host {
+    directory: Rc<Directory>,
+    copy: LogCopy<EndpointSink>,
+    listed_at: Instant,
+}
+
+impl Host {
+    fn new() -> Host {
+        let directory = Rc::new(Directory::default());
+        let peers = peers_of(own_host(), Duration::from_millis(1_500));
+        let mut copy = LogCopy::new(endpoint_sink(&directory), peers);
+        let records = vec![raw(0, "a", "1"), raw(1, "b", "1")];
+        let listed_at = Instant::now();
+        let listing = LogListing { records, end: 2 };
+        copy.apply_listing(listing, false, BootInstant::now(), listed_at);
+        Host { directory, copy, listed_at }
+    }
+
+    fn after(&self, seconds: f64) -> Instant {
+        self.listed_at + Duration::from_secs_f64(seconds)
+    }
+
+    /// Reads the removal of `a` from a relay, after this number of seconds.
+    fn take_removal(&mut self, seconds: f64, relay: &RelayedFeedStatus, has_failed: bool) {
+        let now = self.after(seconds);
+        self.copy.record_outage(relay, has_failed, now);
+        let removal = RelayedRecord { offset: 2, key: "a".to_owned(), value: Vec::new() };
+        let changes = RelayedChanges { position: 3, records: vec![removal], is_complete: false };
+        self.copy.apply_relayed(changes, 2, now);
+    }
+}
+
+/// The status of a relay that has read the removal of `a`.
+fn relay_status(continuous_since: Instant, follows_outage: bool) -> RelayedFeedStatus {
+    RelayedFeedStatus {
+        address: ([127, 0, 0, 1], 1).into(),
+        position: 3,
+        last_change: Some(2),
+        confirmed_at: Some(BootInstant::now()),
+        continuous_since: Some(continuous_since),
+        follows_outage,
+    }
+}
+
+/// Guards against an outage that is measured from before the last confirmation by a relay, which
+/// keeps endpoints in use that have left: a host had followed a relay for 40 s, then the store
+/// refused its calls for 1.5 s.
+#[test]
+fn an_outage_begins_after_the_last_confirmation_by_a_relay() {
+    let mut host = Host::new();
+    let status = RelayedFeedStatus {
+        position: 2,
+        last_change: Some(1),
+        ..relay_status(host.listed_at, false)
+    };
+    assert!(host.copy.follow_status(&status, host.after(40.0)));
+    let changes = LogChanges { records: vec![raw(2, "a", "")], next: 3, end: 3 };
+    host.copy.apply_changes(changes, true, BootInstant::now(), host.after(41.5));
+    assert_eq!(host.directory.len(), 1);
+}
+
+/// Guards against a zone without endpoints: the relay kept those whose records had expired in an
+/// outage of the store, its followers dropped them.
+#[test]
+fn a_host_keeps_expired_endpoints_as_long_as_its_relay() {
+    let mut host = Host::new();
+    let returned_at = host.after(5.0);
+    host.take_removal(5.5, &relay_status(returned_at, true), false);
+    assert_eq!(host.directory.len(), 2);
+    host.copy.sink.expire(host.after(6.9));
+    assert_eq!(host.directory.len(), 2, "it may be back");
+    host.copy.sink.expire(host.after(7.2));
+    assert_eq!(host.directory.len(), 1, "it would be back");
+}
+
+/// Guards against the same loss where the relay has started in the outage and has not seen it.
+#[test]
+fn a_host_keeps_expired_endpoints_beside_a_relay_that_has_just_started() {
+    let mut host = Host::new();
+    let started_at = host.after(5.0);
+    host.take_removal(5.5, &relay_status(started_at, false), true);
+    assert_eq!(host.directory.len(), 2);
+}
+
+/// Guards against requests to an endpoint that left while only this host could not reach the store:
+/// its relay followed the log all the time.
+#[test]
+fn a_removal_applies_at_once_beside_a_relay_that_saw_no_outage() {
+    let mut host = Host::new();
+    host.take_removal(5.5, &relay_status(host.listed_at, true), true);
+    assert_eq!(host.directory.len(), 1);
+}
+
+/// Guards against the same requests after a relay was lost: the host was without one for a while, but
+/// no call to the store failed.
+#[test]
+fn a_removal_applies_at_once_if_no_call_to_the_store_failed() {
+    let mut host = Host::new();
+    let started_at = host.after(5.0);
+    host.take_removal(5.5, &relay_status(started_at, false), false);
+    assert_eq!(host.directory.len(), 1);
+}
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps this host's copies of the store's logs up to date: the configuration and the endpoints.
 
 mod config_sink;
+mod confirmations;
 mod endpoint_sink;
 #[cfg(test)]
 mod endpoint_sink_tests;
@@ -8,12 +9,16 @@
 mod follower;
 mod known_records;
 mod log_copy;
+#[cfg(test)]
+mod log_copy_tests;
 mod record_feed;
 mod record_sink;
 #[cfg(test)]
 mod relay_tests;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod zone_tests;
 
 pub(crate) use {config_sink::ConfigSink, endpoint_sink::EndpointSink, follower::Follower};
 pub use {
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -27,10 +27,13 @@
     /// Called when all records up to this time are applied.
     fn confirmed(&mut self, at: BootInstant);
 
-    /// Called when the store answers again after failed calls, before the records of this answer are
-    /// applied. `outage` is the time since the store last answered or a relay last confirmed the
-    /// log, `changes` are the records since then; empty if the answer is a listing.
-    fn store_recovered(&mut self, outage: Duration, changes: &[RawRecord], now: Instant);
+    /// Estimates when the store was back that now answers again after failed calls. `outage` is the
+    /// time since the log was last confirmed, `changes` are the records since then; empty if the
+    /// answer is a listing.
+    fn return_time(&self, outage: Duration, changes: &[RawRecord], now: Instant) -> Instant;
+    /// Called when the store is back after failed calls, before records are applied that were read
+    /// since then. `outage` is the time since the log was last confirmed.
+    fn store_returned(&mut self, outage: Duration, at: Instant);
     /// Removes what has expired by `now`. Returns when the next removal is due.
     fn expire(&mut self, now: Instant) -> Option<Instant>;
 }
--- /dev/null
+++ b/crates/gateway/src/followers/zone_tests/mod.rs
@@ -0,0 +1,33 @@
+//! A zone of hosts in virtual time: whatever happens to the store, to endpoints and to hosts, and
+//! whoever relays, all hosts agree with the store soon after it is back.
+
+mod running_endpoint;
+mod store;
+mod zone;
+mod zone_host;
+
+use {
+    std::{env, ops::Range},
+    zone::Zone,
+};
+
+/// Histories that are played unless `ZONE_SEEDS=FROM..TO` says otherwise.
+const SEEDS: Range<u64> = 0..300;
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = env::var("ZONE_SEEDS") else { return SEEDS };
+    let (from, to) = text.split_once("..").expect("FROM..TO");
+    from.parse().expect("a seed")..to.parse().expect("a seed")
+}
+
+/// Guards against hosts that keep endpoints which have left, lose some while their records are about to
+/// return, or never learn of some again, after any series of outages, restarts, changes of the relay and
+/// records of other writers.
+#[test]
+fn all_hosts_of_a_zone_agree_with_the_store() {
+    let failed: Vec<(u64, String)> = seeds()
+        .filter_map(|seed| Zone::new(seed).play().err().map(|reason| (seed, reason)))
+        .collect();
+    let shown: Vec<_> = failed.iter().take(3).collect();
+    assert!(failed.is_empty(), "{} histories failed: {shown:#?}", failed.len());
+}
--- /dev/null
+++ b/crates/gateway/src/followers/zone_tests/zone.rs
@@ -0,0 +1,262 @@
+use {
+    super::{
+        running_endpoint::{RunningEndpoint, decode_endpoint},
+        store::Store,
+        zone_host::{HEARTBEAT, ZoneHost},
+    },
+    crate::{endpoints::EndpointState, followers::record_sink::RecordSink},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Silence after which the store removes the record of an endpoint.
+const RECORD_LIFETIME: Duration = Duration::from_millis(3_600);
+/// Time within which endpoints are back in the store after its return.
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
+/// Time within which all hosts agree with the store after the last record was written.
+const AGREEMENT_TIME: Duration = Duration::from_millis(2_000);
+/// Interval between two statuses of a relay.
+const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+/// Steps of a history before the store is left alone.
+const STEPS: u32 = 80;
+
+/// A host that used an endpoint when the record of that lapsed.
+struct KeptEndpoint {
+    host: usize,
+    host_started_at: Instant,
+    endpoint: String,
+    endpoint_started_at_ms: u64,
+    until: Instant,
+}
+
+pub(super) struct Zone {
+    rng: StdRng,
+    now: Instant,
+    store: Store,
+    endpoints: BTreeMap<String, RunningEndpoint>,
+    hosts: Vec<ZoneHost>,
+    relay: usize,
+    next_id: u64,
+    next_start_ms: u64,
+    /// Endpoints that hosts must not lose.
+    kept: Vec<KeptEndpoint>,
+    lost: Option<String>,
+}
+
+impl Zone {
+    pub(super) fn new(seed: u64) -> Zone {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let now = Instant::now();
+        let hosts = (0..rng.random_range(2..8)).map(|name| ZoneHost::start(name, now)).collect();
+        let mut zone = Zone {
+            rng,
+            now,
+            store: Store::default(),
+            endpoints: BTreeMap::new(),
+            hosts,
+            relay: 0,
+            next_id: 0,
+            next_start_ms: 1_000,
+            kept: Vec::new(),
+            lost: None,
+        };
+        for _ in 0..6 {
+            zone.add_endpoint();
+        }
+        zone
+    }
+
+    fn add_endpoint(&mut self) {
+        let id = format!("e-{}", self.next_id);
+        self.next_id += 1;
+        self.start_endpoint(id);
+    }
+
+    fn start_endpoint(&mut self, id: String) {
+        self.next_start_ms += 1;
+        let endpoint = RunningEndpoint {
+            started_at_ms: self.next_start_ms,
+            sequence: 0,
+            state: EndpointState::Ready,
+            writes_at: Some(self.now),
+        };
+        self.endpoints.insert(id, endpoint);
+    }
+
+    fn random_endpoint(&mut self) -> Option<String> {
+        let count = self.endpoints.len();
+        let index = (count > 0).then(|| self.rng.random_range(0..count))?;
+        self.endpoints.keys().nth(index).cloned()
+    }
+
+    /// One event that the zone has to bear.
+    fn disturb(&mut self) {
+        match self.rng.random_range(0..16) {
+            0 => self.add_endpoint(),
+            1 => {
+                // leaves without a word; while the store is down, its record lapses
+                if let Some(id) = self.random_endpoint() {
+                    self.endpoints.remove(&id);
+                    if self.store.down_since.is_none() {
+                        self.store.write(&id, "");
+                    }
+                }
+            }
+            2 => {
+                if let Some(id) = self.random_endpoint()
+                    && let Some(endpoint) = self.endpoints.get_mut(&id)
+                {
+                    endpoint.state = EndpointState::Draining;
+                    endpoint.writes_at = Some(self.now);
+                }
+            }
+            3 => {
+                if let Some(id) = self.random_endpoint() {
+                    self.start_endpoint(id);
+                }
+            }
+            4 if self.store.down_since.is_none() => {
+                // another writer; the endpoint's next heartbeat replaces its record
+                if let Some(id) = self.random_endpoint() {
+                    self.store.write(&id, "odd");
+                    let heartbeat_at = self.now + HEARTBEAT;
+                    self.endpoints.get_mut(&id).expect("an endpoint").writes_at =
+                        Some(heartbeat_at);
+                }
+            }
+            5 => {
+                let index = self.rng.random_range(0..self.hosts.len());
+                self.hosts[index] = ZoneHost::start(index, self.now);
+            }
+            6..=9 => self.relay = self.rng.random_range(0..self.hosts.len()),
+            10 if self.store.down_since.is_none() => self.store.down_since = Some(self.now),
+            11 | 12 => self.restore_store(),
+            _ => {}
+        }
+    }
+
+    /// Ends an outage of the store. If it was long enough, all records have lapsed, and the endpoints
+    /// that run write them again within the next seconds.
+    fn restore_store(&mut self) {
+        let Some(down_since) = self.store.down_since.take() else { return };
+        self.store.returned_at = Some(self.now);
+        let keys: Vec<_> = self.store.newest.keys().cloned().collect();
+        for key in &keys {
+            let is_running = self.endpoints.contains_key(&**key);
+            if !is_running || self.now - down_since >= RECORD_LIFETIME {
+                self.store.write(key, "");
+            }
+        }
+        for (id, endpoint) in &mut self.endpoints {
+            if self.store.newest.contains_key(id.as_str()) {
+                continue;
+            }
+            let delay = self.rng.random_range(Duration::ZERO..RETURN_TIME);
+            endpoint.writes_at = Some(self.now + delay);
+            let has_lapsed = keys.iter().any(|key| **key == **id);
+            if has_lapsed && endpoint.state == EndpointState::Ready {
+                let users =
+                    self.hosts.iter().enumerate().filter(|(_, host)| host.uses(id, endpoint));
+                self.kept.extend(users.map(|(index, host)| KeptEndpoint {
+                    host: index,
+                    host_started_at: host.started_at,
+                    endpoint: id.clone(),
+                    endpoint_started_at_ms: endpoint.started_at_ms,
+                    until: self.now + RETURN_TIME,
+                }));
+            }
+        }
+    }
+
+    /// Checks that hosts still use the endpoints whose records lapsed, if these run as before.
+    fn check_kept(&mut self) {
+        let now = self.now;
+        self.kept.retain(|kept| now < kept.until);
+        for kept in &self.kept {
+            let host = &self.hosts[kept.host];
+            let Some(endpoint) = self.endpoints.get(&kept.endpoint) else { continue };
+            let is_as_before = host.started_at == kept.host_started_at
+                && endpoint.started_at_ms == kept.endpoint_started_at_ms
+                && endpoint.state == EndpointState::Ready
+                && self.store.down_since.is_none();
+            if is_as_before && !host.uses(&kept.endpoint, endpoint) {
+                let left = kept.until - now;
+                let KeptEndpoint { host, endpoint, .. } = kept;
+                self.lost.get_or_insert(format!(
+                    "host {host} (relay {}) lost {endpoint}, which may be back in {left:?}",
+                    self.relay
+                ));
+            }
+        }
+    }
+
+    /// Lets the endpoints write and the hosts read for a time.
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STATUS_INTERVAL;
+            if self.store.down_since.is_none() {
+                for (id, endpoint) in &mut self.endpoints {
+                    if endpoint.writes_at.take_if(|at| *at <= self.now).is_some() {
+                        let record = endpoint.record();
+                        self.store.write(id, &record);
+                    }
+                }
+            }
+            self.read_hosts();
+        }
+    }
+
+    fn read_hosts(&mut self) {
+        let now = self.now;
+        let relay = self.relay;
+        for index in 0..self.hosts.len() {
+            let is_followed = self.hosts[relay].is_usable_relay(now);
+            // datagrams are lost now and then
+            if index == relay || !is_followed {
+                if self.hosts[index].next_poll_at <= now {
+                    self.hosts[index].read_store(&self.store, now);
+                }
+            } else if self.rng.random_bool(0.9) {
+                let [host, relay] = self.hosts.get_disjoint_mut([index, relay]).expect("two hosts");
+                host.follow(relay, now);
+            }
+            self.hosts[index].copy.sink.expire(now);
+        }
+        self.check_kept();
+    }
+
+    /// Plays a history and checks the hosts at its end.
+    pub(super) fn play(mut self) -> Result<(), String> {
+        for _ in 0..STEPS {
+            self.disturb();
+            let time = self.rng.random_range(STATUS_INTERVAL..STATUS_INTERVAL * 5);
+            self.run(time);
+        }
+        self.restore_store();
+        self.run(RETURN_TIME + HEARTBEAT + AGREEMENT_TIME);
+        if let Some(lost) = self.lost {
+            return Err(lost);
+        }
+        let listed: BTreeMap<String, (u64, EndpointState)> = (self.store.newest.iter())
+            .map(|(key, record)| {
+                let record = decode_endpoint(key, &record.value).expect("a sound record");
+                (key.to_string(), (record.started_at_unix_ms.unwrap(), record.state))
+            })
+            .collect();
+        for (index, host) in self.hosts.iter().enumerate() {
+            let known = host.endpoints();
+            if known != listed {
+                let age = self.now - host.started_at;
+                return Err(format!(
+                    "host {index} (relay {}, started {age:?} ago) knows {known:?}, listed are {listed:?}",
+                    self.relay
+                ));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/followers/zone_tests/zone_host.rs
@@ -0,0 +1,133 @@
+use {
+    super::{
+        running_endpoint::{RunningEndpoint, decode_endpoint},
+        store::Store,
+    },
+    crate::{
+        clock::BootInstant,
+        endpoints::{Directory, EndpointState},
+        followers::{
+            EndpointSink, LogChanges, LogListing,
+            log_copy::LogCopy,
+            tests::{own_host, peers_of},
+        },
+        peers::{FeedKind, PeerState, RelayedFeedStatus},
+        telemetry::GatewayMetrics,
+    },
+    mango_wire::gossip::HostRecord,
+    std::{
+        collections::BTreeMap,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Greatest age of a confirmation with which a relay is followed.
+pub(super) const MAX_AGE: Duration = Duration::from_millis(1_500);
+/// Interval at which a host reads the store.
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(750);
+
+pub(super) struct ZoneHost {
+    pub(super) peers: Rc<PeerState>,
+    pub(super) directory: Rc<Directory>,
+    pub(super) copy: LogCopy<EndpointSink>,
+    pub(super) started_at: Instant,
+    /// When the host last read the end of the log, or a relay confirmed it.
+    pub(super) confirmed_at: Option<Instant>,
+    pub(super) has_failed: bool,
+    pub(super) next_poll_at: Instant,
+}
+
+impl ZoneHost {
+    pub(super) fn start(name: usize, now: Instant) -> ZoneHost {
+        let own = HostRecord { host_id: format!("host-{name}"), ..own_host() };
+        let peers = peers_of(own, MAX_AGE);
+        let directory = Rc::new(Directory::default());
+        let metrics = Rc::new(GatewayMetrics::new());
+        let sink = EndpointSink::new(
+            directory.clone(),
+            decode_endpoint,
+            HEARTBEAT,
+            POLL_INTERVAL,
+            metrics,
+        );
+        ZoneHost {
+            copy: LogCopy::new(sink, peers.clone()),
+            peers,
+            directory,
+            started_at: now,
+            confirmed_at: None,
+            has_failed: false,
+            next_poll_at: now,
+        }
+    }
+
+    /// Reads the log from the store once, if that answers.
+    pub(super) fn read_store(&mut self, store: &Store, now: Instant) {
+        self.next_poll_at = now + POLL_INTERVAL;
+        if store.down_since.is_some() {
+            self.has_failed = true;
+            return;
+        }
+        let has_failed = std::mem::take(&mut self.has_failed);
+        let boot_now = BootInstant::now();
+        let end = store.end();
+        match self.copy.position() {
+            None => {
+                let records = store.newest.values().cloned().collect();
+                self.copy.apply_listing(LogListing { records, end }, has_failed, boot_now, now);
+            }
+            Some(from) => {
+                let records = store.log[from as usize..].to_vec();
+                let changes = LogChanges { records, next: end, end };
+                self.copy.apply_changes(changes, has_failed, boot_now, now);
+            }
+        }
+        self.confirmed_at = Some(now);
+    }
+
+    pub(super) fn is_usable_relay(&self, now: Instant) -> bool {
+        self.confirmed_at.is_some_and(|at| now - at <= MAX_AGE)
+    }
+
+    /// Takes a status and, if need be, records from the relay.
+    pub(super) fn follow(&mut self, relay: &ZoneHost, now: Instant) {
+        let feed = relay.peers.published_feed(FeedKind::Endpoints).borrow();
+        let status = feed.status(BootInstant::now());
+        let relay_confirmed_at = relay.confirmed_at.expect("a usable relay");
+        let span = Duration::from_millis(status.confirmed_span_ms);
+        let status = RelayedFeedStatus {
+            address: ([127, 0, 0, 1], 1).into(),
+            position: status.position,
+            last_change: status.changed,
+            confirmed_at: BootInstant::now().checked_sub(now - relay_confirmed_at),
+            continuous_since: relay_confirmed_at.checked_sub(span),
+            follows_outage: status.follows_outage,
+        };
+        self.copy.record_outage(&status, self.has_failed, now);
+        if let Some(from) = self.copy.missing_from(&status) {
+            self.copy.apply_relayed(feed.changes(from), from, now);
+        }
+        if self.copy.follow_status(&status, now) {
+            self.confirmed_at = self.confirmed_at.max(relay.confirmed_at);
+            self.has_failed = false;
+        }
+    }
+
+    /// Whether the host uses an endpoint, and knows this start of it.
+    pub(super) fn uses(&self, id: &str, endpoint: &RunningEndpoint) -> bool {
+        self.endpoints().get(id) == Some(&(endpoint.started_at_ms, EndpointState::Ready))
+    }
+
+    /// The records of the endpoints in use.
+    pub(super) fn endpoints(&self) -> BTreeMap<String, (u64, EndpointState)> {
+        let endpoints = self.directory.all();
+        let records = endpoints.iter().map(|endpoint| endpoint.record.borrow());
+        records
+            .map(|record| {
+                (record.id.to_string(), (record.started_at_unix_ms.unwrap(), record.state))
+            })
+            .collect()
+    }
+}
--- a/crates/gateway/src/peers/followed_relay.rs
+++ b/crates/gateway/src/peers/followed_relay.rs
@@ -18,6 +18,10 @@
     pub(crate) last_change: Option<Offset>,
     /// The log held nothing after `position` at this time, if that is known.
     pub(crate) confirmed_at: Option<BootInstant>,
+    /// Since when the relay has followed the log without an outage of the store.
+    pub(crate) continuous_since: Option<Instant>,
+    /// Whether an outage ended then; otherwise the relay had followed none before.
+    pub(crate) follows_outage: bool,
 }
 
 /// The relay from which this host takes records and the loads of other hosts, with its last
@@ -46,11 +50,14 @@
         let age = status.confirmed_age_ms.map(Duration::from_millis);
         let confirmed_at =
             self.report_sent_at.zip(age).and_then(|(sent_at, age)| sent_at.checked_sub(age));
+        let span = Duration::from_millis(status.confirmed_span_ms);
         RelayedFeedStatus {
             address: self.relay_address,
             position: status.position,
             last_change: status.changed,
             confirmed_at,
+            continuous_since: age.and_then(|age| self.received_at.checked_sub(age + span)),
+            follows_outage: status.follows_outage,
         }
     }
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,6 +6,7 @@
 
 mod announcer;
 mod changes_codec;
+mod continuity;
 mod feed_kind;
 mod fleet_loads;
 mod fleet_size;
@@ -32,6 +33,7 @@
 pub use host_registry::{HostListing, HostRegistry, RegistryError};
 pub(crate) use {
     announcer::announce,
+    continuity::Continuity,
     feed_kind::FeedKind,
     followed_relay::RelayedFeedStatus,
     gossip_task::{Gossip, receive_gossip, send_gossip},
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        continuity::Continuity,
         feed_kind::FeedKind,
         fleet_loads::FleetLoads,
         fleet_size::FleetSize,
@@ -383,8 +384,8 @@
     }
 
     /// Records that this host's copy of a log was current at a time.
-    pub(crate) fn confirm_feed(&self, kind: FeedKind, at: BootInstant) {
-        self.published_feed(kind).borrow_mut().confirm(at);
+    pub(crate) fn confirm_feed(&self, kind: FeedKind, at: BootInstant, continuity: Continuity) {
+        self.published_feed(kind).borrow_mut().confirm(at, continuity);
         if self.relay.borrow().is_none() && !self.role.is_relay() {
             // this host may be the first of its zone that can relay
             self.round_wanted.notify_one();
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -1,5 +1,5 @@
 use {
-    super::{changes_codec, relay_election::max_response_bytes},
+    super::{changes_codec, continuity::Continuity, relay_election::max_response_bytes},
     crate::{
         clock::BootInstant,
         followers::{Offset, RawRecord},
@@ -24,6 +24,7 @@
     listing_end: Offset,
     /// The log held nothing after `position` at this time.
     confirmed_at: Option<BootInstant>,
+    continuity: Continuity,
     /// Offset and value by key; an empty value is a tombstone.
     records: BTreeMap<Box<str>, (Offset, Vec<u8>)>,
     /// The last encoded response: the hosts of a zone read the same records at the same time.
@@ -80,9 +81,13 @@
         self.position = Some(position);
     }
 
-    /// Records that the log held nothing after `position` at this time.
-    pub(crate) fn confirm(&mut self, at: BootInstant) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+    /// Records that the log held nothing after `position` at this time, and how it was followed up
+    /// to then.
+    pub(crate) fn confirm(&mut self, at: BootInstant, continuity: Continuity) {
+        if Some(at) >= self.confirmed_at {
+            self.confirmed_at = Some(at);
+            self.continuity = continuity;
+        }
     }
 
     pub(crate) fn confirmation_age(&self, now: BootInstant) -> Option<Duration> {
@@ -95,10 +100,12 @@
             changed: self.last_change,
             // rounded up, so that peers do not take the confirmation for newer than it is
             confirmed_age_ms: self.confirmation_age(now).map(|age| age.as_millis() as u64 + 1),
+            confirmed_span_ms: self.continuity.span.as_millis() as u64,
+            follows_outage: self.continuity.follows_outage,
         }
     }
 
-    fn changes(&self, from: Offset) -> RelayedChanges {
+    pub(crate) fn changes(&self, from: Offset) -> RelayedChanges {
         // a key removed before the end of the listing has no tombstone, so a peer that has not
         // read that far gets all records in place of its own
         let is_complete = from < self.listing_end;
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -52,7 +52,13 @@
     age_ms: u64,
     loads: Vec<EndpointLoad>,
 ) -> GossipMessage {
-    let feed = FeedStatus { position: 10, changed: Some(9), confirmed_age_ms: Some(age_ms) };
+    let feed = FeedStatus {
+        position: 10,
+        changed: Some(9),
+        confirmed_age_ms: Some(age_ms),
+        confirmed_span_ms: 0,
+        follows_outage: false,
+    };
     GossipMessage::RelayStatus(RelayStatus {
         host: host(from),
         echo_ms,
