--- a/crates/gateway/src/clock/mod.rs
+++ b/crates/gateway/src/clock/mod.rs
@@ -1,3 +1,4 @@
 mod boot_instant;
+mod now;
 
-pub(crate) use boot_instant::BootInstant;
+pub(crate) use {boot_instant::BootInstant, now::Now};
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -11,7 +11,7 @@
         telemetry::{GatewayMetrics, event},
     },
     std::{
-        collections::BTreeSet,
+        collections::{BTreeMap, BTreeSet},
         rc::Rc,
         time::{Duration, Instant, SystemTime},
     },
@@ -67,19 +67,24 @@
         self.keep_removed_until.filter(|until| now < *until)
     }
 
-    /// Number of records with which known endpoints say that they still run. The first one after a
-    /// removal says only that its endpoint is back.
-    fn count_heartbeats(&self, changes: &[RawRecord]) -> usize {
+    /// How many records half of the known endpoints have written at least, since their last removal.
+    /// The first one after a removal does not count: it says only that its endpoint is back.
+    fn median_heartbeats(&self, changes: &[RawRecord]) -> u32 {
+        let mut heartbeats: BTreeMap<&str, u32> =
+            self.known.all().map(|known| (&*known.id, 0)).collect();
         let mut removed: BTreeSet<&str> = BTreeSet::new();
-        let mut heartbeats = 0;
         for record in changes {
+            let Some(heartbeats) = heartbeats.get_mut(&*record.key) else { continue };
             if record.value.is_empty() {
+                *heartbeats = 0;
                 removed.insert(&record.key);
-            } else if !removed.remove(&*record.key) && self.known.get(&record.key).is_some() {
-                heartbeats += 1;
+            } else if !removed.remove(&*record.key) {
+                *heartbeats += 1;
             }
         }
-        heartbeats
+        let mut counts: Vec<u32> = heartbeats.into_values().collect();
+        counts.sort_unstable();
+        counts.get(counts.len().saturating_sub(1) / 2).copied().unwrap_or(0)
     }
 
     /// Decodes and checks a record. Counts and logs one that cannot come from an endpoint, unless
@@ -171,12 +176,10 @@
     fn confirmed(&mut self, _at: BootInstant) {}
 
     fn return_time(&self, outage: Duration, changes: &[RawRecord], now: Instant) -> Instant {
-        let endpoints = self.known.all().count().max(1);
         // each endpoint writes one record per heartbeat: the number of records shows for how
         // long the endpoints could reach the store while this host could not
-        let heartbeats = self.count_heartbeats(changes) as f64 / endpoints as f64;
-        let store_present = self.heartbeat.mul_f64(heartbeats).min(outage);
-        now.checked_sub(store_present).unwrap_or(now)
+        let store_present = self.heartbeat.saturating_mul(self.median_heartbeats(changes));
+        now.checked_sub(store_present.min(outage)).unwrap_or(now)
     }
 
     fn store_returned(&mut self, outage: Duration, at: Instant) {
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -6,7 +6,7 @@
         record_sink::RecordSink,
     },
     crate::{
-        clock::BootInstant,
+        clock::{BootInstant, Now},
         peers::{FeedKind, PeerState, RelayClient, RelayedFeedStatus},
         telemetry::{GatewayMetrics, event},
     },
@@ -110,10 +110,10 @@
     /// Reads the changes since the own position from the relay, if there are any, or all records if
     /// the host has none. Then waits for the relay's next status.
     async fn follow_relay(&mut self, relay: RelayedFeedStatus) {
-        self.copy.record_outage(&relay, self.health.has_failed(), Instant::now());
+        self.copy.record_outage(&relay, self.health.has_failed(), Now::read());
         if let Some(from) = self.copy.missing_from(&relay) {
             match self.relay_client.changes(relay.address, from).await {
-                Ok(changes) => self.copy.apply_relayed(changes, from, Instant::now()),
+                Ok(changes) => self.copy.apply_relayed(changes, from, Now::read()),
                 Err(error) => {
                     event!("relay_failed", "feed={} reason={:?}", self.kind, error.to_string());
                     self.relay_paused_until = Some(Instant::now() + RELAY_CHECK_INTERVAL);
@@ -121,7 +121,7 @@
                 }
             }
         }
-        if self.copy.follow_status(&relay, Instant::now()) {
+        if self.copy.follow_status(&relay, Now::read()) {
             self.health.record_relay_confirmation();
         }
         let due = self.copy.sink.expire(Instant::now());
@@ -194,8 +194,8 @@
 
     /// Applies an answer of the store. Returns whether the end of the log is reached.
     fn apply_answer(&mut self, answer: StoreAnswer, sent_at: BootInstant) -> bool {
-        let now = Instant::now();
-        let has_failed = self.health.record_success(self.copy.confirmation_age(now));
+        let now = Now::read();
+        let has_failed = self.health.record_success(self.copy.confirmation_age(now.instant));
         match answer {
             StoreAnswer::Listing(listing) => {
                 self.copy.apply_listing(listing, has_failed, sent_at, now);
--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -5,7 +5,7 @@
         record_sink::RecordSink,
     },
     crate::{
-        clock::BootInstant,
+        clock::{BootInstant, Now},
         peers::{PeerState, RelayedFeedStatus},
         telemetry::event,
     },
@@ -48,18 +48,13 @@
     /// Records an outage of the store of which the relay has seen the end, before anything else of
     /// the relay is taken over. `has_failed` says that calls of this host failed since the last
     /// confirmation: a relay that has only just started has seen no outage.
-    pub(super) fn record_outage(
-        &mut self,
-        relay: &RelayedFeedStatus,
-        has_failed: bool,
-        now: Instant,
-    ) {
+    pub(super) fn record_outage(&mut self, relay: &RelayedFeedStatus, has_failed: bool, now: Now) {
         let (Some(since), Some(last)) = (relay.continuous_since, self.confirmations.last()) else {
             return;
         };
         // a relay that followed the log all the time would have passed removals on
         if since > last && (relay.follows_outage || has_failed) {
-            self.sink.store_returned(now.saturating_duration_since(last), since);
+            self.sink.store_returned(now.instant.saturating_duration_since(last), since);
             self.confirmations.record_end_of_outage(since);
         }
     }
@@ -72,7 +67,7 @@
     }
 
     /// Applies the records that a relay returned for a read from this offset.
-    pub(super) fn apply_relayed(&mut self, changes: RelayedChanges, from: Offset, now: Instant) {
+    pub(super) fn apply_relayed(&mut self, changes: RelayedChanges, from: Offset, now: Now) {
         event!(
             "records_relayed",
             "feed={} from={from} position={} records={} complete={}",
@@ -100,7 +95,7 @@
 
     /// Takes over the position and the confirmation of a relay, as far as the copy has all records
     /// that the relay passes on. Returns whether the copy is current.
-    pub(super) fn follow_status(&mut self, relay: &RelayedFeedStatus, now: Instant) -> bool {
+    pub(super) fn follow_status(&mut self, relay: &RelayedFeedStatus, now: Now) -> bool {
         let own_position = self.position.unwrap_or(0);
         let confirmed_at = relay.confirmed_at.filter(|_| own_position >= relay.position);
         if let Some(at) = confirmed_at {
@@ -121,7 +116,7 @@
         listing: LogListing,
         has_failed: bool,
         sent_at: BootInstant,
-        now: Instant,
+        now: Now,
     ) {
         if has_failed {
             self.end_outage(&[], now);
@@ -138,7 +133,7 @@
         changes: LogChanges,
         has_failed: bool,
         complete_at: BootInstant,
-        now: Instant,
+        now: Now,
     ) -> bool {
         let LogChanges { records, next, end } = changes;
         if has_failed {
@@ -156,26 +151,26 @@
     }
 
     /// Records that the store answers again, with these changes.
-    fn end_outage(&mut self, changes: &[RawRecord], now: Instant) {
-        let returned_at = match self.confirmations.age(now) {
+    fn end_outage(&mut self, changes: &[RawRecord], now: Now) {
+        let returned_at = match self.confirmations.age(now.instant) {
             Some(outage) => {
-                let returned_at = self.sink.return_time(outage, changes, now);
+                let returned_at = self.sink.return_time(outage, changes, now.instant);
                 self.sink.store_returned(outage, returned_at);
                 returned_at
             }
             // the host has started in the outage
-            None => now,
+            None => now.instant,
         };
         self.confirmations.record_end_of_outage(returned_at);
     }
 
-    fn replace_all(&mut self, records: &[RawRecord], end: Offset, now: Instant) {
-        self.sink.replace_all(records, now);
+    fn replace_all(&mut self, records: &[RawRecord], end: Offset, now: Now) {
+        self.sink.replace_all(records, now.instant);
         self.peers.published_feed(S::KIND).borrow_mut().replace_all(records, end);
     }
 
-    fn apply(&mut self, record: &RawRecord, now: Instant) {
-        if self.sink.apply(record, now) {
+    fn apply(&mut self, record: &RawRecord, now: Now) {
+        if self.sink.apply(record, now.instant) {
             self.peers.published_feed(S::KIND).borrow_mut().add(record);
         }
     }
@@ -185,9 +180,9 @@
         self.peers.published_feed(S::KIND).borrow_mut().set_position(position);
     }
 
-    fn confirm(&mut self, at: BootInstant, now: Instant) {
-        let age = BootInstant::now().saturating_duration_since(at);
-        self.confirmations.record(now.checked_sub(age).unwrap_or(now));
+    fn confirm(&mut self, at: BootInstant, now: Now) {
+        let age = now.boot.saturating_duration_since(at);
+        self.confirmations.record(now.instant.checked_sub(age).unwrap_or(now.instant));
         self.sink.confirmed(at);
         self.peers.confirm_feed(S::KIND, at, self.confirmations.continuity());
     }
--- a/crates/gateway/src/followers/log_copy_tests.rs
+++ b/crates/gateway/src/followers/log_copy_tests.rs
@@ -6,19 +6,16 @@
         record_sink::RecordSink,
         tests::{own_host, peers_of, raw},
     },
-    crate::{clock::BootInstant, endpoints::Directory, peers::RelayedFeedStatus},
+    crate::{clock::Now, endpoints::Directory, peers::RelayedFeedStatus},
     mango_wire::gossip::{RelayedChanges, RelayedRecord},
-    std::{
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{rc::Rc, time::Duration},
 };
 
 /// A host that listed the endpoints `a` and `b`.
 struct Host {
     directory: Rc<Directory>,
     copy: LogCopy<EndpointSink>,
-    listed_at: Instant,
+    listed_at: Now,
 }
 
 impl Host {
@@ -27,14 +24,15 @@
         let peers = peers_of(own_host(), Duration::from_millis(1_500));
         let mut copy = LogCopy::new(endpoint_sink(&directory), peers);
         let records = vec![raw(0, "a", "1"), raw(1, "b", "1")];
-        let listed_at = Instant::now();
+        let listed_at = Now::read();
         let listing = LogListing { records, end: 2 };
-        copy.apply_listing(listing, false, BootInstant::now(), listed_at);
+        copy.apply_listing(listing, false, listed_at.boot, listed_at);
         Host { directory, copy, listed_at }
     }
 
-    fn after(&self, seconds: f64) -> Instant {
-        self.listed_at + Duration::from_secs_f64(seconds)
+    fn after(&self, seconds: f64) -> Now {
+        let time = Duration::from_secs_f64(seconds);
+        Now { instant: self.listed_at.instant + time, boot: self.listed_at.boot + time }
     }
 
     /// Reads the removal of `a` from a relay, after this number of seconds.
@@ -47,14 +45,18 @@
     }
 }
 
-/// The status of a relay that has read the removal of `a`.
-fn relay_status(continuous_since: Instant, follows_outage: bool) -> RelayedFeedStatus {
+/// The status of a relay that has read the removal of `a`, confirmed at the time of the last argument.
+fn relay_status(
+    continuous_since: Now,
+    follows_outage: bool,
+    confirmed_at: Now,
+) -> RelayedFeedStatus {
     RelayedFeedStatus {
         address: ([127, 0, 0, 1], 1).into(),
         position: 3,
         last_change: Some(2),
-        confirmed_at: Some(BootInstant::now()),
-        continuous_since: Some(continuous_since),
+        confirmed_at: Some(confirmed_at.boot),
+        continuous_since: Some(continuous_since.instant),
         follows_outage,
     }
 }
@@ -68,11 +70,11 @@
     let status = RelayedFeedStatus {
         position: 2,
         last_change: Some(1),
-        ..relay_status(host.listed_at, false)
+        ..relay_status(host.listed_at, false, host.after(40.0))
     };
     assert!(host.copy.follow_status(&status, host.after(40.0)));
     let changes = LogChanges { records: vec![raw(2, "a", "")], next: 3, end: 3 };
-    host.copy.apply_changes(changes, true, BootInstant::now(), host.after(41.5));
+    host.copy.apply_changes(changes, true, host.after(41.5).boot, host.after(41.5));
     assert_eq!(host.directory.len(), 1);
 }
 
@@ -82,11 +84,11 @@
 fn a_host_keeps_expired_endpoints_as_long_as_its_relay() {
     let mut host = Host::new();
     let returned_at = host.after(5.0);
-    host.take_removal(5.5, &relay_status(returned_at, true), false);
+    host.take_removal(5.5, &relay_status(returned_at, true, host.after(5.4)), false);
     assert_eq!(host.directory.len(), 2);
-    host.copy.sink.expire(host.after(6.9));
+    host.copy.sink.expire(host.after(6.9).instant);
     assert_eq!(host.directory.len(), 2, "it may be back");
-    host.copy.sink.expire(host.after(7.2));
+    host.copy.sink.expire(host.after(7.2).instant);
     assert_eq!(host.directory.len(), 1, "it would be back");
 }
 
@@ -95,7 +97,7 @@
 fn a_host_keeps_expired_endpoints_beside_a_relay_that_has_just_started() {
     let mut host = Host::new();
     let started_at = host.after(5.0);
-    host.take_removal(5.5, &relay_status(started_at, false), true);
+    host.take_removal(5.5, &relay_status(started_at, false, host.after(5.4)), true);
     assert_eq!(host.directory.len(), 2);
 }
 
@@ -104,7 +106,7 @@
 #[test]
 fn a_removal_applies_at_once_beside_a_relay_that_saw_no_outage() {
     let mut host = Host::new();
-    host.take_removal(5.5, &relay_status(host.listed_at, true), true);
+    host.take_removal(5.5, &relay_status(host.listed_at, true, host.after(5.4)), true);
     assert_eq!(host.directory.len(), 1);
 }
 
@@ -114,6 +116,6 @@
 fn a_removal_applies_at_once_if_no_call_to_the_store_failed() {
     let mut host = Host::new();
     let started_at = host.after(5.0);
-    host.take_removal(5.5, &relay_status(started_at, false), false);
+    host.take_removal(5.5, &relay_status(started_at, false, host.after(5.4)), false);
     assert_eq!(host.directory.len(), 1);
 }
--- a/crates/gateway/src/followers/zone_tests/zone.rs
+++ b/crates/gateway/src/followers/zone_tests/zone.rs
@@ -4,7 +4,7 @@
         store::Store,
         zone_host::{HEARTBEAT, ZoneHost},
     },
-    crate::{endpoints::EndpointState, followers::record_sink::RecordSink},
+    crate::{clock::Now, endpoints::EndpointState, followers::record_sink::RecordSink},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
         collections::BTreeMap,
@@ -34,7 +34,7 @@
 
 pub(super) struct Zone {
     rng: StdRng,
-    now: Instant,
+    now: Now,
     store: Store,
     endpoints: BTreeMap<String, RunningEndpoint>,
     hosts: Vec<ZoneHost>,
@@ -49,8 +49,9 @@
 impl Zone {
     pub(super) fn new(seed: u64) -> Zone {
         let mut rng = StdRng::seed_from_u64(seed);
-        let now = Instant::now();
-        let hosts = (0..rng.random_range(2..8)).map(|name| ZoneHost::start(name, now)).collect();
+        let now = Now::read();
+        let hosts =
+            (0..rng.random_range(2..8)).map(|name| ZoneHost::start(name, now.instant)).collect();
         let mut zone = Zone {
             rng,
             now,
@@ -81,7 +82,7 @@
             started_at_ms: self.next_start_ms,
             sequence: 0,
             state: EndpointState::Ready,
-            writes_at: Some(self.now),
+            writes_at: Some(self.now.instant),
         };
         self.endpoints.insert(id, endpoint);
     }
@@ -110,7 +111,7 @@
                     && let Some(endpoint) = self.endpoints.get_mut(&id)
                 {
                     endpoint.state = EndpointState::Draining;
-                    endpoint.writes_at = Some(self.now);
+                    endpoint.writes_at = Some(self.now.instant);
                 }
             }
             3 => {
@@ -122,17 +123,17 @@
                 // another writer; the endpoint's next heartbeat replaces its record
                 if let Some(id) = self.random_endpoint() {
                     self.store.write(&id, "odd");
-                    let heartbeat_at = self.now + HEARTBEAT;
+                    let heartbeat_at = self.now.instant + HEARTBEAT;
                     self.endpoints.get_mut(&id).expect("an endpoint").writes_at =
                         Some(heartbeat_at);
                 }
             }
             5 => {
                 let index = self.rng.random_range(0..self.hosts.len());
-                self.hosts[index] = ZoneHost::start(index, self.now);
+                self.hosts[index] = ZoneHost::start(index, self.now.instant);
             }
             6..=9 => self.relay = self.rng.random_range(0..self.hosts.len()),
-            10 if self.store.down_since.is_none() => self.store.down_since = Some(self.now),
+            10 if self.store.down_since.is_none() => self.store.down_since = Some(self.now.instant),
             11 | 12 => self.restore_store(),
             _ => {}
         }
@@ -142,11 +143,11 @@
     /// that run write them again within the next seconds.
     fn restore_store(&mut self) {
         let Some(down_since) = self.store.down_since.take() else { return };
-        self.store.returned_at = Some(self.now);
+        self.store.returned_at = Some(self.now.instant);
         let keys: Vec<_> = self.store.newest.keys().cloned().collect();
         for key in &keys {
             let is_running = self.endpoints.contains_key(&**key);
-            if !is_running || self.now - down_since >= RECORD_LIFETIME {
+            if !is_running || self.now.instant - down_since >= RECORD_LIFETIME {
                 self.store.write(key, "");
             }
         }
@@ -155,7 +156,7 @@
                 continue;
             }
             let delay = self.rng.random_range(Duration::ZERO..RETURN_TIME);
-            endpoint.writes_at = Some(self.now + delay);
+            endpoint.writes_at = Some(self.now.instant + delay);
             let has_lapsed = keys.iter().any(|key| **key == **id);
             if has_lapsed && endpoint.state == EndpointState::Ready {
                 let users =
@@ -165,7 +166,7 @@
                     host_started_at: host.started_at,
                     endpoint: id.clone(),
                     endpoint_started_at_ms: endpoint.started_at_ms,
-                    until: self.now + RETURN_TIME,
+                    until: self.now.instant + RETURN_TIME,
                 }));
             }
         }
@@ -173,7 +174,7 @@
 
     /// Checks that hosts still use the endpoints whose records lapsed, if these run as before.
     fn check_kept(&mut self) {
-        let now = self.now;
+        let now = self.now.instant;
         self.kept.retain(|kept| now < kept.until);
         for kept in &self.kept {
             let host = &self.hosts[kept.host];
@@ -195,12 +196,13 @@
 
     /// Lets the endpoints write and the hosts read for a time.
     fn run(&mut self, time: Duration) {
-        let end = self.now + time;
-        while self.now < end {
-            self.now += STATUS_INTERVAL;
+        let end = self.now.instant + time;
+        while self.now.instant < end {
+            self.now.instant += STATUS_INTERVAL;
+            self.now.boot = self.now.boot + STATUS_INTERVAL;
             if self.store.down_since.is_none() {
                 for (id, endpoint) in &mut self.endpoints {
-                    if endpoint.writes_at.take_if(|at| *at <= self.now).is_some() {
+                    if endpoint.writes_at.take_if(|at| *at <= self.now.instant).is_some() {
                         let record = endpoint.record();
                         self.store.write(id, &record);
                     }
@@ -217,14 +219,14 @@
             let is_followed = self.hosts[relay].is_usable_relay(now);
             // datagrams are lost now and then
             if index == relay || !is_followed {
-                if self.hosts[index].next_poll_at <= now {
+                if self.hosts[index].next_poll_at <= now.instant {
                     self.hosts[index].read_store(&self.store, now);
                 }
             } else if self.rng.random_bool(0.9) {
                 let [host, relay] = self.hosts.get_disjoint_mut([index, relay]).expect("two hosts");
                 host.follow(relay, now);
             }
-            self.hosts[index].copy.sink.expire(now);
+            self.hosts[index].copy.sink.expire(now.instant);
         }
         self.check_kept();
     }
@@ -250,7 +252,7 @@
         for (index, host) in self.hosts.iter().enumerate() {
             let known = host.endpoints();
             if known != listed {
-                let age = self.now - host.started_at;
+                let age = self.now.instant - host.started_at;
                 return Err(format!(
                     "host {index} (relay {}, started {age:?} ago) knows {known:?}, listed are {listed:?}",
                     self.relay
--- a/crates/gateway/src/followers/zone_tests/zone_host.rs
+++ b/crates/gateway/src/followers/zone_tests/zone_host.rs
@@ -4,7 +4,7 @@
         store::Store,
     },
     crate::{
-        clock::BootInstant,
+        clock::Now,
         endpoints::{Directory, EndpointState},
         followers::{
             EndpointSink, LogChanges, LogListing,
@@ -33,8 +33,6 @@
     pub(super) directory: Rc<Directory>,
     pub(super) copy: LogCopy<EndpointSink>,
     pub(super) started_at: Instant,
-    /// When the host last read the end of the log, or a relay confirmed it.
-    pub(super) confirmed_at: Option<Instant>,
     pub(super) has_failed: bool,
     pub(super) next_poll_at: Instant,
 }
@@ -57,52 +55,50 @@
             peers,
             directory,
             started_at: now,
-            confirmed_at: None,
             has_failed: false,
             next_poll_at: now,
         }
     }
 
     /// Reads the log from the store once, if that answers.
-    pub(super) fn read_store(&mut self, store: &Store, now: Instant) {
-        self.next_poll_at = now + POLL_INTERVAL;
+    pub(super) fn read_store(&mut self, store: &Store, now: Now) {
+        self.next_poll_at = now.instant + POLL_INTERVAL;
         if store.down_since.is_some() {
             self.has_failed = true;
             return;
         }
         let has_failed = std::mem::take(&mut self.has_failed);
-        let boot_now = BootInstant::now();
         let end = store.end();
         match self.copy.position() {
             None => {
                 let records = store.newest.values().cloned().collect();
-                self.copy.apply_listing(LogListing { records, end }, has_failed, boot_now, now);
+                self.copy.apply_listing(LogListing { records, end }, has_failed, now.boot, now);
             }
             Some(from) => {
                 let records = store.log[from as usize..].to_vec();
                 let changes = LogChanges { records, next: end, end };
-                self.copy.apply_changes(changes, has_failed, boot_now, now);
+                self.copy.apply_changes(changes, has_failed, now.boot, now);
             }
         }
-        self.confirmed_at = Some(now);
     }
 
-    pub(super) fn is_usable_relay(&self, now: Instant) -> bool {
-        self.confirmed_at.is_some_and(|at| now - at <= MAX_AGE)
+    pub(super) fn is_usable_relay(&self, now: Now) -> bool {
+        let feed = self.peers.published_feed(FeedKind::Endpoints).borrow();
+        feed.confirmation_age(now.boot).is_some_and(|age| age <= MAX_AGE)
     }
 
     /// Takes a status and, if need be, records from the relay.
-    pub(super) fn follow(&mut self, relay: &ZoneHost, now: Instant) {
+    pub(super) fn follow(&mut self, relay: &ZoneHost, now: Now) {
         let feed = relay.peers.published_feed(FeedKind::Endpoints).borrow();
-        let status = feed.status(BootInstant::now());
-        let relay_confirmed_at = relay.confirmed_at.expect("a usable relay");
+        let status = feed.status(now.boot);
+        let age = Duration::from_millis(status.confirmed_age_ms.expect("a usable relay"));
         let span = Duration::from_millis(status.confirmed_span_ms);
         let status = RelayedFeedStatus {
             address: ([127, 0, 0, 1], 1).into(),
             position: status.position,
             last_change: status.changed,
-            confirmed_at: BootInstant::now().checked_sub(now - relay_confirmed_at),
-            continuous_since: relay_confirmed_at.checked_sub(span),
+            confirmed_at: now.boot.checked_sub(age),
+            continuous_since: now.instant.checked_sub(age + span),
             follows_outage: status.follows_outage,
         };
         self.copy.record_outage(&status, self.has_failed, now);
@@ -110,7 +106,6 @@
             self.copy.apply_relayed(feed.changes(from), from, now);
         }
         if self.copy.follow_status(&status, now) {
-            self.confirmed_at = self.confirmed_at.max(relay.confirmed_at);
             self.has_failed = false;
         }
     }
