Give all records to peers that may have missed a forgotten removal

A relay keeps the last 512 removals for its peers. In an outage in which the records of more endpoints expire, a peer that had read up to the outage got the last 512 of them only, and used the other endpoints for good if they did not come back: by reading, and by the test.

Change: once a removal is forgotten, a peer that has not read past it gets all records in place of its own, as after a listing.

Test that failed before: a_removal_that_the_relay_has_forgotten_reaches_peers.

--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -27,9 +27,9 @@
     position: Option<Offset>,
     /// Offset of the last record that changed the state.
     last_change: Option<Offset>,
-    /// Offset at which the last complete listing ended. Keys that were removed before it have
-    /// no tombstone.
-    listing_end: Offset,
+    /// Keys that were removed before this offset may have no tombstone: the last complete listing
+    /// ended there, or the tombstones before it were dropped.
+    complete_before: Offset,
     /// The log held nothing after `position` at this time.
     confirmed_at: Option<BootInstant>,
     continuity: Continuity,
@@ -69,9 +69,10 @@
             .iter()
             .filter(|(_, (_, value))| value.is_empty())
             .min_by_key(|(_, (offset, _))| *offset)
-            .map(|(key, _)| key.clone());
-        if let Some(key) = oldest {
+            .map(|(key, (offset, _))| (key.clone(), *offset));
+        if let Some((key, offset)) = oldest {
             self.records.remove(&key);
+            self.complete_before = self.complete_before.max(offset + 1);
         }
     }
 
@@ -80,7 +81,7 @@
         self.encoded.take();
         self.records.clear();
         self.last_change = None;
-        self.listing_end = end;
+        self.complete_before = end;
         for record in records {
             self.add(record);
         }
@@ -131,9 +132,8 @@
     }
 
     pub(crate) fn changes(&self, from: Offset) -> RelayedChanges {
-        // a key removed before the end of the listing has no tombstone, so a peer that has not
-        // read that far gets all records in place of its own
-        let is_complete = from < self.listing_end;
+        // a peer that may have missed a removal gets all records in place of its own
+        let is_complete = from < self.complete_before;
         let mut records: Vec<RelayedRecord> = self
             .records
             .iter()
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -376,6 +376,31 @@
     assert_eq!(keys, ["a"]);
 }
 
+/// Guards against endpoints that are used for good after an outage in which the records of hundreds
+/// expired: the relay forgets the oldest removals, so a peer that has not read them must get all records.
+#[test]
+fn a_removal_that_the_relay_has_forgotten_reaches_peers() {
+    let mut feed = PublishedFeed::default();
+    let keys: Vec<String> = (0..700).map(|index| format!("e-{index}")).collect();
+    let record = |offset, key: &str, value: &str| RawRecord {
+        offset,
+        key: key.into(),
+        value: value.as_bytes().to_vec(),
+    };
+    let listed: Vec<_> = (0..).zip(&keys).map(|(offset, key)| record(offset, key, "1")).collect();
+    feed.replace_all(&listed, 700);
+    for (offset, key) in (700..).zip(&keys) {
+        feed.add(&record(offset, key, ""));
+    }
+    feed.add(&record(1_400, "e-0", "2"));
+    feed.set_position(1_401, 0);
+    let changes = feed.changes(700);
+    let is_told = |key: &String| changes.records.iter().any(|record| record.key == *key);
+    assert!(changes.is_complete || keys.iter().all(is_told));
+    let changes = feed.changes(1_400);
+    assert!(!changes.is_complete && changes.records.len() == 1, "a peer that has read them");
+}
+
 /// Guards against calls to the registry that a start does not need, and against hosts that start
 /// together and never find each other.
 #[test]
