--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -68,7 +68,8 @@
         is_applied
     }
 
-    /// Applies a record of the configuration. Returns whether it changed the configuration in force.
+    /// Applies a record of the configuration. Returns whether peers need it: it changed the
+    /// configuration in force, or cannot be read, so that nothing is confirmed any more.
     fn apply_config_record(&mut self, record: &RawRecord) -> bool {
         let (key, offset) = (&record.key, record.offset);
         if record.value.is_empty() {
@@ -83,7 +84,7 @@
             Err(reason) => {
                 self.is_readable = false;
                 event!("config_record_unreadable", "key={key:?} offset={offset} reason={reason:?}");
-                false
+                true
             }
         }
     }
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -174,3 +174,15 @@
     assert!(evacuations.zones().is_empty() && evacuations.ended_at("b").is_some());
     assert_eq!(state.version(), 3);
 }
+
+/// Guards against hosts that trust keys by a configuration which their relay could not confirm, since it
+/// cannot read the newest one and did not pass it on.
+#[test]
+fn an_unreadable_configuration_is_passed_on() {
+    let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
+    let evacuations = Rc::new(Evacuations::new(Rc::new(GatewayMetrics::new())));
+    let mut sink = config_sink(&state, &evacuations);
+    let now = Instant::now();
+    sink.replace_all(&[raw(0, "config", "3")], now);
+    assert!(sink.apply(&raw(1, "config", "torn"), now));
+}
