Confirm a copy with the status that says it misses nothing

A host that follows a relay took over the relay's position after it had looked whether to confirm, so that a log which grows by records that say nothing new (heartbeats) was confirmed late, or never if it grew with each status.

Test that failed before: records_that_are_not_passed_on_do_not_delay_a_ confirmation.

--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -105,16 +105,17 @@
     /// that the relay passes on. Returns whether the copy is current.
     pub(super) fn follow_status(&mut self, relay: &RelayedFeedStatus, now: Now) -> bool {
         let own_position = self.position.unwrap_or(0);
-        let confirmed_at = relay.confirmed_at.filter(|_| own_position >= relay.position);
-        if let Some(at) = confirmed_at {
-            self.confirm(at, now);
-        }
-        // the records up to the relay's position did not change the state: skip them
+        // the records up to the relay's position say nothing new: skip them
         if relay.last_change.is_none_or(|offset| offset < own_position)
             && relay.position > own_position
         {
             self.set_position(relay.position);
         }
+        let is_complete = self.position.unwrap_or(0) >= relay.position;
+        let confirmed_at = relay.confirmed_at.filter(|_| is_complete);
+        if let Some(at) = confirmed_at {
+            self.confirm(at, now);
+        }
         self.compare(relay, now.instant);
         confirmed_at.is_some()
     }
--- a/crates/gateway/src/followers/log_copy_tests.rs
+++ b/crates/gateway/src/followers/log_copy_tests.rs
@@ -141,3 +141,18 @@
     host.copy.follow_status(status, host.after(*seconds));
     assert_eq!(host.copy.missing_from(status), Some(0));
 }
+
+/// Guards against a host that never confirms its copy beside a relay whose log grows by records that say
+/// nothing new.
+#[test]
+fn records_that_are_not_passed_on_do_not_delay_a_confirmation() {
+    let mut host = Host::new();
+    for seconds in [1.0, 2.0, 3.0] {
+        let status = RelayedFeedStatus {
+            position: 2 + seconds as u64,
+            last_change: Some(1),
+            ..relay_status(host.listed_at, false, host.after(seconds))
+        };
+        assert!(host.copy.follow_status(&status, host.after(seconds)), "after {seconds} s");
+    }
+}
