--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -200,6 +200,8 @@
     }
 
     fn expire(&mut self, now: Instant) -> Option<Instant> {
-        self.directory.expire(now)
+        let due = self.directory.expire(now);
+        self.metrics.endpoints.set(self.directory.len() as i64);
+        due
     }
 }
--- a/crates/gateway/src/followers/endpoint_sink_tests.rs
+++ b/crates/gateway/src/followers/endpoint_sink_tests.rs
@@ -96,6 +96,23 @@
     assert!(until - now >= Duration::from_millis(900), "{:?}", until - now);
 }
 
+/// Guards against a metric that shows endpoints which the host no longer knows.
+#[test]
+fn the_number_of_endpoints_counts_no_expired_ones() {
+    let directory = Rc::new(Directory::default());
+    let metrics = Rc::new(GatewayMetrics::new());
+    let (heartbeat, poll_pause) = (Duration::from_millis(1_000), Duration::from_millis(750));
+    let mut sink =
+        EndpointSink::new(directory, decode_endpoint, heartbeat, poll_pause, metrics.clone());
+    let now = Instant::now();
+    sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")], now);
+    end_outage(&mut sink, Duration::from_secs(6), &[], now);
+    sink.apply(&raw(2, "a", ""), now);
+    assert_eq!(metrics.endpoints.get(), 2);
+    sink.expire(now + Duration::from_secs(3));
+    assert_eq!(metrics.endpoints.get(), 1);
+}
+
 /// Guards against endpoints that are dropped although their records are about to be written again:
 /// the removals in the log were taken for heartbeats, as if the store had been back for a while.
 #[test]
