--- a/crates/gateway/src/followers/log_copy_tests.rs
+++ b/crates/gateway/src/followers/log_copy_tests.rs
@@ -151,6 +151,7 @@
         let status = RelayedFeedStatus {
             position: 2 + seconds as u64,
             last_change: Some(1),
+            digest: host.copy.sink.digest(),
             ..relay_status(host.listed_at, false, host.after(seconds))
         };
         assert!(host.copy.follow_status(&status, host.after(seconds)), "after {seconds} s");
