Reject endpoint records that lack a field

Cause: the decoder took these fields as optional and did not read the version, so the entry counted as the endpoint's own, and its sequence number, a clock in seconds, made all later records of the endpoint look older. Evidence: the line endpoint_restarted service=portal sequence= right after the write, and no line for the endpoint after it. Ruled out: placement and routes (all requests were placed by the service of the record).

The software's version is part of the record and shown in /state; a record always has a start, so records are ordered by start and number.

--- a/crates/gateway/src/endpoints/endpoint_record.rs
+++ b/crates/gateway/src/endpoints/endpoint_record.rs
@@ -18,13 +18,15 @@
     pub service: Rc<str>,
     pub address: SocketAddr,
     pub zone: Rc<str>,
+    /// Version of the endpoint's software.
+    pub software_version: Rc<str>,
     /// Requests that the endpoint runs at once.
     pub slots: u32,
     pub state: EndpointState,
     /// How much longer the endpoint is cold after its start, in ms.
     pub cold_ms: u64,
-    /// Start of the endpoint's process in Unix milliseconds, if the record has it.
-    pub started_at_unix_ms: Option<u64>,
+    /// Start of the endpoint's process in Unix milliseconds.
+    pub started_at_unix_ms: u64,
     /// Increases with each record of one process.
     pub sequence: u64,
 }
@@ -59,7 +61,7 @@
     /// Checks that the values are possible, so that a record of another writer does not hide
     /// those of an endpoint.
     pub(crate) fn check(&self, now: SystemTime) -> Result<(), ImplausibleRecord> {
-        let started_at = self.started_at_unix_ms.map_or(Duration::ZERO, Duration::from_millis);
+        let started_at = Duration::from_millis(self.started_at_unix_ms);
         let latest_start = now.duration_since(UNIX_EPOCH).unwrap_or_default() + MAX_CLOCK_LEAD;
         if self.slots > MAX_SLOTS {
             return Err(ImplausibleRecord::TooManySlots);
@@ -76,27 +78,23 @@
     /// Digest of all that differs between records of different content: not of the sequence number
     /// and of the time for which the endpoint stays cold.
     pub(crate) fn digest(&self) -> u64 {
-        let EndpointRecord { id, service, address, zone, slots, state, .. } = self;
-        let started_at_ms = self.started_at_unix_ms.unwrap_or(0);
-        let text = format!("{id}\n{service}\n{address}\n{zone}\n{slots}\n{state}\n{started_at_ms}");
+        let EndpointRecord { id, service, address, zone, software_version, .. } = self;
+        let (slots, state, started_at_ms) = (self.slots, self.state, self.started_at_unix_ms);
+        let text = format!(
+            "{id}\n{service}\n{address}\n{zone}\n{software_version}\n{slots}\n{state}\n{started_at_ms}"
+        );
         xxh3_64(text.as_bytes())
     }
 
     /// Whether this record is from a later start of the endpoint than `known`.
     pub fn is_restart_of(&self, known: &EndpointRecord) -> bool {
-        match (self.started_at_unix_ms, known.started_at_unix_ms) {
-            (Some(own), Some(other)) => own > other,
-            _ => false,
-        }
+        self.started_at_unix_ms > known.started_at_unix_ms
     }
 
-    /// Whether this record is older than `known`. The sequence numbers are compared only if the
-    /// start times are equal or one is unknown.
+    /// Whether this record is from an earlier start than `known`, or was written before it.
     pub fn is_older_than(&self, known: &EndpointRecord) -> bool {
-        match (self.started_at_unix_ms, known.started_at_unix_ms) {
-            (Some(own), Some(other)) if own != other => own < other,
-            _ => self.sequence < known.sequence,
-        }
+        let order = |record: &EndpointRecord| (record.started_at_unix_ms, record.sequence);
+        order(self) < order(known)
     }
 
     /// Whether this record, which is newer than `known`, says nothing else but that the endpoint
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -12,10 +12,11 @@
         service: "s".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "z".into(),
+        software_version: "v1".into(),
         slots: 4,
         state: EndpointState::Ready,
         cold_ms: 0,
-        started_at_unix_ms: Some(1_000),
+        started_at_unix_ms: 1_000,
         sequence,
     }
 }
@@ -45,7 +46,7 @@
     let directory = Directory::default();
     directory.upsert(record("a", 7));
     directory.upsert(EndpointRecord { state: EndpointState::Draining, ..record("a", 8) });
-    let restarted = EndpointRecord { started_at_unix_ms: Some(2_000), ..record("a", 1) };
+    let restarted = EndpointRecord { started_at_unix_ms: 2_000, ..record("a", 1) };
     directory.upsert(restarted);
     assert_eq!(available_endpoints(&directory), 1);
     let late = EndpointRecord { state: EndpointState::Draining, ..record("a", 9) };
--- a/crates/gateway/src/followers/endpoint_sink_tests.rs
+++ b/crates/gateway/src/followers/endpoint_sink_tests.rs
@@ -22,10 +22,11 @@
         service: "s".into(),
         address: "127.0.0.1:9".parse().map_err(|_| "address")?,
         zone: "z".into(),
+        software_version: "v1".into(),
         slots: 1,
         state,
         cold_ms: 0,
-        started_at_unix_ms: None,
+        started_at_unix_ms: 1_000,
         sequence: text.parse().map_err(|_| "not a number")?,
     })
 }
--- a/crates/gateway/src/followers/zone_tests/running_endpoint.rs
+++ b/crates/gateway/src/followers/zone_tests/running_endpoint.rs
@@ -29,10 +29,11 @@
         service: "s".into(),
         address: "127.0.0.1:9".parse().map_err(|_| "address")?,
         zone: "z".into(),
+        software_version: "v1".into(),
         slots: 1,
         state: state.parse().map_err(|_| "state")?,
         cold_ms: 0,
-        started_at_unix_ms: Some(start.parse().map_err(|_| "start")?),
+        started_at_unix_ms: start.parse().map_err(|_| "start")?,
         sequence: sequence.parse().map_err(|_| "sequence")?,
     })
 }
--- a/crates/gateway/src/followers/zone_tests/zone.rs
+++ b/crates/gateway/src/followers/zone_tests/zone.rs
@@ -246,7 +246,7 @@
         let listed: BTreeMap<String, (u64, EndpointState)> = (self.store.newest.iter())
             .map(|(key, record)| {
                 let record = decode_endpoint(key, &record.value).expect("a sound record");
-                (key.to_string(), (record.started_at_unix_ms.unwrap(), record.state))
+                (key.to_string(), (record.started_at_unix_ms, record.state))
             })
             .collect();
         for (index, host) in self.hosts.iter().enumerate() {
--- a/crates/gateway/src/followers/zone_tests/zone_host.rs
+++ b/crates/gateway/src/followers/zone_tests/zone_host.rs
@@ -121,9 +121,7 @@
         let endpoints = self.directory.all();
         let records = endpoints.iter().map(|endpoint| endpoint.record.borrow());
         records
-            .map(|record| {
-                (record.id.to_string(), (record.started_at_unix_ms.unwrap(), record.state))
-            })
+            .map(|record| (record.id.to_string(), (record.started_at_unix_ms, record.state)))
             .collect()
     }
 }
--- a/crates/gateway/src/server/state_dump.rs
+++ b/crates/gateway/src/server/state_dump.rs
@@ -65,6 +65,7 @@
         "service": &*record.service,
         "address": record.address.to_string(),
         "zone": &*record.zone,
+        "software_version": &*record.software_version,
         "slots": record.slots,
         "leaving": endpoint.is_leaving(),
         "evacuated": gateway.evacuations.is_evacuated(&record.zone),
