Hold back endpoint records that contradict the last one

Cause: whatever was newest by start and number replaced the record. Change: a record that contradicts the last one or is older is doubtful, and counts when it has stood for 3.5 heartbeats: an endpoint that runs writes its own again within one. Draining comes after ready in the order of one start. KnownRecords decides; the directory no longer compares records, and its two tests of older records are now tests of the sink, with the same records and a stricter end (also after the time in which a doubtful record is accepted).

--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -24,7 +24,7 @@
 }
 
 impl Directory {
-    /// Applies a record of an endpoint, unless it is older than the last one.
+    /// Adds an endpoint, or replaces its record.
     pub(crate) fn upsert(&self, record: EndpointRecord) {
         if self.removal_times.borrow_mut().remove(&record.id).is_some() {
             event!("endpoint_returned", "endpoint={} sequence={}", record.id, record.sequence);
@@ -46,9 +46,6 @@
         };
         let is_replaced = {
             let current = existing.record.borrow();
-            if record.is_older_than(&current) {
-                return;
-            }
             record.is_restart_of(&current)
                 || record.address != current.address
                 || record.service != current.service
--- a/crates/gateway/src/endpoints/endpoint_record.rs
+++ b/crates/gateway/src/endpoints/endpoint_record.rs
@@ -91,21 +91,32 @@
         self.started_at_unix_ms > known.started_at_unix_ms
     }
 
-    /// Whether this record is from an earlier start than `known`, or was written before it.
+    /// Whether this record is from an earlier start than `known`, or was written before it. A process
+    /// that drains does not become ready again, whatever the sequence numbers say.
     pub fn is_older_than(&self, known: &EndpointRecord) -> bool {
-        let order = |record: &EndpointRecord| (record.started_at_unix_ms, record.sequence);
+        let order = |record: &EndpointRecord| {
+            let is_draining = record.state == EndpointState::Draining;
+            (record.started_at_unix_ms, is_draining, record.sequence)
+        };
         order(self) < order(known)
     }
 
-    /// Whether this record, which is newer than `known`, says nothing else but that the endpoint
-    /// still runs.
-    pub(crate) fn is_heartbeat_after(&self, known: &EndpointRecord) -> bool {
-        let only_heartbeat = EndpointRecord {
+    /// Whether not both records can be the endpoint's own: it never changes its service, and its
+    /// address and zone only with a new start.
+    pub(crate) fn contradicts(&self, known: &EndpointRecord) -> bool {
+        let is_same_start = self.started_at_unix_ms == known.started_at_unix_ms;
+        let has_moved = self.address != known.address || self.zone != known.zone;
+        self.service != known.service || (is_same_start && has_moved)
+    }
+
+    /// Whether this record says the same as `known` but for how long the endpoint has run.
+    pub(crate) fn says_only_alive(&self, known: &EndpointRecord) -> bool {
+        let heartbeat = EndpointRecord {
             sequence: self.sequence,
             // an endpoint gets warmer with time; more means that it is cold again
             cold_ms: self.cold_ms.min(known.cold_ms),
             ..known.clone()
         };
-        *self == only_heartbeat
+        *self == heartbeat
     }
 }
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -26,35 +26,6 @@
     directory.of_service("s").iter().filter(|endpoint| !endpoint.is_leaving()).count()
 }
 
-/// Guards against new requests to an endpoint that is draining.
-#[test]
-fn a_draining_endpoint_never_accepts_requests_again() {
-    let directory = Directory::default();
-    directory.upsert(record("a", 1));
-    directory.upsert(EndpointRecord { state: EndpointState::Draining, ..record("a", 2) });
-    assert_eq!(available_endpoints(&directory), 0);
-    // a delayed older record, and a newer one with the state ready
-    directory.upsert(record("a", 1));
-    directory.upsert(record("a", 3));
-    assert_eq!(available_endpoints(&directory), 0);
-}
-
-/// Guards against delayed records from before a restart, which would restore the old state
-/// and address.
-#[test]
-fn a_restart_replaces_the_endpoint_and_older_records_are_ignored() {
-    let directory = Directory::default();
-    directory.upsert(record("a", 7));
-    directory.upsert(EndpointRecord { state: EndpointState::Draining, ..record("a", 8) });
-    let restarted = EndpointRecord { started_at_unix_ms: 2_000, ..record("a", 1) };
-    directory.upsert(restarted);
-    assert_eq!(available_endpoints(&directory), 1);
-    let late = EndpointRecord { state: EndpointState::Draining, ..record("a", 9) };
-    directory.upsert(late);
-    assert_eq!(directory.of_service("s")[0].record.borrow().sequence, 1);
-    assert_eq!(available_endpoints(&directory), 1);
-}
-
 /// Guards against losing all endpoints whose records expired while the store was unreachable,
 /// and against keeping those that do not register again.
 #[test]
--- /dev/null
+++ b/crates/gateway/src/followers/doubtful_records.rs
@@ -0,0 +1,46 @@
+use {
+    crate::endpoints::{EndpointId, EndpointRecord},
+    std::{collections::BTreeMap, time::Instant},
+};
+
+/// Records that may be another writer's: they contradict what the endpoint said, or are older.
+///
+/// An endpoint whose record was replaced writes it again with its next heartbeat. A record that
+/// stands for longer is its own.
+#[derive(Debug, Default)]
+pub(super) struct DoubtfulRecords {
+    by_id: BTreeMap<EndpointId, DoubtfulRecord>,
+}
+
+#[derive(Debug)]
+struct DoubtfulRecord {
+    record: EndpointRecord,
+    accepted_at: Instant,
+}
+
+impl DoubtfulRecords {
+    /// Holds a record back until a time, or until the earlier one that was set for the same content.
+    pub(super) fn hold(&mut self, record: EndpointRecord, accepted_at: Instant) {
+        let held = self.by_id.remove(&record.id);
+        let accepted_at = held
+            .filter(|held| held.record.digest() == record.digest())
+            .map_or(accepted_at, |held| held.accepted_at);
+        self.by_id.insert(record.id.clone(), DoubtfulRecord { record, accepted_at });
+    }
+
+    /// Forgets the record of an endpoint, since a newer one settled the doubt.
+    pub(super) fn forget(&mut self, id: &str) {
+        self.by_id.remove(id);
+    }
+
+    /// Takes the records that have stood for long enough.
+    pub(super) fn take_accepted(&mut self, now: Instant) -> Vec<EndpointRecord> {
+        let accepted = self.by_id.extract_if(.., |_, held| held.accepted_at <= now);
+        accepted.map(|(_, held)| held.record).collect()
+    }
+
+    /// When the next record is to be accepted.
+    pub(super) fn next_due(&self) -> Option<Instant> {
+        self.by_id.values().map(|held| held.accepted_at).min()
+    }
+}
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        known_records::KnownRecords,
+        doubtful_records::DoubtfulRecords,
+        known_records::{KnownRecords, RecordNews},
         record_feed::RawRecord,
         record_sink::{RecordDecoder, RecordSink},
     },
@@ -19,6 +20,9 @@
 
 /// Shortest outage of the store in which endpoint records may expire, in heartbeats.
 const MIN_OUTAGE_HEARTBEATS: u32 = 2;
+/// Time for which a doubtful record has to stand, in heartbeats: longer than the store keeps the record of
+/// an endpoint that is silent.
+const ACCEPTANCE_HEARTBEATS: f64 = 3.5;
 /// Time within which endpoints write expired records again after the store's recovery.
 const RENEWAL_TIME: Duration = Duration::from_millis(2_100);
 
@@ -36,6 +40,7 @@
     poll_pause: Duration,
     metrics: Rc<GatewayMetrics>,
     known: KnownRecords,
+    doubtful: DoubtfulRecords,
     /// Keys whose newest record could not be read.
     unreadable_keys: BTreeSet<Box<str>>,
     /// Endpoints whose record is removed before this time stay in use until then: the record
@@ -58,6 +63,7 @@
             poll_pause,
             metrics,
             known: KnownRecords::default(),
+            doubtful: DoubtfulRecords::default(),
             unreadable_keys: BTreeSet::new(),
             keep_removed_until: None,
         }
@@ -108,6 +114,21 @@
         }
     }
 
+    /// Holds back a record that may be another writer's, until it has stood for some heartbeats.
+    fn hold(&mut self, record: EndpointRecord, now: Instant) {
+        self.metrics.doubtful_endpoint_records.inc();
+        event!(
+            "endpoint_record_doubtful",
+            "endpoint={} service={} address={} state={} sequence={}",
+            record.id,
+            record.service,
+            record.address,
+            record.state,
+            record.sequence
+        );
+        self.doubtful.hold(record, now + self.heartbeat.mul_f64(ACCEPTANCE_HEARTBEATS));
+    }
+
     fn record_unreadable(&mut self, record: &RawRecord, reason: &str) {
         if self.unreadable_keys.len() >= MAX_UNREADABLE_KEYS {
             self.unreadable_keys.pop_first();
@@ -149,7 +170,9 @@
                 None => self.known.get(&record.key).cloned(),
             })
             .collect();
-        self.known.replace_all(endpoints);
+        for record in self.known.replace_all(endpoints) {
+            self.hold(record, now);
+        }
         let endpoints = self.known.all().cloned().collect();
         self.directory.replace_all(endpoints, self.removal_grace_end(now));
         self.metrics.endpoints.set(self.directory.len() as i64);
@@ -159,15 +182,22 @@
     fn apply(&mut self, record: &RawRecord, now: Instant) -> bool {
         let is_news = if record.value.is_empty() {
             self.known.remove(&record.key);
+            self.doubtful.forget(&record.key);
             self.directory.remove(&record.key, self.removal_grace_end(now));
             true
         } else {
             let was_unreadable = self.unreadable_keys.contains(&record.key);
             let Some(endpoint) = self.decode(record) else { return false };
-            let is_news = self.known.update(&endpoint);
-            self.directory.upsert(endpoint);
+            let news = self.known.update(&endpoint);
+            match news {
+                RecordNews::New | RecordNews::Heartbeat => {
+                    self.doubtful.forget(&endpoint.id);
+                    self.directory.upsert(endpoint);
+                }
+                RecordNews::Doubtful => self.hold(endpoint, now),
+            }
             // hosts that listed the unreadable record do not know the endpoint
-            is_news || was_unreadable
+            news != RecordNews::Heartbeat || was_unreadable
         };
         self.metrics.endpoints.set(self.directory.len() as i64);
         is_news
@@ -200,8 +230,13 @@
     }
 
     fn expire(&mut self, now: Instant) -> Option<Instant> {
+        for record in self.doubtful.take_accepted(now) {
+            event!("endpoint_record_accepted", "endpoint={}", record.id);
+            self.known.accept(record.clone());
+            self.directory.upsert(record);
+        }
         let due = self.directory.expire(now);
         self.metrics.endpoints.set(self.directory.len() as i64);
-        due
+        [due, self.doubtful.next_due()].into_iter().flatten().min()
     }
 }
--- a/crates/gateway/src/followers/endpoint_sink_tests.rs
+++ b/crates/gateway/src/followers/endpoint_sink_tests.rs
@@ -1,7 +1,7 @@
 use {
     super::{EndpointSink, RawRecord, record_sink::RecordSink, tests::raw},
     crate::{
-        endpoints::{Directory, EndpointRecord, EndpointState},
+        endpoints::{Directory, EndpointRecord},
         telemetry::GatewayMetrics,
     },
     std::{
@@ -10,33 +10,43 @@
     },
 };
 
-/// Decodes `SEQUENCE` or `SEQUENCE draining`.
+const HEARTBEAT: Duration = Duration::from_millis(1_000);
+
+/// Decodes `SEQUENCE FIELD=VALUE ...`; the fields `state`, `start`, `service` and `address` have defaults.
 fn decode_endpoint(key: &str, bytes: &[u8]) -> Result<EndpointRecord, Box<str>> {
     let text = std::str::from_utf8(bytes).map_err(|_| "not text")?;
-    let (text, state) = match text.strip_suffix(" draining") {
-        Some(sequence) => (sequence, EndpointState::Draining),
-        None => (text, EndpointState::Ready),
+    let (sequence, fields) = text.split_once(' ').unwrap_or((text, ""));
+    let field = |name: &str, default: &'static str| {
+        let fields = fields.split(' ').filter_map(|field| field.split_once('='));
+        fields.rev().find(|(key, _)| *key == name).map_or(default.to_owned(), |(_, v)| v.to_owned())
     };
     Ok(EndpointRecord {
         id: key.into(),
-        service: "s".into(),
-        address: "127.0.0.1:9".parse().map_err(|_| "address")?,
+        service: field("service", "s").into(),
+        address: field("address", "127.0.0.1:9").parse().map_err(|_| "address")?,
         zone: "z".into(),
         software_version: "v1".into(),
         slots: 1,
-        state,
+        state: field("state", "ready").parse().map_err(|_| "state")?,
         cold_ms: 0,
-        started_at_unix_ms: 1_000,
-        sequence: text.parse().map_err(|_| "not a number")?,
+        started_at_unix_ms: field("start", "1000").parse().map_err(|_| "start")?,
+        sequence: sequence.parse().map_err(|_| "not a number")?,
     })
 }
 
+/// IDs of the endpoints of a service that accept new requests.
+fn available(directory: &Directory, service: &str) -> Vec<String> {
+    let endpoints = directory.of_service(service);
+    let accepting = endpoints.iter().filter(|endpoint| !endpoint.is_leaving());
+    accepting.map(|endpoint| endpoint.record.borrow().id.to_string()).collect()
+}
+
 pub(super) fn endpoint_sink(directory: &Rc<Directory>) -> EndpointSink {
     let metrics = Rc::new(GatewayMetrics::new());
     EndpointSink::new(
         directory.clone(),
         decode_endpoint,
-        Duration::from_millis(1_000),
+        HEARTBEAT,
         Duration::from_millis(750),
         metrics,
     )
@@ -102,9 +112,9 @@
 fn the_number_of_endpoints_counts_no_expired_ones() {
     let directory = Rc::new(Directory::default());
     let metrics = Rc::new(GatewayMetrics::new());
-    let (heartbeat, poll_pause) = (Duration::from_millis(1_000), Duration::from_millis(750));
+    let poll_pause = Duration::from_millis(750);
     let mut sink =
-        EndpointSink::new(directory, decode_endpoint, heartbeat, poll_pause, metrics.clone());
+        EndpointSink::new(directory, decode_endpoint, HEARTBEAT, poll_pause, metrics.clone());
     let now = Instant::now();
     sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")], now);
     end_outage(&mut sink, Duration::from_secs(6), &[], now);
@@ -190,7 +200,7 @@
     let now = Instant::now();
     sink.replace_all(&[raw(0, "a", "1")], now);
     directory.of_service("s")[0].set_leaving();
-    assert!(sink.apply(&raw(1, "a", "2 draining"), now));
+    assert!(sink.apply(&raw(1, "a", "2 state=draining"), now));
 }
 
 /// Guards against a record of another writer whose sequence number hides all later records of the
@@ -207,3 +217,93 @@
     sink.apply(&raw(2, "a", "2"), now);
     assert_eq!(sequence(), 2);
 }
+
+/// Guards against new requests to an endpoint that is draining.
+#[test]
+fn a_draining_endpoint_never_accepts_requests_again() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    let now = Instant::now();
+    sink.replace_all(&[raw(0, "a", "1")], now);
+    sink.apply(&raw(1, "a", "2 state=draining"), now);
+    assert_eq!(available(&directory, "s"), [""; 0]);
+    // a delayed older record, and a newer one with the state ready, which both stand
+    for (offset, sequence) in [(2, "1"), (3, "3")] {
+        sink.apply(&raw(offset, "a", sequence), now);
+        assert_eq!(available(&directory, "s"), [""; 0]);
+        sink.expire(now + Duration::from_secs(10));
+        assert_eq!(available(&directory, "s"), [""; 0]);
+    }
+}
+
+/// Guards against delayed records from before a restart, which would restore the old state
+/// and address.
+#[test]
+fn a_restart_replaces_the_endpoint_and_older_records_are_ignored() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    let now = Instant::now();
+    sink.replace_all(&[raw(0, "a", "7")], now);
+    sink.apply(&raw(1, "a", "8 state=draining"), now);
+    assert!(sink.apply(&raw(2, "a", "1 start=2000"), now));
+    assert_eq!(available(&directory, "s"), ["a"]);
+    sink.apply(&raw(3, "a", "9 state=draining"), now);
+    assert_eq!(available(&directory, "s"), ["a"]);
+    assert_eq!(directory.of_service("s")[0].record.borrow().sequence, 1);
+}
+
+/// Guards against an endpoint of one service that gets requests of another, and against its loss: an
+/// entry of another writer with all fields was taken for its own.
+#[test]
+fn a_record_that_contradicts_the_endpoint_changes_nothing() {
+    for odd in [
+        "2 service=t",
+        "2 service=t start=2000",
+        "2 address=127.0.0.1:8",
+        "1 start=999",
+        "1 start=999 address=127.0.0.1:8",
+    ] {
+        let directory = Rc::new(Directory::default());
+        let mut sink = endpoint_sink(&directory);
+        let now = Instant::now();
+        sink.replace_all(&[raw(0, "a", "1")], now);
+        sink.apply(&raw(1, "a", odd), now);
+        // the endpoint's next heartbeat replaces the record
+        let heartbeat_at = now + HEARTBEAT;
+        sink.expire(heartbeat_at);
+        sink.apply(&raw(2, "a", "2"), heartbeat_at);
+        sink.expire(now + HEARTBEAT * 10);
+        assert_eq!(available(&directory, "s"), ["a"], "{odd}");
+        assert!(directory.of_service("t").is_empty(), "{odd}");
+        let address = directory.of_service("s")[0].record.borrow().address.to_string();
+        assert_eq!(address, "127.0.0.1:9", "{odd}");
+    }
+}
+
+/// Guards against a sequence number far ahead of the endpoint's own, which hid that the endpoint drains.
+#[test]
+fn a_drain_counts_after_a_record_with_a_higher_number() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    let now = Instant::now();
+    sink.replace_all(&[raw(0, "a", "1")], now);
+    sink.apply(&raw(1, "a", "4000000000"), now);
+    assert!(sink.apply(&raw(2, "a", "3 state=draining"), now));
+    assert_eq!(available(&directory, "s"), [""; 0]);
+}
+
+/// Guards against a host that never uses an endpoint since it listed the log while the newest record
+/// was another writer's.
+#[test]
+fn the_record_that_stands_is_accepted() {
+    let directory = Rc::new(Directory::default());
+    let mut sink = endpoint_sink(&directory);
+    let now = Instant::now();
+    sink.replace_all(&[raw(0, "a", "9 service=t")], now);
+    sink.apply(&raw(1, "a", "2"), now);
+    sink.expire(now + HEARTBEAT * 3);
+    assert_eq!(available(&directory, "s"), [""; 0]);
+    sink.expire(now + HEARTBEAT * 4);
+    assert_eq!(available(&directory, "s"), ["a"]);
+    assert!(directory.of_service("t").is_empty());
+}
--- a/crates/gateway/src/followers/known_records.rs
+++ b/crates/gateway/src/followers/known_records.rs
@@ -14,40 +14,55 @@
     digest: u64,
 }
 
-impl KnownRecords {
-    /// Takes over a record unless it is older than the known one. Returns whether it says more
-    /// than that the endpoint still runs.
-    pub(super) fn update(&mut self, record: &EndpointRecord) -> bool {
-        let known = self.by_id.get(&record.id);
-        if known.is_some_and(|known| record.is_older_than(known)) {
-            return false;
-        }
-        let is_news = known.is_none_or(|known| !record.is_heartbeat_after(known));
-        self.insert(record.clone());
-        is_news
-    }
+/// What a record says beside the known one of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RecordNews {
+    New,
+    /// That the endpoint still runs.
+    Heartbeat,
+    /// It is older than the known record or contradicts it, and may be another writer's.
+    Doubtful,
+}
 
-    pub(super) fn remove(&mut self, id: &str) {
-        if let Some(removed) = self.by_id.remove(id) {
-            self.digest ^= removed.digest();
+impl KnownRecords {
+    /// Takes over a record unless it is doubtful.
+    pub(super) fn update(&mut self, record: &EndpointRecord) -> RecordNews {
+        let news = self.by_id.get(&record.id).map_or(RecordNews::New, |known| judge(record, known));
+        if news != RecordNews::Doubtful {
+            self.accept(record.clone());
         }
+        news
     }
 
-    fn insert(&mut self, record: EndpointRecord) {
+    /// Takes over a record.
+    pub(super) fn accept(&mut self, record: EndpointRecord) {
         self.digest ^= record.digest();
         if let Some(replaced) = self.by_id.insert(record.id.clone(), record) {
             self.digest ^= replaced.digest();
         }
     }
 
-    /// Replaces all records by those of a complete listing. An older record than the known one is
-    /// not taken over.
-    pub(super) fn replace_all(&mut self, records: Vec<EndpointRecord>) {
+    pub(super) fn remove(&mut self, id: &str) {
+        if let Some(removed) = self.by_id.remove(id) {
+            self.digest ^= removed.digest();
+        }
+    }
+
+    /// Replaces all records by those of a complete listing. Endpoints whose listed record is doubtful
+    /// keep the known one; the doubtful records are returned.
+    pub(super) fn replace_all(&mut self, records: Vec<EndpointRecord>) -> Vec<EndpointRecord> {
         let mut previous = std::mem::take(self).by_id;
+        let mut doubtful = Vec::new();
         for listed in records {
-            let known = previous.remove(&listed.id).filter(|known| listed.is_older_than(known));
-            self.insert(known.unwrap_or(listed));
+            match previous.remove(&listed.id) {
+                Some(known) if judge(&listed, &known) == RecordNews::Doubtful => {
+                    doubtful.push(listed);
+                    self.accept(known);
+                }
+                _ => self.accept(listed),
+            }
         }
+        doubtful
     }
 
     /// Digest of the records; equal for equal ones, in whatever order they were read.
@@ -63,3 +78,14 @@
         self.by_id.values()
     }
 }
+
+/// What a record says beside an earlier one of the same endpoint.
+fn judge(record: &EndpointRecord, known: &EndpointRecord) -> RecordNews {
+    if record.says_only_alive(known) {
+        RecordNews::Heartbeat
+    } else if record.is_older_than(known) || record.contradicts(known) {
+        RecordNews::Doubtful
+    } else {
+        RecordNews::New
+    }
+}
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -3,6 +3,7 @@
 mod agreement;
 mod config_sink;
 mod confirmations;
+mod doubtful_records;
 mod endpoint_sink;
 #[cfg(test)]
 mod endpoint_sink_tests;
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -73,6 +73,7 @@
     pub(crate) new_endpoint_connections: Counter,
     pub(crate) refused_retries: Counter,
     pub(crate) unreadable_endpoint_records: Counter,
+    pub(crate) doubtful_endpoint_records: Counter,
     pub(crate) evacuated_zones: Gauge,
     pub(crate) blocked_parts: Gauge,
     pub(crate) caller_connections: Gauge,
@@ -102,6 +103,7 @@
             new_endpoint_connections: Counter::default(),
             refused_retries: Counter::default(),
             unreadable_endpoint_records: Counter::default(),
+            doubtful_endpoint_records: Counter::default(),
             evacuated_zones: Gauge::default(),
             blocked_parts: Gauge::default(),
             caller_connections: Gauge::default(),
@@ -122,6 +124,11 @@
             "Records of endpoints that could not be read",
             self.unreadable_endpoint_records.clone(),
         );
+        registry.register(
+            "doubtful_endpoint_records",
+            "Records of endpoints that were older than the last one or contradicted it",
+            self.doubtful_endpoint_records.clone(),
+        );
         registry.register(
             "evacuated_zones",
             "Zones whose endpoints are to receive no requests",
