Send no byte after the head of a response that has no body

Cause: the sink left out the body of responses to HEAD requests in two of five places; streams were framed in chunks whatever the method and the status.

Change: http1::allows_body decides, for responses of endpoints and for those to callers. Refusals of requests that were not read are included.

--- a/crates/gateway/src/callers/caller_sink.rs
+++ b/crates/gateway/src/callers/caller_sink.rs
@@ -1,6 +1,6 @@
 use {
     super::{protocol::Protocol, refusal::Refusal},
-    crate::http1::{Headers, ResponseHead},
+    crate::http1::{Headers, ResponseHead, allows_body},
     std::{io, io::Write, marker::PhantomData},
     tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf},
 };
@@ -12,7 +12,8 @@
     state: State,
     /// Whether the connection is closed after this response.
     closes_connection: bool,
-    is_head_request: bool,
+    /// Method of the request; empty if it could not be read.
+    method: Box<str>,
     protocol: PhantomData<P>,
 }
 
@@ -28,7 +29,7 @@
     pub(crate) fn new(
         writer: &'a mut OwnedWriteHalf,
         request_id: &str,
-        is_head_request: bool,
+        method: &str,
         closes_connection: bool,
     ) -> CallerSink<'a, P> {
         CallerSink {
@@ -36,7 +37,7 @@
             request_id: request_id.into(),
             state: State::Unanswered,
             closes_connection,
-            is_head_request,
+            method: method.into(),
             protocol: PhantomData,
         }
     }
@@ -59,17 +60,18 @@
     ) -> io::Result<()> {
         let mut output = Vec::with_capacity(512 + body.len());
         self.write_head(&mut output, head);
-        let has_no_body = head.status == 204 || head.status == 304;
-        if !has_no_body && !self.is_head_request {
-            let _ = write!(output, "Content-Length: {}\r\n", body.len());
+        if allows_body(&self.method, head.status) {
+            let _ = write!(output, "Content-Length: {}\r\n\r\n", body.len());
+            output.extend_from_slice(body);
+        } else {
+            output.extend_from_slice(b"\r\n");
         }
-        output.extend_from_slice(b"\r\n");
-        output.extend_from_slice(body);
         self.state = State::Complete;
         self.writer.write_all(&output).await
     }
 
-    /// Starts a streaming response: sends the head and the first events, chunked.
+    /// Starts a streaming response: sends the head and the first events, chunked. A response without a
+    /// body is complete with its head.
     pub(crate) async fn start_stream(
         &mut self,
         head: &ResponseHead,
@@ -77,14 +79,22 @@
     ) -> io::Result<()> {
         let mut output = Vec::with_capacity(512 + events.len());
         self.write_head(&mut output, head);
-        output.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
-        write_chunk(&mut output, events);
-        self.state = State::Streaming;
+        if allows_body(&self.method, head.status) {
+            output.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
+            write_chunk(&mut output, events);
+            self.state = State::Streaming;
+        } else {
+            output.extend_from_slice(b"\r\n");
+            self.state = State::Complete;
+        }
         self.writer.write_all(&output).await
     }
 
     /// Sends further events of a streaming response.
     pub(crate) async fn send_events(&mut self, events: &[u8]) -> io::Result<()> {
+        if self.state != State::Streaming {
+            return Ok(());
+        }
         let mut output = Vec::with_capacity(16 + events.len());
         write_chunk(&mut output, events);
         self.writer.write_all(&output).await
@@ -92,6 +102,9 @@
 
     /// Completes a streaming response.
     pub(crate) async fn end_stream(&mut self) -> io::Result<()> {
+        if self.state != State::Streaming {
+            return Ok(());
+        }
         self.state = State::Complete;
         self.writer.write_all(b"0\r\n\r\n").await
     }
@@ -116,7 +129,7 @@
         );
         self.write_connection_header(&mut output);
         output.extend_from_slice(b"\r\n");
-        if !self.is_head_request {
+        if allows_body(&self.method, refusal.status) {
             output.extend_from_slice(&body);
         }
         self.state = State::Complete;
--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -57,7 +57,7 @@
             Ok(Some(head)) => serve_request(&gateway, &mut connection, head).await,
             Ok(None) => return,
             Err(refusal) => {
-                refuse_and_close::<P>(&mut connection, &refusal).await;
+                refuse_and_close::<P>(&mut connection, "", &refusal).await;
                 return;
             }
         };
@@ -124,9 +124,14 @@
     }
 }
 
-/// Refuses a request that was not completely read, and closes the connection.
-async fn refuse_and_close<P: Protocol>(connection: &mut Connection, refusal: &Refusal) {
-    let mut sink = CallerSink::<P>::new(&mut connection.writer, "", false, true);
+/// Refuses a request that was not completely read, and closes the connection. `method` is empty if it
+/// was not read either.
+async fn refuse_and_close<P: Protocol>(
+    connection: &mut Connection,
+    method: &str,
+    refusal: &Refusal,
+) {
+    let mut sink = CallerSink::<P>::new(&mut connection.writer, "", method, true);
     if sink.send_refusal(refusal).await.is_ok() {
         // closing a socket with unread bytes sends a reset, which may discard the response
         // before the caller has read it
@@ -153,7 +158,8 @@
         Ok(caller) => caller,
         Err(error) => {
             event!("request_refused", "status=400 header={}", error.header);
-            refuse_and_close::<P>(connection, &Refusal::client_error(400, Reason::BadHeader)).await;
+            let refusal = Refusal::client_error(400, Reason::BadHeader);
+            refuse_and_close::<P>(connection, &head.method, &refusal).await;
             return NextAction::Close;
         }
     };
@@ -169,28 +175,24 @@
                 refusal.status,
                 refusal.reason
             );
-            refuse_and_close::<P>(connection, &refusal).await;
+            refuse_and_close::<P>(connection, &head.method, &refusal).await;
             return NextAction::Close;
         }
         Err(_) => {
             let refusal = Refusal::client_error(408, Reason::SlowCaller);
             event!("request_refused", "id={} status=408 reason={}", caller.id, refusal.reason);
-            refuse_and_close::<P>(connection, &refusal).await;
+            refuse_and_close::<P>(connection, &head.method, &refusal).await;
             return NextAction::Close;
         }
     };
     let closes_connection = !head.keep_alive || gateway.stop.is_stopping();
-    let is_head_request = &*head.method == "HEAD";
+    let method = head.method.clone();
     let request = match admit_request(gateway, head, body, caller, received_at) {
         Ok(request) => request,
         Err(refused) => {
             let RefusedRequest { caller, refusal } = *refused;
-            let mut sink = CallerSink::new(
-                &mut connection.writer,
-                &caller.id,
-                is_head_request,
-                closes_connection,
-            );
+            let mut sink =
+                CallerSink::new(&mut connection.writer, &caller.id, &method, closes_connection);
             return refuse_request(gateway, &mut sink, &caller, &refusal).await;
         }
     };
@@ -326,8 +328,8 @@
 ) -> NextAction {
     let id = &request.caller.id;
     let Connection { reader, writer, input } = connection;
-    let is_head_request = &*request.head.method == "HEAD";
-    let mut sink = CallerSink::<P>::new(writer, id, is_head_request, closes_connection);
+    let method = &request.head.method;
+    let mut sink = CallerSink::<P>::new(writer, id, method, closes_connection);
     let mut reads_input = true;
     let is_reusable = {
         let mut run = pin!(run_request(gateway, request, &mut sink));
--- a/crates/gateway/src/http1/body_framing.rs
+++ b/crates/gateway/src/http1/body_framing.rs
@@ -23,13 +23,19 @@
         status: u16,
         headers: &Headers,
     ) -> Result<BodyFraming, HeadError> {
-        if method == "HEAD" || status < 200 || status == 204 || status == 304 {
+        if !allows_body(method, status) {
             return Ok(BodyFraming::Length(0));
         }
         Ok(declared_framing(headers)?.unwrap_or(BodyFraming::UntilClose))
     }
 }
 
+/// Whether the response with this status to a request with this method may have a body. One that may
+/// not ends with its head, whatever its headers declare.
+pub(crate) fn allows_body(method: &str, status: u16) -> bool {
+    method != "HEAD" && status >= 200 && status != 204 && status != 304
+}
+
 /// Framing declared by the headers; `None` if they declare neither an encoding nor a length.
 fn declared_framing(headers: &Headers) -> Result<Option<BodyFraming>, HeadError> {
     let has_encoding = headers.contains("transfer-encoding");
--- a/crates/gateway/src/http1/mod.rs
+++ b/crates/gateway/src/http1/mod.rs
@@ -19,6 +19,7 @@
     response_head::ResponseHead,
 };
 pub(crate) use {
+    body_framing::allows_body,
     client_connection::connect,
     connection::{Connection, read_into, set_socket_options},
 };
