Refuse a request at once whose length shows that it is too large

A request that announced a body beyond the limit was refused when its body had passed the limit or its deadline had passed (408 after 5 s where the caller waits before it sends), with memory reserved meanwhile. Found while the refusals of HEAD requests were tested.

Test that failed before: a_body_that_is_announced_too_large_is_refused_at_once (408 instead of 413).

--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -13,7 +13,7 @@
         clock::BootInstant,
         config::{CallerLimits, RequestKind},
         dispatch::run_request,
-        http1::{BodyDecoder, Connection, HeadError, RequestHead, set_socket_options},
+        http1::{BodyDecoder, BodyFraming, Connection, HeadError, RequestHead, set_socket_options},
         server::Gateway,
         telemetry::{OptionalMillis, event},
     },
@@ -218,6 +218,10 @@
     head: &RequestHead,
 ) -> Result<RequestBody, BodyError> {
     let max_bytes = gateway.caller_limits().body_bytes;
+    let too_large = || BodyError::Refused(Refusal::client_error(413, Reason::BodyTooLarge));
+    if matches!(head.framing, BodyFraming::Length(length) if length > max_bytes as u64) {
+        return Err(too_large());
+    }
     let mut decoder = BodyDecoder::new(head.framing);
     let mut body = Vec::new();
     let mut reservation = gateway.request_bytes.reserve();
@@ -229,7 +233,7 @@
             .decode(&mut connection.input, &mut body)
             .map_err(|_| BodyError::Refused(Refusal::client_error(400, Reason::BadBody)))?;
         if body.len() > max_bytes {
-            return Err(BodyError::Refused(Refusal::client_error(413, Reason::BodyTooLarge)));
+            return Err(too_large());
         }
         if reservation.resize(body.capacity()).is_err() {
             let retry_after = with_jitter(MEAN_MEMORY_RETRY_AFTER);
