Send nothing more to an endpoint that says in an answer that it leaves

Requests went on to it until the store told, or for as long as its record said that it was ready.

Change: the header counts in any head that arrives on a connection to the endpoint: a complete answer, a refusal, a failure, the head of a stream, a late copy. The directory remembers the start of the process that leaves, so that a record which is written again, expires and returns or changes does not undo it; a later start does. It does not need the store.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -122,7 +122,7 @@
     gateway.protocol.write_endpoint_head(&endpoint_request, &mut head_bytes);
     request.has_been_sent.set(true);
     call.send(&head_bytes, &request.body).await?;
-    call.read_head(&gateway.protocol, &request.head.method, &request.caller.id).await
+    call.read_head(gateway, &request.head.method, &request.caller.id).await
 }
 
 /// Changes the cause of a failure to `IdleConnectionBroken` if the connection broke as soon as
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -138,13 +138,18 @@
     /// Reads the head of the response to this request and skips stale responses before it.
     pub(super) async fn read_head<P: Protocol>(
         &mut self,
-        protocol: &P,
+        gateway: &Gateway<P>,
         method: &str,
         request_id: &str,
     ) -> Result<(ResponseHead, ResponseMeta), SendFailure> {
         for _ in 0..=MAX_STALE_RESPONSES {
             let head = self.read_next_head(method).await?;
-            let meta = protocol.parse_response_meta(&head);
+            let meta = gateway.protocol.parse_response_meta(&head);
+            // also in a late response to another request, and in a refusal by whoever has the
+            // address now
+            if meta.is_leaving {
+                gateway.directory.record_departure(&self.endpoint);
+            }
             // a refusal may lack the request ID; every other response must have it. On a connection
             // that had earlier requests, it may be one of theirs that is sent again
             let is_for_this_request = match &meta.request_id {
--- a/crates/gateway/src/dispatch/response_meta.rs
+++ b/crates/gateway/src/dispatch/response_meta.rs
@@ -11,6 +11,8 @@
     pub is_not_run: bool,
     /// The address now belongs to another endpoint.
     pub is_misdirected: bool,
+    /// The endpoint says that it is about to stop.
+    pub is_leaving: bool,
     /// The body has a content encoding, which only an intermediary would have added.
     pub is_encoded: bool,
     /// Load of the endpoint, if the response reports it.
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        departures::Departures,
         endpoint::Endpoint,
         endpoint_record::{EndpointId, EndpointRecord, EndpointState},
     },
@@ -19,6 +20,7 @@
     by_id: RefCell<BTreeMap<EndpointId, Rc<Endpoint>>>,
     /// Removal times of endpoints whose record disappeared while the store was unreachable.
     removal_times: RefCell<HashMap<EndpointId, Instant>>,
+    departures: RefCell<Departures>,
     /// Whether a complete listing was applied.
     has_listing: Cell<bool>,
 }
@@ -41,7 +43,7 @@
                 record.state,
                 record.sequence
             );
-            by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.addition_time())));
+            by_id.insert(record.id.clone(), self.new_endpoint(record));
             return;
         };
         let is_replaced = {
@@ -61,7 +63,7 @@
                 record.sequence
             );
             existing.set_leaving();
-            by_id.insert(record.id.clone(), Rc::new(Endpoint::new(record, self.addition_time())));
+            by_id.insert(record.id.clone(), self.new_endpoint(record));
             return;
         }
         existing.record_cold(Duration::from_millis(record.cold_ms), Instant::now());
@@ -137,6 +139,26 @@
         self.removal_times.borrow().values().min().copied()
     }
 
+    /// Records that an endpoint has said that it is about to stop. Whatever its records say, it gets
+    /// no more requests until a later start.
+    pub(crate) fn record_departure(&self, endpoint: &Endpoint) {
+        let record = endpoint.record.borrow();
+        let is_new = self.departures.borrow_mut().record(&record.id, record.started_at_unix_ms);
+        if is_new {
+            event!("endpoint_leaving", "endpoint={} service={}", record.id, record.service);
+        }
+        endpoint.set_leaving();
+    }
+
+    fn new_endpoint(&self, record: EndpointRecord) -> Rc<Endpoint> {
+        let has_departed = self.departures.borrow().contains(&record.id, record.started_at_unix_ms);
+        let endpoint = Endpoint::new(record, self.addition_time());
+        if has_departed {
+            endpoint.set_leaving();
+        }
+        Rc::new(endpoint)
+    }
+
     /// Addition time of an endpoint that is added now; `None` during the first listing.
     fn addition_time(&self) -> Option<Instant> {
         self.has_listing.get().then(Instant::now)
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -1,3 +1,4 @@
+mod departures;
 mod directory;
 mod endpoint;
 mod endpoint_record;
