Tell the fleet which endpoints have said that they leave

Each host found out by itself, with a request that the endpoint refused or cut off soon after.

Change: a host that reads such an answer tells its relay in the next round, and relays tell their zone and the other relays, for one second. A report names the start of the process, and counts only for that. Decision: the others send nothing more either, as the endpoint itself said so to a host that had named it.

--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -147,8 +147,11 @@
             let meta = gateway.protocol.parse_response_meta(&head);
             // also in a late response to another request, and in a refusal by whoever has the
             // address now
-            if meta.is_leaving {
-                gateway.directory.record_departure(&self.endpoint);
+            if meta.is_leaving
+                && let Some(departure) = gateway.directory.record_departure(&self.endpoint)
+            {
+                gateway.metrics.announced_departures.inc();
+                gateway.peers.report_departure(departure);
             }
             // a refusal may lack the request ID; every other response must have it. On a connection
             // that had earlier requests, it may be one of theirs that is sent again
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -5,7 +5,7 @@
         endpoint_record::{EndpointId, EndpointRecord, EndpointState},
     },
     crate::telemetry::event,
-    mango_wire::gossip::EndpointLoad,
+    mango_wire::gossip::{Departure, EndpointLoad},
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
@@ -139,15 +139,35 @@
         self.removal_times.borrow().values().min().copied()
     }
 
-    /// Records that an endpoint has said that it is about to stop. Whatever its records say, it gets
-    /// no more requests until a later start.
-    pub(crate) fn record_departure(&self, endpoint: &Endpoint) {
+    /// Records that an endpoint has said in an answer that it is about to stop. Whatever its records
+    /// say, it gets no more requests until a later start. Returns the departure if it was not known.
+    pub(crate) fn record_departure(&self, endpoint: &Endpoint) -> Option<Departure> {
+        let is_new = self.set_departed(endpoint, "answer");
+        let started_at_ms = endpoint.record.borrow().started_at_unix_ms;
+        is_new.then_some(Departure { endpoint: endpoint.hash, started_at_ms })
+    }
+
+    /// The same for an endpoint that has told another host. Returns whether that was not known; a
+    /// report on another start than the known one is ignored.
+    pub(crate) fn record_reported_departure(&self, departure: &Departure) -> bool {
+        let by_id = self.by_id.borrow();
+        let endpoint = by_id.values().find(|endpoint| {
+            endpoint.hash == departure.endpoint
+                && endpoint.record.borrow().started_at_unix_ms == departure.started_at_ms
+        });
+        endpoint.is_some_and(|endpoint| self.set_departed(endpoint, "peer"))
+    }
+
+    /// Returns whether the departure was not known.
+    fn set_departed(&self, endpoint: &Endpoint, source: &'static str) -> bool {
         let record = endpoint.record.borrow();
         let is_new = self.departures.borrow_mut().record(&record.id, record.started_at_unix_ms);
         if is_new {
-            event!("endpoint_leaving", "endpoint={} service={}", record.id, record.service);
+            let EndpointRecord { id, service, .. } = &*record;
+            event!("endpoint_leaving", "endpoint={id} service={service} source={source}");
         }
         endpoint.set_leaving();
+        is_new
     }
 
     fn new_endpoint(&self, record: EndpointRecord) -> Rc<Endpoint> {
--- a/crates/gateway/src/peers/gossip_task.rs
+++ b/crates/gateway/src/peers/gossip_task.rs
@@ -3,7 +3,7 @@
     crate::{blocklist::SharedBlocklist, endpoints::Directory, telemetry::event},
     mango_wire::{
         decode_bounded, encode_bounded,
-        gossip::{GossipMessage, PartReport},
+        gossip::{Departure, DepartureReport, GossipMessage, PartReport},
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -62,12 +62,20 @@
             send_message(&gossip.socket, &message, &[address]);
         }
         let parts = gossip.blocklist.update(is_full_round);
+        let departures = gossip.state.departures_to_report();
+        if parts.is_empty() && departures.is_empty() {
+            continue;
+        }
+        let targets = gossip.state.fleet_report_targets(is_full_round);
+        let host = || gossip.state.own_host().clone();
         if !parts.is_empty() {
-            let host = gossip.state.own_host().clone();
-            let message = GossipMessage::PartReport(PartReport { host, parts });
-            let targets = gossip.state.part_report_targets(is_full_round);
+            let message = GossipMessage::PartReport(PartReport { host: host(), parts });
             send_message(&gossip.socket, &message, &targets);
         }
+        if !departures.is_empty() {
+            let report = DepartureReport { host: host(), departures };
+            send_message(&gossip.socket, &GossipMessage::DepartureReport(report), &targets);
+        }
     }
 }
 
@@ -99,8 +107,12 @@
         match gossip.socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match decode_bounded(&buffer[..length], MAX_DATAGRAM_BYTES) {
                 Ok(message) => {
-                    if let GossipMessage::PartReport(report) = &message {
-                        gossip.blocklist.merge(&report.parts);
+                    match &message {
+                        GossipMessage::PartReport(report) => gossip.blocklist.merge(&report.parts),
+                        GossipMessage::DepartureReport(report) => {
+                            receive_departures(&gossip, &report.departures);
+                        }
+                        _ => {}
                     }
                     gossip.state.receive(message);
                 }
@@ -115,3 +127,13 @@
         }
     }
 }
+
+/// Sends nothing more to endpoints that have told other hosts that they leave: they refuse or cut off
+/// what arrives, and each host would have to find that out by itself.
+fn receive_departures(gossip: &Gossip, departures: &[Departure]) {
+    for departure in departures {
+        if gossip.directory.record_reported_departure(departure) {
+            gossip.state.forward_departure(departure.clone());
+        }
+    }
+}
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod announcer;
 mod changes_codec;
 mod continuity;
+mod departure_reports;
 mod feed_comparison;
 mod feed_kind;
 mod fleet_loads;
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         continuity::Continuity,
+        departure_reports::DepartureReports,
         feed_kind::FeedKind,
         fleet_loads::FleetLoads,
         fleet_size::FleetSize,
@@ -21,8 +22,8 @@
         telemetry::{OptionalMillis, event},
     },
     mango_wire::gossip::{
-        EndpointLoad, GossipMessage, HostRecord, LoadChanges, LoadReport, LoadScope, PrefixUse,
-        RelayStatus, ZoneLoads,
+        Departure, EndpointLoad, GossipMessage, HostRecord, LoadChanges, LoadReport, LoadScope,
+        PrefixUse, RelayStatus, ZoneLoads,
     },
     std::{
         cell::RefCell,
@@ -57,6 +58,7 @@
     pub(crate) rising_loads: RisingLoads,
     fleet_size: RefCell<FleetSize>,
     prefix_uses: RefCell<PrefixUses>,
+    departure_reports: RefCell<DepartureReports>,
     pub(crate) config_feed: RefCell<PublishedFeed>,
     pub(crate) endpoint_feed: RefCell<PublishedFeed>,
     /// Asks for a round of gossip before the next regular one.
@@ -79,6 +81,7 @@
             rising_loads: RisingLoads::default(),
             fleet_size: RefCell::default(),
             prefix_uses: RefCell::default(),
+            departure_reports: RefCell::default(),
             config_feed: RefCell::default(),
             endpoint_feed: RefCell::default(),
             round_wanted: Notify::new(),
@@ -124,6 +127,7 @@
             GossipMessage::ZoneLoads(zone) => &zone.host,
             GossipMessage::LoadChanges(changes) => &changes.host,
             GossipMessage::PartReport(report) => &report.host,
+            GossipMessage::DepartureReport(report) => &report.host,
         };
         if host.host_id == self.own_host.host_id {
             return;
@@ -454,9 +458,27 @@
         }
     }
 
-    /// Returns the hosts to which this host reports prompt parts: its relay or, if this host
-    /// relays, the hosts of its zone and the relays of the others.
-    pub(super) fn part_report_targets(&self, is_full_round: bool) -> Vec<SocketAddr> {
+    /// Tells other hosts that an endpoint has said that it leaves.
+    pub(crate) fn report_departure(&self, departure: Departure) {
+        self.departure_reports.borrow_mut().add(departure, Instant::now());
+        self.round_wanted.notify_one();
+    }
+
+    /// Tells the hosts behind this relay of a departure that this host did not know of.
+    pub(super) fn forward_departure(&self, departure: Departure) {
+        if self.is_relay() {
+            self.report_departure(departure);
+        }
+    }
+
+    /// The departures that this host reports now.
+    pub(super) fn departures_to_report(&self) -> Vec<Departure> {
+        self.departure_reports.borrow_mut().current(Instant::now())
+    }
+
+    /// Returns the hosts to which this host reports prompt parts and departures: its relay or, if
+    /// this host relays, the hosts of its zone and the relays of the others.
+    pub(super) fn fleet_report_targets(&self, is_full_round: bool) -> Vec<SocketAddr> {
         if !self.is_relay() {
             return self.report_targets(is_full_round);
         }
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -74,6 +74,7 @@
     pub(crate) refused_retries: Counter,
     pub(crate) unreadable_endpoint_records: Counter,
     pub(crate) doubtful_endpoint_records: Counter,
+    pub(crate) announced_departures: Counter,
     pub(crate) evacuated_zones: Gauge,
     pub(crate) blocked_parts: Gauge,
     pub(crate) caller_connections: Gauge,
@@ -104,6 +105,7 @@
             refused_retries: Counter::default(),
             unreadable_endpoint_records: Counter::default(),
             doubtful_endpoint_records: Counter::default(),
+            announced_departures: Counter::default(),
             evacuated_zones: Gauge::default(),
             blocked_parts: Gauge::default(),
             caller_connections: Gauge::default(),
@@ -129,6 +131,11 @@
             "Records of endpoints that were older than the last one or contradicted it",
             self.doubtful_endpoint_records.clone(),
         );
+        registry.register(
+            "announced_departures",
+            "Endpoints that told this host in an answer that they leave",
+            self.announced_departures.clone(),
+        );
         registry.register(
             "evacuated_zones",
             "Zones whose endpoints are to receive no requests",
