Leave endpoints alone that turn requests away for a while

The header was not read; requests went on to it, each of which it turned away.

Change: the endpoint receives no request of this host until then, plus a random part of up to a quarter and a second, so that hosts do not all return at once. A later start of the endpoint ends it, another connection or a record that returns does not. Placement and the queue count it as closed; if all endpoints of a service are, requests are refused at once, and callers are told when the first one returns.

--- a/crates/gateway/src/dispatch/candidates.rs
+++ b/crates/gateway/src/dispatch/candidates.rs
@@ -71,7 +71,10 @@
     context: &CandidateContext<'_>,
 ) -> bool {
     let now = context.now;
-    if endpoint.is_leaving() || gateway.evacuations.is_evacuated(&record.zone) {
+    if endpoint.is_leaving()
+        || gateway.directory.closed_until(record, now).is_some()
+        || gateway.evacuations.is_evacuated(&record.zone)
+    {
         return true;
     }
     // endpoints of a zone that was evacuated may be cold again before their records tell so
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -153,6 +153,12 @@
                 gateway.metrics.announced_departures.inc();
                 gateway.peers.report_departure(departure);
             }
+            if head.status == 503
+                && let Some(time) = meta.retry_after
+            {
+                gateway.directory.close_for(&self.endpoint, time, Instant::now());
+                gateway.metrics.closed_endpoints.inc();
+            }
             // a refusal may lack the request ID; every other response must have it. On a connection
             // that had earlier requests, it may be one of theirs that is sent again
             let is_for_this_request = match &meta.request_id {
--- a/crates/gateway/src/dispatch/response_meta.rs
+++ b/crates/gateway/src/dispatch/response_meta.rs
@@ -13,6 +13,8 @@
     pub is_misdirected: bool,
     /// The endpoint says that it is about to stop.
     pub is_leaving: bool,
+    /// For how long the sender wants no requests, if the response says so.
+    pub retry_after: Option<Duration>,
     /// The body has a content encoding, which only an intermediary would have added.
     pub is_encoded: bool,
     /// Load of the endpoint, if the response reports it.
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -130,7 +130,7 @@
             }
             let Some((endpoint, prefix_source)) = self.choose() else {
                 let refusal = match self.last_cause {
-                    None => Refusal::unavailable(Reason::NoCapacity, with_jitter(MEAN_RETRY_AFTER)),
+                    None => Refusal::unavailable(Reason::NoCapacity, self.retry_after()),
                     Some(_) => self.final_refusal(),
                 };
                 return self.give_up(sink, refusal).await;
@@ -328,12 +328,21 @@
         match self.last_cause {
             _ if !self.history.has_not_run() => Refusal::outcome_unknown(Reason::EndpointBroken),
             Some(FailureCause::ConnectFailed) => {
-                Refusal::unavailable(Reason::EndpointUnreachable, with_jitter(MEAN_RETRY_AFTER))
+                Refusal::unavailable(Reason::EndpointUnreachable, self.retry_after())
             }
-            _ => Refusal::unavailable(Reason::EndpointRefused, with_jitter(MEAN_RETRY_AFTER)),
+            _ => Refusal::unavailable(Reason::EndpointRefused, self.retry_after()),
         }
     }
 
+    /// When the caller of a request that did not run may come back: at once after a short time, or when
+    /// the first endpoint takes requests again if none does now.
+    fn retry_after(&self) -> Duration {
+        let now = Instant::now();
+        let pause = with_jitter(MEAN_RETRY_AFTER);
+        let reopening_time = self.gateway.directory.reopening_time(&self.request.service, now);
+        reopening_time.map_or(pause, |at| at.saturating_duration_since(now) + pause)
+    }
+
     /// Ends the request without success: forwards the last 5xx response if there is one, else
     /// sends the refusal. A response that was already started is aborted. A refusal that reports
     /// that the request did not run is replaced if an endpoint may have run it.
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        closed_times::ClosedTimes,
         departures::Departures,
         endpoint::Endpoint,
         endpoint_record::{EndpointId, EndpointRecord, EndpointState},
@@ -21,6 +22,7 @@
     /// Removal times of endpoints whose record disappeared while the store was unreachable.
     removal_times: RefCell<HashMap<EndpointId, Instant>>,
     departures: RefCell<Departures>,
+    closed_times: RefCell<ClosedTimes>,
     /// Whether a complete listing was applied.
     has_listing: Cell<bool>,
 }
@@ -170,6 +172,34 @@
         is_new
     }
 
+    /// Records that an endpoint wants no requests from this host for a while.
+    pub(crate) fn close_for(&self, endpoint: &Endpoint, time: Duration, now: Instant) {
+        let record = endpoint.record.borrow();
+        let until = self.closed_times.borrow_mut().record(&record, time, now);
+        event!(
+            "endpoint_closed",
+            "endpoint={} service={} retry_after_ms={} closed_ms={}",
+            record.id,
+            record.service,
+            time.as_millis(),
+            until.saturating_duration_since(now).as_millis()
+        );
+    }
+
+    /// Until when an endpoint wants no requests from this host; `None` if it takes them.
+    pub(crate) fn closed_until(&self, endpoint: &EndpointRecord, now: Instant) -> Option<Instant> {
+        self.closed_times.borrow().until(endpoint, now)
+    }
+
+    /// When the first endpoint of a service takes requests again; `None` if one takes them now, or
+    /// none ever will.
+    pub(crate) fn reopening_time(&self, service: &str, now: Instant) -> Option<Instant> {
+        let endpoints = self.of_service(service);
+        let remaining = endpoints.iter().filter(|endpoint| !endpoint.is_leaving());
+        let times = remaining.map(|endpoint| self.closed_until(&endpoint.record.borrow(), now));
+        times.reduce(|earliest, until| Some(earliest?.min(until?))).flatten()
+    }
+
     fn new_endpoint(&self, record: EndpointRecord) -> Rc<Endpoint> {
         let has_departed = self.departures.borrow().contains(&record.id, record.started_at_unix_ms);
         let endpoint = Endpoint::new(record, self.addition_time());
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -1,3 +1,4 @@
+mod closed_times;
 mod departures;
 mod directory;
 mod endpoint;
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -29,7 +29,7 @@
     pub has_idle_connection: bool,
     /// The prompt's prefix was sent to the endpoint recently, so its cache should hold it.
     pub holds_prefix: bool,
-    /// Receives no requests from this host now, since it is leaving, evacuated or cold; other
+    /// Receives no requests from this host now, since it is leaving, closed, evacuated or cold; other
     /// endpoints may still fetch its cache.
     pub is_closed: bool,
     /// Added recently, so other endpoints may still hold the prefixes that now rank it first.
--- a/crates/gateway/src/server/explain.rs
+++ b/crates/gateway/src/server/explain.rs
@@ -8,6 +8,7 @@
         placement::{PlacementRequest, choose_endpoint},
     },
     serde_json::{Value, json},
+    std::time::Instant,
 };
 
 /// A hypothetical request whose routing and placement are explained; it is not sent.
@@ -73,6 +74,9 @@
     service: &str,
     prefix: Option<PromptPrefix>,
 ) -> Value {
+    let now = Instant::now();
+    let reopening_time = gateway.directory.reopening_time(service, now);
+    let reopens_in = reopening_time.map(|at| at.saturating_duration_since(now));
     with_candidates(gateway, service, prefix, AttemptedEndpoints::default(), |candidates| {
         let request = PlacementRequest {
             prefix_hash: prefix.map(|prefix| prefix.hash),
@@ -87,7 +91,12 @@
                 "prefix_source": placement.prefix_source.map(|index| list[index].id),
                 "candidates": list.len(),
             }),
-            None => json!({ "refused": "no_capacity", "status": 503, "candidates": list.len() }),
+            None => json!({
+                "refused": "no_capacity",
+                "status": 503,
+                "candidates": list.len(),
+                "reopens_ms": reopens_in.map(|time| time.as_millis()),
+            }),
         }
     })
 }
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -75,6 +75,7 @@
     pub(crate) unreadable_endpoint_records: Counter,
     pub(crate) doubtful_endpoint_records: Counter,
     pub(crate) announced_departures: Counter,
+    pub(crate) closed_endpoints: Counter,
     pub(crate) evacuated_zones: Gauge,
     pub(crate) blocked_parts: Gauge,
     pub(crate) caller_connections: Gauge,
@@ -106,6 +107,7 @@
             unreadable_endpoint_records: Counter::default(),
             doubtful_endpoint_records: Counter::default(),
             announced_departures: Counter::default(),
+            closed_endpoints: Counter::default(),
             evacuated_zones: Gauge::default(),
             blocked_parts: Gauge::default(),
             caller_connections: Gauge::default(),
@@ -136,6 +138,11 @@
             "Endpoints that told this host in an answer that they leave",
             self.announced_departures.clone(),
         );
+        registry.register(
+            "closed_endpoints",
+            "Refusals with which endpoints asked for no requests for a while",
+            self.closed_endpoints.clone(),
+        );
         registry.register(
             "evacuated_zones",
             "Zones whose endpoints are to receive no requests",
