Spread the return of callers over as long as a service was closed

Change: a caller comes back at a random time after the first endpoint, within as long as that was closed (0.5 to 5 s).

--- a/crates/gateway/src/dispatch/candidates.rs
+++ b/crates/gateway/src/dispatch/candidates.rs
@@ -72,7 +72,7 @@
 ) -> bool {
     let now = context.now;
     if endpoint.is_leaving()
-        || gateway.directory.closed_until(record, now).is_some()
+        || gateway.directory.closed_time(record, now).is_some()
         || gateway.evacuations.is_evacuated(&record.zone)
     {
         return true;
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -334,13 +334,13 @@
         }
     }
 
-    /// When the caller of a request that did not run may come back: at once after a short time, or when
-    /// the first endpoint takes requests again if none does now.
+    /// When the caller of a request that did not run may come back: after a short time, or when the first
+    /// endpoint takes requests again if none does now.
     fn retry_after(&self) -> Duration {
         let now = Instant::now();
-        let pause = with_jitter(MEAN_RETRY_AFTER);
-        let reopening_time = self.gateway.directory.reopening_time(&self.request.service, now);
-        reopening_time.map_or(pause, |at| at.saturating_duration_since(now) + pause)
+        let closed = self.gateway.directory.closed_time_of_service(&self.request.service, now);
+        let pause = || with_jitter(MEAN_RETRY_AFTER);
+        closed.map_or_else(pause, |closed| closed.caller_retry_after(now))
     }
 
     /// Ends the request without success: forwards the last 5xx response if there is one, else
--- a/crates/gateway/src/endpoints/closed_times.rs
+++ b/crates/gateway/src/endpoints/closed_times.rs
@@ -20,17 +20,39 @@
 /// Longest time that a host adds.
 const MAX_ADDED_TIME: Duration = Duration::from_secs(1);
 
+/// Shortest and longest time over which refused callers come back after the endpoints.
+const MIN_RETURN_SPREAD: Duration = Duration::from_millis(500);
+const MAX_RETURN_SPREAD: Duration = Duration::from_secs(5);
+
+/// A time in which an endpoint wants no requests from this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ClosedTime {
+    pub(crate) since: Instant,
+    pub(crate) until: Instant,
+}
+
+impl ClosedTime {
+    /// When a caller that is refused now is to come back: some time after the endpoint, since the
+    /// callers of the whole time come back together. They spread over as long a time.
+    pub(crate) fn caller_retry_after(&self, now: Instant) -> Duration {
+        let spread = self.until.saturating_duration_since(self.since);
+        let spread = spread.clamp(MIN_RETURN_SPREAD, MAX_RETURN_SPREAD);
+        let left = self.until.saturating_duration_since(now);
+        left + spread.mul_f64(rand::rng().random())
+    }
+}
+
 /// Endpoints that want no requests, by ID. A new start of an endpoint ends its time.
 #[derive(Debug, Default)]
 pub(super) struct ClosedTimes {
-    by_id: HashMap<EndpointId, ClosedTime>,
+    by_id: HashMap<EndpointId, ClosedProcess>,
 }
 
+/// A process that wants no requests, by its start in Unix milliseconds.
 #[derive(Debug)]
-struct ClosedTime {
-    /// Start of the process that asked for it, in Unix milliseconds.
+struct ClosedProcess {
     started_at_unix_ms: u64,
-    until: Instant,
+    time: ClosedTime,
 }
 
 impl ClosedTimes {
@@ -42,22 +64,23 @@
         time: Duration,
         now: Instant,
     ) -> Instant {
-        self.by_id.retain(|_, closed| now < closed.until);
+        self.by_id.retain(|_, closed| now < closed.time.until);
         let time = time.min(MAX_CLOSED_TIME);
         let added = time.mul_f64(rand::rng().random_range(0.0..MAX_ADDED_FRACTION));
         let until = now + time + added.min(MAX_ADDED_TIME);
-        let known = self.until(endpoint, now);
-        let until = known.map_or(until, |known| known.max(until));
-        let closed = ClosedTime { started_at_unix_ms: endpoint.started_at_unix_ms, until };
-        self.by_id.insert(endpoint.id.clone(), closed);
-        until
+        let time = self.get(endpoint, now).map_or(ClosedTime { since: now, until }, |known| {
+            ClosedTime { until: known.until.max(until), ..known }
+        });
+        let started_at_unix_ms = endpoint.started_at_unix_ms;
+        self.by_id.insert(endpoint.id.clone(), ClosedProcess { started_at_unix_ms, time });
+        time.until
     }
 
-    /// Until when the endpoint wants no requests; `None` if it takes them.
-    pub(super) fn until(&self, endpoint: &EndpointRecord, now: Instant) -> Option<Instant> {
+    /// The time in which the endpoint wants no requests; `None` if it takes them.
+    pub(super) fn get(&self, endpoint: &EndpointRecord, now: Instant) -> Option<ClosedTime> {
         let closed = self.by_id.get(&endpoint.id)?;
         let is_closed =
-            now < closed.until && endpoint.started_at_unix_ms <= closed.started_at_unix_ms;
-        is_closed.then_some(closed.until)
+            now < closed.time.until && endpoint.started_at_unix_ms <= closed.started_at_unix_ms;
+        is_closed.then_some(closed.time)
     }
 }
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        closed_times::ClosedTimes,
+        closed_times::{ClosedTime, ClosedTimes},
         departures::Departures,
         endpoint::Endpoint,
         endpoint_record::{EndpointId, EndpointRecord, EndpointState},
@@ -186,18 +186,23 @@
         );
     }
 
-    /// Until when an endpoint wants no requests from this host; `None` if it takes them.
-    pub(crate) fn closed_until(&self, endpoint: &EndpointRecord, now: Instant) -> Option<Instant> {
-        self.closed_times.borrow().until(endpoint, now)
+    /// The time in which an endpoint wants no requests from this host; `None` if it takes them.
+    pub(crate) fn closed_time(
+        &self,
+        endpoint: &EndpointRecord,
+        now: Instant,
+    ) -> Option<ClosedTime> {
+        self.closed_times.borrow().get(endpoint, now)
     }
 
-    /// When the first endpoint of a service takes requests again; `None` if one takes them now, or
+    /// The time in which no endpoint of a service takes requests; `None` if one takes them now, or
     /// none ever will.
-    pub(crate) fn reopening_time(&self, service: &str, now: Instant) -> Option<Instant> {
+    pub(crate) fn closed_time_of_service(&self, service: &str, now: Instant) -> Option<ClosedTime> {
         let endpoints = self.of_service(service);
         let remaining = endpoints.iter().filter(|endpoint| !endpoint.is_leaving());
-        let times = remaining.map(|endpoint| self.closed_until(&endpoint.record.borrow(), now));
-        times.reduce(|earliest, until| Some(earliest?.min(until?))).flatten()
+        let times: Option<Vec<ClosedTime>> =
+            remaining.map(|endpoint| self.closed_time(&endpoint.record.borrow(), now)).collect();
+        times?.into_iter().min_by_key(|time| time.until)
     }
 
     fn new_endpoint(&self, record: EndpointRecord) -> Rc<Endpoint> {
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -1,4 +1,6 @@
 mod closed_times;
+#[cfg(test)]
+mod closed_times_tests;
 mod departures;
 mod directory;
 mod endpoint;
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -6,7 +6,7 @@
     std::time::{Duration, Instant},
 };
 
-fn record(id: &str, sequence: u64) -> EndpointRecord {
+pub(super) fn record(id: &str, sequence: u64) -> EndpointRecord {
     EndpointRecord {
         id: id.into(),
         service: "s".into(),
--- a/crates/gateway/src/queueing/permits.rs
+++ b/crates/gateway/src/queueing/permits.rs
@@ -134,7 +134,7 @@
         for endpoint in self.directory.of_service(&self.service) {
             let record = endpoint.record.borrow();
             if endpoint.is_leaving()
-                || self.directory.closed_until(&record, now).is_some()
+                || self.directory.closed_time(&record, now).is_some()
                 || endpoint.health.get().is_paused(now)
                 || self.evacuations.is_evacuated(&record.zone)
             {
--- a/crates/gateway/src/server/explain.rs
+++ b/crates/gateway/src/server/explain.rs
@@ -75,8 +75,8 @@
     prefix: Option<PromptPrefix>,
 ) -> Value {
     let now = Instant::now();
-    let reopening_time = gateway.directory.reopening_time(service, now);
-    let reopens_in = reopening_time.map(|at| at.saturating_duration_since(now));
+    let closed = gateway.directory.closed_time_of_service(service, now);
+    let reopens_in = closed.map(|closed| closed.until.saturating_duration_since(now));
     with_candidates(gateway, service, prefix, AttemptedEndpoints::default(), |candidates| {
         let request = PlacementRequest {
             prefix_hash: prefix.map(|prefix| prefix.hash),
--- a/crates/gateway/src/server/state_dump.rs
+++ b/crates/gateway/src/server/state_dump.rs
@@ -60,7 +60,7 @@
     let now = Instant::now();
     let record = endpoint.record.borrow();
     let (health, load) = (endpoint.health.get(), endpoint.load.get());
-    let closed_until = gateway.directory.closed_until(&record, now);
+    let closed = gateway.directory.closed_time(&record, now);
     json!({
         "id": &*record.id,
         "service": &*record.service,
@@ -69,7 +69,7 @@
         "software_version": &*record.software_version,
         "slots": record.slots,
         "leaving": endpoint.is_leaving(),
-        "closed_ms": closed_until.map(|until| until.saturating_duration_since(now).as_millis()),
+        "closed_ms": closed.map(|closed| closed.until.saturating_duration_since(now).as_millis()),
         "evacuated": gateway.evacuations.is_evacuated(&record.zone),
         "cold": endpoint.is_cold(now),
         "in_flight": endpoint.in_flight(),
