Go on sending a long body when a late copy of a response arrives

Cause: any received byte ended the sending, as if it were an early response. Change: only the response to this request, or bytes that are none, end it; a late response to an earlier request is passed over. The connection is not used again in either case.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -121,7 +121,7 @@
     };
     gateway.protocol.write_endpoint_head(&endpoint_request, &mut head_bytes);
     request.has_been_sent.set(true);
-    call.send(&head_bytes, &request.body).await?;
+    call.send(gateway, request, &head_bytes).await?;
     call.read_head(gateway, &request.head.method, &request.caller.id).await
 }
 
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -15,7 +15,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf},
+    tokio::io::AsyncWriteExt,
 };
 
 /// Time limit for opening a connection, after which another endpoint is tried.
@@ -99,24 +99,77 @@
     }
 
     /// Sends the request. An endpoint may respond before it has read a long body; the rest of
-    /// the body is then not sent, and the connection is not reused.
-    pub(super) async fn send(&mut self, head: &[u8], body: &[u8]) -> Result<(), SendFailure> {
-        let Connection { reader, writer, input } = &mut self.connection;
-        tokio::select! {
-            biased;
-            sent = write_request(writer, head, body) => {
-                sent.map_err(|_| SendFailure::may_have_run(FailureCause::ConnectionBroken))
-            }
-            received = read_into(reader, input) => {
-                self.is_reusable = false;
-                match received {
-                    Ok(1..) => Ok(()),
-                    Ok(0) | Err(_) => {
-                        Err(SendFailure::may_have_run(FailureCause::ConnectionBroken))
+    /// the body is then not sent. A late response to an earlier request does not end the sending. In
+    /// both cases the connection is not reused.
+    pub(super) async fn send<P: Protocol>(
+        &mut self,
+        gateway: &Gateway<P>,
+        request: &AdmittedRequest,
+        head: &[u8],
+    ) -> Result<(), SendFailure> {
+        let broken = || SendFailure::may_have_run(FailureCause::ConnectionBroken);
+        for part in [head, &request.body] {
+            let mut rest = part;
+            while !rest.is_empty() {
+                let Connection { reader, writer, input } = &mut self.connection;
+                tokio::select! {
+                    biased;
+                    sent = writer.write(rest) => match sent {
+                        Ok(sent @ 1..) => rest = &rest[sent..],
+                        Ok(0) | Err(_) => return Err(broken()),
+                    },
+                    received = read_into(reader, input) => {
+                        self.is_reusable = false;
+                        if received.map_err(|_| broken())? == 0 {
+                            return Err(broken());
+                        }
+                        self.reservation.resize(self.connection.input.capacity())?;
+                        if self.has_own_response(gateway, request) {
+                            return Ok(());
+                        }
                     }
                 }
             }
         }
+        Ok(())
+    }
+
+    /// Whether the received bytes begin the response to this request, or are no response. Late
+    /// responses before it are passed over.
+    fn has_own_response<P: Protocol>(
+        &self,
+        gateway: &Gateway<P>,
+        request: &AdmittedRequest,
+    ) -> bool {
+        let mut input = self.connection.input.clone();
+        loop {
+            let head = match ResponseHead::decode(&mut input, &request.head.method) {
+                Ok(Some(head)) => head,
+                Ok(None) => return false,
+                Err(_) => return true,
+            };
+            let meta = gateway.protocol.parse_response_meta(&head);
+            if self.is_for_request(&meta, &request.caller.id) {
+                return true;
+            }
+            let mut decoder = BodyDecoder::new(head.framing);
+            if decoder.decode(&mut input, &mut Vec::new()).is_err() {
+                return true;
+            }
+            if !decoder.is_done() {
+                return false;
+            }
+        }
+    }
+
+    /// Whether a response belongs to the request with this ID. A refusal may lack the ID; every other
+    /// response must have it. On a connection that had earlier requests, a refusal may be one of theirs
+    /// that is sent again.
+    fn is_for_request(&self, meta: &ResponseMeta, request_id: &str) -> bool {
+        match &meta.request_id {
+            Some(id) => **id == *request_id,
+            None => meta.is_not_run && self.idle_time.is_none(),
+        }
     }
 
     pub(super) fn endpoint(&self) -> &Endpoint {
@@ -159,13 +212,7 @@
                 gateway.directory.close_for(&self.endpoint, time, Instant::now());
                 gateway.metrics.closed_endpoints.inc();
             }
-            // a refusal may lack the request ID; every other response must have it. On a connection
-            // that had earlier requests, it may be one of theirs that is sent again
-            let is_for_this_request = match &meta.request_id {
-                Some(id) => **id == *request_id,
-                None => meta.is_not_run && self.idle_time.is_none(),
-            };
-            if is_for_this_request {
+            if self.is_for_request(&meta, request_id) {
                 self.is_reusable &= head.keep_alive;
                 if let Some(keep_alive) = meta.keep_alive {
                     self.keep_alive = keep_alive;
@@ -278,12 +325,3 @@
         }
     }
 }
-
-async fn write_request(
-    writer: &mut OwnedWriteHalf,
-    head: &[u8],
-    body: &[u8],
-) -> std::io::Result<()> {
-    writer.write_all(head).await?;
-    writer.write_all(body).await
-}
