Limit heads by their bytes, not by the number of headers

A request with more than 64 headers was refused with 431, and a response with more was a failed send, whatever maxHeaderBytes says (seen in the review).

Change: the parser has room for 64 headers without memory of its own, and for as many as fit into the bytes of the head if that is not enough.

--- a/crates/gateway/src/http1/headers.rs
+++ b/crates/gateway/src/http1/headers.rs
@@ -9,6 +9,16 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers(Vec<Header>);
 
+/// Headers of a message for which a head is parsed without further memory.
+pub(super) const USUAL_HEADERS: usize = 64;
+/// Shortest header with its line end: a name of one byte and a colon.
+const MIN_HEADER_BYTES: usize = 4;
+
+/// Room for as many headers as fit into a head of this length.
+pub(super) fn room_for_headers<'b>(head_bytes: usize) -> Vec<httparse::Header<'b>> {
+    vec![httparse::EMPTY_HEADER; head_bytes / MIN_HEADER_BYTES]
+}
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
--- a/crates/gateway/src/http1/request_head.rs
+++ b/crates/gateway/src/http1/request_head.rs
@@ -1,5 +1,7 @@
 use super::{
-    body_framing::BodyFraming, head_error::HeadError, headers::Headers, response_head::MAX_HEADERS,
+    body_framing::BodyFraming,
+    head_error::HeadError,
+    headers::{Headers, USUAL_HEADERS, room_for_headers},
 };
 
 /// Request line and headers of an HTTP/1 request.
@@ -17,36 +19,14 @@
     /// Parses a head at the start of `input` and removes its bytes. Returns `None` and leaves
     /// `input` unchanged while the head is incomplete.
     pub fn decode(input: &mut Vec<u8>, max_bytes: usize) -> Result<Option<RequestHead>, HeadError> {
-        let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut request = httparse::Request::new(&mut parsed);
-        let length = match request.parse(input) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if input.len() > max_bytes => {
-                return Err(HeadError::TooLarge);
-            }
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
-            Err(_) => return Err(HeadError::Malformed),
-        };
-        if length > max_bytes {
-            return Err(HeadError::TooLarge);
-        }
-        let is_http_1_1 = request.version == Some(1);
-        let headers = Headers::from_parsed(request.headers);
-        let (Some(method), Some(target)) = (request.method, request.path) else {
-            return Err(HeadError::Malformed);
-        };
-        let head = RequestHead {
-            method: method.into(),
-            target: target.into(),
-            framing: BodyFraming::of_request(&headers)?,
-            keep_alive: if is_http_1_1 {
-                !headers.contains_token("connection", "close")
-            } else {
-                headers.contains_token("connection", "keep-alive")
-            },
-            headers,
-        };
+        let parsed =
+            match parse_head(input, max_bytes, &mut [httparse::EMPTY_HEADER; USUAL_HEADERS]) {
+                Err(HeadError::TooManyHeaders) => {
+                    parse_head(input, max_bytes, &mut room_for_headers(input.len()))
+                }
+                result => result,
+            };
+        let Some((head, length)) = parsed? else { return Ok(None) };
         input.drain(..length);
         Ok(Some(head))
     }
@@ -65,3 +45,40 @@
         })
     }
 }
+
+/// Parses a head, and returns its length with it.
+fn parse_head<'b>(
+    input: &'b [u8],
+    max_bytes: usize,
+    room: &mut [httparse::Header<'b>],
+) -> Result<Option<(RequestHead, usize)>, HeadError> {
+    let mut request = httparse::Request::new(room);
+    let length = match request.parse(input) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if input.len() > max_bytes => {
+            return Err(HeadError::TooLarge);
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(error) => return Err(error.into()),
+    };
+    if length > max_bytes {
+        return Err(HeadError::TooLarge);
+    }
+    let is_http_1_1 = request.version == Some(1);
+    let headers = Headers::from_parsed(request.headers);
+    let (Some(method), Some(target)) = (request.method, request.path) else {
+        return Err(HeadError::Malformed);
+    };
+    let head = RequestHead {
+        method: method.into(),
+        target: target.into(),
+        framing: BodyFraming::of_request(&headers)?,
+        keep_alive: if is_http_1_1 {
+            !headers.contains_token("connection", "close")
+        } else {
+            headers.contains_token("connection", "keep-alive")
+        },
+        headers,
+    };
+    Ok(Some((head, length)))
+}
--- a/crates/gateway/src/http1/response_head.rs
+++ b/crates/gateway/src/http1/response_head.rs
@@ -1,7 +1,9 @@
-use super::{body_framing::BodyFraming, head_error::HeadError, headers::Headers};
+use super::{
+    body_framing::BodyFraming,
+    head_error::HeadError,
+    headers::{Headers, USUAL_HEADERS, room_for_headers},
+};
 
-/// Maximum number of headers in a message.
-pub(super) const MAX_HEADERS: usize = 64;
 /// Longest head of a response, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 65_536;
 
@@ -44,15 +46,33 @@
 }
 
 fn decode_head(input: &mut Vec<u8>, method: &str) -> Result<Option<ResponseHead>, HeadError> {
-    let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut parsed);
+    let parsed = match parse_head(input, method, &mut [httparse::EMPTY_HEADER; USUAL_HEADERS]) {
+        Err(HeadError::TooManyHeaders) => parse_head(
+            input,
+            method,
+            &mut room_for_headers(input.len().min(MAX_RESPONSE_HEAD_BYTES)),
+        ),
+        result => result,
+    };
+    let Some((head, length)) = parsed? else { return Ok(None) };
+    input.drain(..length);
+    Ok(Some(head))
+}
+
+/// Parses a head, and returns its length with it.
+fn parse_head<'b>(
+    input: &'b [u8],
+    method: &str,
+    room: &mut [httparse::Header<'b>],
+) -> Result<Option<(ResponseHead, usize)>, HeadError> {
+    let mut response = httparse::Response::new(room);
     let length = match response.parse(input) {
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) if input.len() > MAX_RESPONSE_HEAD_BYTES => {
             return Err(HeadError::TooLarge);
         }
         Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(HeadError::Malformed),
+        Err(error) => return Err(error.into()),
     };
     let Some(status) = response.code else { return Err(HeadError::Malformed) };
     let is_http_1_1 = response.version == Some(1);
@@ -68,6 +88,5 @@
             && !headers.contains_token("connection", "close"),
         headers,
     };
-    input.drain(..length);
-    Ok(Some(head))
+    Ok(Some((head, length)))
 }
