Start without the port for metrics if that is taken

Change: the address for metrics is bound last, and a failure is logged (metrics_unavailable); the side address serves the metrics too.

--- a/crates/gateway/src/server/listeners.rs
+++ b/crates/gateway/src/server/listeners.rs
@@ -33,20 +33,29 @@
 impl Listeners {
     /// Binds the addresses of the settings.
     pub(super) async fn bind(settings: &GatewaySettings) -> Result<Listeners> {
-        let metrics = match settings.metrics_address {
-            Some(address) => Some(bind("metrics_address", address).await?),
-            None => None,
-        };
         Ok(Listeners {
-            metrics,
             callers: bind("callers_address", settings.callers_address).await?,
             ready: bind("ready_address", settings.ready_address).await?,
             side: bind("side_address", settings.side_address).await?,
             gossip: Rc::new(bind_gossip(settings.gossip_address).await?),
+            // after the others, which may have its port
+            metrics: bind_metrics(settings.metrics_address).await,
         })
     }
 }
 
+/// Binds the address for metrics. Requests can be served without it; the side address serves the
+/// metrics too.
+async fn bind_metrics(address: Option<SocketAddr>) -> Option<TcpListener> {
+    match bind("metrics_address", address?).await {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            event!("metrics_unavailable", "reason={:?}", format!("{error:#}"));
+            None
+        }
+    }
+}
+
 async fn bind(field: &str, address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.with_context(|| format!("cannot bind {field} {address}"))
 }
