Move what a log is into a module below peers and followers

followers and peers imported each other, as did endpoints and peers, and telemetry imported peers: records now holds records, positions, confirmations and the names of the logs, and the hash of an endpoint is the endpoint's. No change of behaviour. docs/PLATFORM.md has the design of what relays pass on.

--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -6,12 +6,12 @@
         load_estimate::LoadEstimate,
         slow_start::{ColdLimit, SlowStart},
     },
-    crate::peers::endpoint_hash,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
         time::{Duration, Instant},
     },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// How long an endpoint counts as recently added. During this time, other endpoints may still
@@ -154,6 +154,11 @@
     }
 }
 
+/// The hash that identifies an endpoint in messages between hosts.
+fn endpoint_hash(id: &str) -> u32 {
+    xxh3_64(id.as_bytes()) as u32
+}
+
 /// Counts one request as in flight at an endpoint until it is dropped.
 pub(crate) struct InFlightGuard(Rc<Endpoint>);
 
--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -1,12 +1,9 @@
 use {
-    super::{
-        record_feed::RawRecord,
-        record_sink::{RecordDecoder, RecordSink},
-    },
+    super::record_sink::{RecordDecoder, RecordSink},
     crate::{
         clock::BootInstant,
         config::{ConfigState, Evacuations, OperatorKey, RoutingConfig},
-        peers::FeedKind,
+        records::{FeedKind, RawRecord},
         telemetry::{GatewayMetrics, event},
     },
     std::{
--- a/crates/gateway/src/followers/confirmations.rs
+++ b/crates/gateway/src/followers/confirmations.rs
@@ -1,5 +1,5 @@
 use {
-    crate::peers::Continuity,
+    crate::records::Continuity,
     std::time::{Duration, Instant},
 };
 
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -2,13 +2,12 @@
     super::{
         doubtful_records::DoubtfulRecords,
         known_records::{KnownRecords, RecordNews},
-        record_feed::RawRecord,
         record_sink::{RecordDecoder, RecordSink},
     },
     crate::{
         clock::BootInstant,
         endpoints::{Directory, EndpointRecord},
-        peers::FeedKind,
+        records::{FeedKind, RawRecord},
         telemetry::{GatewayMetrics, event},
     },
     std::{
--- a/crates/gateway/src/followers/endpoint_sink_tests.rs
+++ b/crates/gateway/src/followers/endpoint_sink_tests.rs
@@ -1,7 +1,8 @@
 use {
-    super::{EndpointSink, RawRecord, record_sink::RecordSink, tests::raw},
+    super::{EndpointSink, record_sink::RecordSink, tests::raw},
     crate::{
         endpoints::{Directory, EndpointRecord},
+        records::RawRecord,
         telemetry::GatewayMetrics,
     },
     std::{
--- a/crates/gateway/src/followers/feed_health.rs
+++ b/crates/gateway/src/followers/feed_health.rs
@@ -1,6 +1,8 @@
 use {
-    super::record_feed::FeedError,
-    crate::telemetry::{GatewayMetrics, OptionalMillis, event},
+    crate::{
+        records::FeedError,
+        telemetry::{GatewayMetrics, OptionalMillis, event},
+    },
     rand::RngExt,
     std::{rc::Rc, time::Duration},
 };
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -1,13 +1,9 @@
 use {
-    super::{
-        feed_health::FeedHealth,
-        log_copy::LogCopy,
-        record_feed::{FeedError, LogChanges, LogListing, Offset, RecordFeed},
-        record_sink::RecordSink,
-    },
+    super::{feed_health::FeedHealth, log_copy::LogCopy, record_sink::RecordSink},
     crate::{
         clock::{BootInstant, Now},
-        peers::{FeedKind, PeerState, RelayClient, RelayedFeedStatus},
+        peers::{PeerState, RelayClient, RelayedFeedStatus},
+        records::{FeedError, FeedKind, LogChanges, LogListing, Offset, RecordFeed},
         telemetry::{GatewayMetrics, event},
     },
     std::{
--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -1,13 +1,9 @@
 use {
-    super::{
-        agreement::Agreement,
-        confirmations::Confirmations,
-        record_feed::{LogChanges, LogListing, Offset, RawRecord},
-        record_sink::RecordSink,
-    },
+    super::{agreement::Agreement, confirmations::Confirmations, record_sink::RecordSink},
     crate::{
         clock::{BootInstant, Now},
         peers::{PeerState, RelayedFeedStatus},
+        records::{LogChanges, LogListing, Offset, RawRecord},
         telemetry::event,
     },
     mango_wire::gossip::{RelayedChanges, RelayedRecord},
--- a/crates/gateway/src/followers/log_copy_tests.rs
+++ b/crates/gateway/src/followers/log_copy_tests.rs
@@ -1,12 +1,17 @@
 use {
     super::{
-        EndpointSink, LogChanges, LogListing,
+        EndpointSink,
         endpoint_sink_tests::endpoint_sink,
         log_copy::LogCopy,
         record_sink::RecordSink,
         tests::{own_host, peers_of, raw},
     },
-    crate::{clock::Now, endpoints::Directory, peers::RelayedFeedStatus},
+    crate::{
+        clock::Now,
+        endpoints::Directory,
+        peers::RelayedFeedStatus,
+        records::{LogChanges, LogListing},
+    },
     mango_wire::gossip::{RelayedChanges, RelayedRecord},
     std::{rc::Rc, time::Duration},
 };
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -13,7 +13,6 @@
 mod log_copy;
 #[cfg(test)]
 mod log_copy_tests;
-mod record_feed;
 mod record_sink;
 #[cfg(test)]
 mod relay_tests;
@@ -23,8 +22,4 @@
 mod zone_tests;
 
 pub(crate) use {config_sink::ConfigSink, endpoint_sink::EndpointSink, follower::Follower};
-pub use {
-    config_sink::OperatorRecords,
-    record_feed::{FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
-    record_sink::RecordDecoder,
-};
+pub use {config_sink::OperatorRecords, record_sink::RecordDecoder};
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -1,6 +1,8 @@
 use {
-    super::record_feed::RawRecord,
-    crate::{clock::BootInstant, peers::FeedKind},
+    crate::{
+        clock::BootInstant,
+        records::{FeedKind, RawRecord},
+    },
     std::time::{Duration, Instant},
 };
 
--- a/crates/gateway/src/followers/relay_tests.rs
+++ b/crates/gateway/src/followers/relay_tests.rs
@@ -2,13 +2,14 @@
 
 use {
     super::{
-        FeedError, Follower, LogListing, RawRecord,
+        Follower,
         tests::{ScriptedFeed, config_sink, own_host, peers_of, raw},
     },
     crate::{
         clock::BootInstant,
         config::{ConfigState, Evacuations},
-        peers::{Continuity, FeedKind, PeerState, PublishedFeed, encode_changes},
+        peers::{PeerState, PublishedFeed, encode_changes},
+        records::{Continuity, FeedError, FeedKind, LogListing, RawRecord},
         telemetry::GatewayMetrics,
     },
     mango_wire::gossip::{FeedStatus, GossipMessage, HostRecord, LoadReport, RelayStatus},
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -1,12 +1,10 @@
 use {
-    super::{
-        ConfigSink, FeedError, Follower, LogChanges, LogListing, OperatorRecords, RawRecord,
-        RecordFeed, record_sink::RecordSink,
-    },
+    super::{ConfigSink, Follower, OperatorRecords, record_sink::RecordSink},
     crate::{
         clock::BootInstant,
         config::{CallerLimits, ConfigState, Evacuations, OperatorKey, RoutingConfig},
         peers::{MaxConfirmationAges, PeerState},
+        records::{FeedError, LogChanges, LogListing, RawRecord, RecordFeed},
         telemetry::GatewayMetrics,
     },
     mango_wire::gossip::HostRecord,
--- a/crates/gateway/src/followers/zone_tests/store.rs
+++ b/crates/gateway/src/followers/zone_tests/store.rs
@@ -1,5 +1,5 @@
 use {
-    crate::followers::RawRecord,
+    crate::records::RawRecord,
     std::{collections::BTreeMap, time::Instant},
 };
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod placement;
 mod queueing;
+mod records;
 mod retry;
 mod server;
 mod settings;
@@ -34,16 +35,14 @@
     },
     dispatch::{EndpointRequest, ResponseMeta},
     endpoints::{EndpointId, EndpointRecord, EndpointState, LoadReport},
-    followers::{
-        FeedError, LogChanges, LogListing, Offset, OperatorRecords, RawRecord, RecordDecoder,
-        RecordFeed,
-    },
+    followers::{OperatorRecords, RecordDecoder},
     http1::{
         BodyDecoder, BodyFraming, ClientConnection, FramingError, HeadError, Header, Headers,
         RequestHead, ResponseHead,
     },
     peers::{HostListing, HostRegistry, RegistryError},
     placement::{Candidate, Placement, PlacementRequest, choose_endpoint},
+    records::{FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
     retry::{AttemptHistory, NextStep, RetryBudget, RetryPolicy, SendOutcome, next_step},
     server::{PlatformAdapters, run},
     settings::{Bounds, GatewaySettings, load_settings},
--- a/crates/gateway/src/peers/followed_relay.rs
+++ b/crates/gateway/src/peers/followed_relay.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{clock::BootInstant, followers::Offset},
+    crate::{clock::BootInstant, records::Offset},
     mango_wire::gossip::FeedStatus,
     std::{
         net::SocketAddr,
--- a/crates/gateway/src/peers/load_sums.rs
+++ b/crates/gateway/src/peers/load_sums.rs
@@ -4,12 +4,7 @@
 //! own requests. An endpoint can then receive several times the mean load while every
 //! router counts one or two requests there.
 
-use {mango_wire::gossip::EndpointLoad, std::collections::BTreeMap, xxhash_rust::xxh3::xxh3_64};
-
-/// Returns the hash that identifies an endpoint in load reports.
-pub(crate) fn endpoint_hash(id: &str) -> u32 {
-    xxh3_64(id.as_bytes()) as u32
-}
+use {mango_wire::gossip::EndpointLoad, std::collections::BTreeMap};
 
 /// Requests in flight by endpoint hash.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,10 +6,7 @@
 
 mod announcer;
 mod changes_codec;
-mod continuity;
 mod departure_reports;
-mod feed_comparison;
-mod feed_kind;
 mod fleet_loads;
 mod fleet_size;
 mod followed_relay;
@@ -35,12 +32,8 @@
 pub use host_registry::{HostListing, HostRegistry, RegistryError};
 pub(crate) use {
     announcer::announce,
-    continuity::Continuity,
-    feed_comparison::FeedComparison,
-    feed_kind::FeedKind,
     followed_relay::RelayedFeedStatus,
     gossip_task::{Gossip, receive_gossip, send_gossip},
-    load_sums::endpoint_hash,
     peer_state::{MaxConfirmationAges, PeerState},
     published_feed::{PublishedFeed, encode_changes},
     relay_client::RelayClient,
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -1,8 +1,6 @@
 use {
     super::{
-        continuity::Continuity,
         departure_reports::DepartureReports,
-        feed_kind::FeedKind,
         fleet_loads::FleetLoads,
         fleet_size::FleetSize,
         followed_relay::{FollowedRelay, RelayedFeedStatus},
@@ -19,6 +17,7 @@
     },
     crate::{
         clock::BootInstant,
+        records::{Continuity, FeedKind},
         telemetry::{OptionalMillis, event},
     },
     mango_wire::gossip::{
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -1,11 +1,8 @@
 use {
-    super::{
-        changes_codec, continuity::Continuity, feed_comparison::FeedComparison,
-        relay_election::max_response_bytes,
-    },
+    super::{changes_codec, relay_election::max_response_bytes},
     crate::{
         clock::BootInstant,
-        followers::{Offset, RawRecord},
+        records::{Continuity, FeedComparison, Offset, RawRecord},
     },
     mango_wire::gossip::{FeedStatus, RelayedChanges, RelayedRecord},
     std::{
--- a/crates/gateway/src/peers/relay_client.rs
+++ b/crates/gateway/src/peers/relay_client.rs
@@ -1,11 +1,8 @@
 use {
-    super::{
-        changes_codec::{self, MAX_CHANGES_BYTES},
-        feed_kind::FeedKind,
-    },
+    super::changes_codec::{self, MAX_CHANGES_BYTES},
     crate::{
-        followers::{FeedError, Offset},
         http1::ClientConnection,
+        records::{FeedError, FeedKind, Offset},
     },
     mango_wire::gossip::RelayedChanges,
     std::{io, net::SocketAddr, time::Duration},
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -2,14 +2,16 @@
     super::{
         announcer::{Step, step_after_read},
         changes_codec,
-        feed_kind::FeedKind,
-        load_sums::{LoadSums, endpoint_hash},
+        load_sums::LoadSums,
         peer_state::{MaxConfirmationAges, PeerState},
         published_feed::{PublishedFeed, encode_changes},
         relay_election::{ElectionInputs, rank, should_relay},
         store_turn::StoreTurn,
     },
-    crate::{clock::BootInstant, followers::RawRecord},
+    crate::{
+        clock::BootInstant,
+        records::{FeedKind, RawRecord},
+    },
     mango_wire::gossip::{
         EndpointLoad, FeedStatus, GossipMessage, HostRecord, RelayStatus, RelayedChanges,
     },
@@ -17,6 +19,9 @@
     std::time::Duration,
 };
 
+/// Hash of an endpoint's ID.
+const ENDPOINT: u32 = 7;
+
 fn host(name: &str) -> HostRecord {
     HostRecord {
         host_id: name.to_owned(),
@@ -235,14 +240,14 @@
 #[test]
 fn the_better_ranked_of_two_relays_is_followed() {
     let state = own_state();
-    let load = |requests| vec![EndpointLoad { endpoint: endpoint_hash("e"), requests }];
+    let load = |requests| vec![EndpointLoad { endpoint: ENDPOINT, requests }];
     let mut names = ["p", "q"];
     names.sort_by_key(|name| rank(&host(name)));
     state.receive(status(names[1], None, 100, load(2)));
     state.receive(status(names[0], None, 100, load(5)));
     state.receive(status(names[1], None, 100, load(2)));
-    assert_eq!(state.requests_by_other_hosts(endpoint_hash("e")), Some(5));
-    assert_eq!(state.requests_by_other_hosts(endpoint_hash("unknown")), Some(0));
+    assert_eq!(state.requests_by_other_hosts(ENDPOINT), Some(5));
+    assert_eq!(state.requests_by_other_hosts(ENDPOINT + 1), Some(0));
 }
 
 /// Guards against sums that count a host's own requests twice.
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -7,10 +7,9 @@
     crate::{
         callers::Protocol,
         endpoints::EndpointRecord,
-        followers::{
-            ConfigSink, EndpointSink, Follower, OperatorRecords, RecordDecoder, RecordFeed,
-        },
+        followers::{ConfigSink, EndpointSink, Follower, OperatorRecords, RecordDecoder},
         peers::{Gossip, HostRegistry, announce, receive_gossip, send_gossip},
+        records::RecordFeed,
         settings::{GatewaySettings, load_settings},
         telemetry::{event, start_logging},
     },
--- a/crates/gateway/src/server/state_dump.rs
+++ b/crates/gateway/src/server/state_dump.rs
@@ -1,10 +1,8 @@
 use {
     super::gateway::Gateway,
     crate::{
-        callers::Protocol,
-        clock::BootInstant,
-        endpoints::Endpoint,
-        peers::{FeedKind, PublishedFeed},
+        callers::Protocol, clock::BootInstant, endpoints::Endpoint, peers::PublishedFeed,
+        records::FeedKind,
     },
     serde_json::{Value, json},
     std::time::Instant,
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -1,5 +1,5 @@
 use {
-    crate::peers::FeedComparison,
+    crate::records::FeedComparison,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{
