Add a command that names hosts whose copies of the logs differ

mangoctl copies reads the state of hosts and compares what they know from the same records; exit code 1 if some differ from most others.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -172,6 +172,18 @@
     },
     /// Show the state of the router.
     State,
+    /// Compare what hosts on the users' platform know from the store's logs.
+    #[command(after_help = "\
+Hosts that have read the same records and know different things differ: they use other
+endpoints, or another configuration. The exit code is 1 if any do.
+
+Example:
+  mangoctl copies http://10.1.0.40:7340 http://10.1.0.41:7340")]
+    Copies {
+        /// URLs of the side addresses of the hosts.
+        #[arg(required = true, value_name = "URL")]
+        hosts: Vec<String>,
+    },
     /// Start a planned stop of the router.
     Drain,
     /// Show accepted and rejected changes, newest first.
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -2,6 +2,7 @@
     crate::{
         args::{Args, ChangeArgs, Command, Output},
         client::Client,
+        copies::{read_copies, table},
         failure::Failure,
         output,
         trace::{TraceQuery, trace},
@@ -86,9 +87,14 @@
         };
         return trace(log, &query).map(CommandOutput::from);
     }
+    if let Command::Copies { hosts } = &args.command {
+        return copies(hosts, output);
+    }
     let client = connect(args)?;
     match &args.command {
-        Command::Check { .. } | Command::Trace { .. } => Ok(String::new().into()),
+        Command::Check { .. } | Command::Trace { .. } | Command::Copies { .. } => {
+            Ok(String::new().into())
+        }
         Command::Apply { file, change } => apply(&client, file, change, output),
         Command::Get { kind, id } => {
             get(&client, *kind, id.as_deref(), output).map(CommandOutput::from)
@@ -127,6 +133,20 @@
     }
 }
 
+/// Compares the copies of hosts.
+fn copies(hosts: &[String], output: Output) -> Result<CommandOutput, Failure> {
+    let rows = read_copies(hosts)?;
+    let text = match output {
+        Output::Json => output::json(&rows)?,
+        Output::Table => table(&rows),
+    };
+    let differing = rows.iter().filter(|row| row.differs).count();
+    let failure = (differing > 0).then(|| {
+        Failure::Refused(format!("copies that differ from those of other hosts: {differing}"))
+    });
+    Ok(CommandOutput { text, failure })
+}
+
 fn connect(args: &Args) -> Result<Client, Failure> {
     let router = args.router.clone().or_else(|| env::var("MANGOCTL_ROUTER").ok());
     let token = match &args.token_file {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,6 +3,7 @@
 mod args;
 mod client;
 mod commands;
+mod copies;
 mod failure;
 mod output;
 mod trace;
