--- a/crates/gateway/src/followers/zone_tests/mod.rs
+++ b/crates/gateway/src/followers/zone_tests/mod.rs
@@ -1,6 +1,7 @@
 //! A zone of hosts in virtual time: whatever happens to the store, to endpoints and to hosts, and
 //! whoever relays, all hosts agree with the store soon after it is back.
 
+mod designs;
 mod running_endpoint;
 mod store;
 mod zone;
--- a/crates/gateway/src/followers/zone_tests/running_endpoint.rs
+++ b/crates/gateway/src/followers/zone_tests/running_endpoint.rs
@@ -23,7 +23,7 @@
 pub(super) fn decode_endpoint(key: &str, bytes: &[u8]) -> Result<EndpointRecord, Box<str>> {
     let text = std::str::from_utf8(bytes).map_err(|_| "not text")?;
     let fields: Vec<&str> = text.split(' ').collect();
-    let [start, sequence, state] = fields[..] else { return Err("not three fields".into()) };
+    let [start, sequence, state, ..] = fields[..] else { return Err("not three fields".into()) };
     Ok(EndpointRecord {
         id: key.into(),
         service: "s".into(),
--- a/crates/gateway/src/followers/zone_tests/zone_host.rs
+++ b/crates/gateway/src/followers/zone_tests/zone_host.rs
@@ -11,7 +11,7 @@
             log_copy::LogCopy,
             tests::{own_host, peers_of},
         },
-        peers::{PeerState, RelayedFeedStatus},
+        peers::{PeerState, RelayedFeedStatus, encode_changes},
         records::{FeedKind, LogChanges, LogListing},
         telemetry::GatewayMetrics,
     },
@@ -29,6 +29,18 @@
 /// Interval at which a host reads the store.
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(750);
 
+/// Bandwidth of the relays, in megabits per second.
+const LINK_MBPS: u32 = 1_000;
+
+/// What a host reads from the relay when that has read new records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Design {
+    /// The records since its own position.
+    Records,
+    /// A copy of all that the relay knows.
+    Copies,
+}
+
 pub(super) struct ZoneHost {
     pub(super) peers: Rc<PeerState>,
     pub(super) directory: Rc<Directory>,
@@ -90,6 +102,11 @@
 
     /// Takes a status and, if need be, records from the relay.
     pub(super) fn follow(&mut self, relay: &ZoneHost, now: Now) {
+        self.follow_by(Design::Records, relay, now);
+    }
+
+    /// The same by one of two designs. Returns the bytes that were read from the relay.
+    pub(super) fn follow_by(&mut self, design: Design, relay: &ZoneHost, now: Now) -> usize {
         let feed = relay.peers.published_feed(FeedKind::Endpoints).borrow();
         let status = feed.status(now.boot);
         let age = Duration::from_millis(status.confirmed_age_ms.expect("a usable relay"));
@@ -104,12 +121,19 @@
             digest: status.digest,
         };
         self.copy.record_outage(&status, self.has_failed, now);
-        if let Some(from) = self.copy.missing_from(&status) {
+        let missing_from = match design {
+            Design::Records => self.copy.missing_from(&status),
+            Design::Copies => (self.copy.position() != Some(status.position)).then_some(0),
+        };
+        let mut bytes = 0;
+        if let Some(from) = missing_from {
+            bytes = encode_changes(&feed, from, LINK_MBPS).expect("a few records").len();
             self.copy.apply_relayed(feed.changes(from), from, now);
         }
         if self.copy.follow_status(&status, now) {
             self.has_failed = false;
         }
+        bytes
     }
 
     /// Whether the host uses an endpoint, and knows this start of it.
