Write log lines in parts of at most 4 KiB

No line was dropped by the process (log_lines_dropped 0), and requests were placed on endpoints without a line.

Test: lines_are_written_in_whole_parts.

--- a/crates/gateway/src/telemetry/mod.rs
+++ b/crates/gateway/src/telemetry/mod.rs
@@ -4,6 +4,8 @@
 mod optional_millis;
 mod process_usage;
 mod start_logging;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use {
     event::event, gateway_metrics::GatewayMetrics, optional_millis::OptionalMillis,
--- a/crates/gateway/src/telemetry/non_blocking_writer.rs
+++ b/crates/gateway/src/telemetry/non_blocking_writer.rs
@@ -15,6 +15,9 @@
 
 /// Maximum entries in the queue to the log thread; further lines are dropped and counted.
 const QUEUE_CAPACITY: usize = 512;
+/// Most bytes that are written at once: a pipe takes as many in one piece, so that lines of several
+/// processes do not mix and a collector that reads in blocks gets whole lines.
+const MAX_WRITE_BYTES: usize = 4_096;
 /// Maximum lines per second; further lines are dropped and counted.
 const MAX_LINES_PER_S: u64 = 300;
 /// Pause after each write, so that the next write contains several lines.
@@ -112,8 +115,10 @@
         if count > 0 {
             text.push_str(&format!("level=warn event=log_lines_dropped count={count}\n"));
         }
-        // an error cannot be reported: standard output is the only log
-        let _ = io::stdout().write_all(text.as_bytes());
+        for part in parts_of_lines(&text) {
+            // an error cannot be reported: standard output is the only log
+            let _ = io::stdout().write_all(part.as_bytes());
+        }
         text.clear();
         text.shrink_to(4_096);
         if flushes.is_empty() {
@@ -125,3 +130,21 @@
         }
     }
 }
+
+/// Splits lines into parts that are written at once: whole lines of up to `MAX_WRITE_BYTES` together, or
+/// a single longer one.
+pub(super) fn parts_of_lines(text: &str) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let (mut start, mut end) = (0, 0);
+    for line in text.split_inclusive('\n') {
+        if end > start && end + line.len() - start > MAX_WRITE_BYTES {
+            parts.push(&text[start..end]);
+            start = end;
+        }
+        end += line.len();
+    }
+    if end > start {
+        parts.push(&text[start..end]);
+    }
+    parts
+}
