Add the switch for the parts that handle overload, and their specification

Two customers with hard load need decisions that the other deployments are to be spared. The settings object overload switches each part by_targets (default), on or off; by_targets means that the most urgent streaming route of the configuration has a shorter target latency than each other one. That holds for the two new customers (400 ms before 500 to 1,500 ms), and for none of the seven earlier deployments (800 ms twice, or 1,200 before 1,000 ms), as read from their configurations.

The page docs/design/overload-parts.md specifies the parts; nothing uses the switch yet but the state dump.

--- a/crates/gateway/src/config/mod.rs
+++ b/crates/gateway/src/config/mod.rs
@@ -1,6 +1,7 @@
 mod caller_limits;
 mod config_state;
 mod evacuations;
+mod interactive;
 mod operator_key;
 mod request_kind;
 mod route;
--- a/crates/gateway/src/config/routing_config.rs
+++ b/crates/gateway/src/config/routing_config.rs
@@ -1,5 +1,8 @@
 use {
-    super::{caller_limits::CallerLimits, route::Route, service::Service, team::Team},
+    super::{
+        caller_limits::CallerLimits, interactive::has_interactive_route, route::Route,
+        service::Service, team::Team,
+    },
     std::{collections::HashMap, rc::Rc},
 };
 
@@ -14,6 +17,7 @@
     /// Teams by API key.
     teams: HashMap<Box<str>, Rc<Team>>,
     requires_api_key: bool,
+    has_interactive_route: bool,
 }
 
 impl RoutingConfig {
@@ -25,6 +29,7 @@
         services: Vec<Service>,
         teams: Option<Vec<Team>>,
     ) -> RoutingConfig {
+        let has_interactive_route = has_interactive_route(&routes);
         let mut by_host: HashMap<Rc<str>, Vec<Rc<Route>>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host_name.clone()).or_default().push(Rc::new(route));
@@ -48,6 +53,7 @@
             services,
             teams: by_key,
             requires_api_key,
+            has_interactive_route,
         }
     }
 
@@ -66,6 +72,11 @@
         self.requires_api_key
     }
 
+    /// Whether the routes' targets ask for answers in time before all others.
+    pub(crate) fn has_interactive_route(&self) -> bool {
+        self.has_interactive_route
+    }
+
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
     }
--- a/crates/gateway/src/config/tests.rs
+++ b/crates/gateway/src/config/tests.rs
@@ -62,3 +62,29 @@
     assert!(state.is_confirmed(start + Duration::from_secs(4)));
     assert!(!state.is_confirmed(start + Duration::from_millis(4_001)));
 }
+
+/// Guards against parts that are switched on by targets that do not ask for them, or that are switched
+/// off when an operator moves a route to another service.
+#[test]
+fn an_interactive_route_has_the_shortest_target_of_all() {
+    let has_interactive_route = |routes: &[(u8, u64, &str)]| {
+        let streaming = |&(priority, target_latency_ms, service): &(u8, u64, &str)| Route {
+            kind: RequestKind::Streaming,
+            shares: vec![ServiceShare { service: service.into(), weight: 1 }],
+            priority,
+            target_latency_ms,
+            ..route("/a/")
+        };
+        // the plain route is more urgent and has a shorter target, but does not count
+        let routes = routes.iter().map(streaming).chain([route("/b/")]).collect();
+        let limits = CallerLimits::default();
+        RoutingConfig::new(1, limits, routes, Vec::new(), None).has_interactive_route()
+    };
+    assert!(has_interactive_route(&[(2, 1_500, "s"), (0, 400, "s"), (1, 500, "s")]));
+    assert!(has_interactive_route(&[(1, 800, "s"), (0, 400, "moved"), (2, 500, "s")]));
+    assert!(!has_interactive_route(&[(0, 800, "s"), (1, 800, "s"), (2, 1_200, "s")]));
+    assert!(!has_interactive_route(&[(0, 1_200, "s"), (1, 1_000, "s")]));
+    assert!(!has_interactive_route(&[(0, 400, "s"), (0, 500, "s")]));
+    assert!(!has_interactive_route(&[(0, 400, "s")]));
+    assert!(!has_interactive_route(&[]));
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,5 +45,5 @@
     records::{FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
     retry::{AttemptHistory, NextStep, RetryBudget, RetryPolicy, SendOutcome, next_step},
     server::{PlatformAdapters, run},
-    settings::{Bounds, GatewaySettings, load_settings},
+    settings::{Activation, Bounds, GatewaySettings, OverloadSettings, load_settings},
 };
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -11,7 +11,7 @@
         peers::{MaxConfirmationAges, PeerState},
         queueing::Permits,
         retry::RetryBudget,
-        settings::{Bounds, GatewaySettings},
+        settings::{Bounds, GatewaySettings, OverloadPolicy},
         telemetry::GatewayMetrics,
     },
     mango_wire::gossip::HostRecord,
@@ -131,6 +131,13 @@
         self.config.current().map(|config| config.limits).unwrap_or_default()
     }
 
+    /// The parts of the handling of overload that act under the configuration in force.
+    pub(crate) fn overload_policy(&self) -> OverloadPolicy {
+        let is_interactive =
+            self.config.current().is_some_and(|config| config.has_interactive_route());
+        self.settings.overload.policy(is_interactive)
+    }
+
     /// Whether the load balancer should open new connections to this host.
     pub(crate) fn is_ready(&self) -> bool {
         let is_confirmed = !self.settings.bounds.refuses_unconfirmed_keys
--- a/crates/gateway/src/server/state_dump.rs
+++ b/crates/gateway/src/server/state_dump.rs
@@ -41,6 +41,7 @@
             "hosts_sharing_limits": peers.hosts_sharing_limits(),
         },
         "evacuated_zones": gateway.evacuations.zones().iter().map(|zone| &**zone).collect::<Vec<_>>(),
+        "overload_parts": gateway.overload_policy(),
         "services": gateway.service_states(),
         "prompt_parts": gateway.blocklist.state(),
         "endpoints": endpoints,
--- a/crates/gateway/src/settings/gateway_settings.rs
+++ b/crates/gateway/src/settings/gateway_settings.rs
@@ -1,4 +1,5 @@
 use {
+    super::overload_settings::OverloadSettings,
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
 };
@@ -42,6 +43,8 @@
     /// Whether the whole fleet starts for the first time: then no host is registered yet.
     #[serde(default)]
     pub is_first_start: bool,
+    #[serde(default)]
+    pub overload: OverloadSettings,
     /// Log specification in the format of `flexi_logger`.
     #[serde(default = "default_log_spec")]
     pub log_spec: String,
