Add the messages for demand, outages of endpoints and store generations

DemandReport and OutageReport are appended to the messages between hosts, so that older hosts drop only these; the state of a log and relayed changes carry the era of the store, which is 0 until it is read. Nothing sends or uses them yet.

--- a/crates/gateway/src/followers/log_copy_tests.rs
+++ b/crates/gateway/src/followers/log_copy_tests.rs
@@ -46,7 +46,8 @@
         let now = self.after(seconds);
         self.copy.record_outage(relay, has_failed, now);
         let removal = RelayedRecord { offset: 2, key: "a".to_owned(), value: Vec::new() };
-        let changes = RelayedChanges { position: 3, records: vec![removal], is_complete: false };
+        let changes =
+            RelayedChanges { position: 3, records: vec![removal], is_complete: false, era: 0 };
         self.copy.apply_relayed(changes, 2, now);
     }
 }
@@ -172,7 +173,8 @@
     let mut host = Host::new();
     let now = host.after(1.0);
     let returned = RelayedRecord { offset: 9, key: "a".to_owned(), value: b"2".to_vec() };
-    let changes = RelayedChanges { position: 10, records: vec![returned], is_complete: false };
+    let changes =
+        RelayedChanges { position: 10, records: vec![returned], is_complete: false, era: 0 };
     host.copy.apply_relayed(changes, 2, now);
     let feed = host.peers.published_feed(FeedKind::Endpoints).borrow();
     let keys: Vec<_> = feed.changes(6).records.into_iter().map(|record| record.key).collect();
--- a/crates/gateway/src/followers/relay_tests.rs
+++ b/crates/gateway/src/followers/relay_tests.rs
@@ -85,6 +85,7 @@
         confirmed_span_ms: 1,
         follows_outage: true,
         digest: 9,
+        era: 0,
     };
     let host = HostRecord {
         host_id: "host-0".to_owned(),
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -127,6 +127,8 @@
             GossipMessage::LoadChanges(changes) => &changes.host,
             GossipMessage::PartReport(report) => &report.host,
             GossipMessage::DepartureReport(report) => &report.host,
+            GossipMessage::DemandReport(report) => &report.host,
+            GossipMessage::OutageReport(report) => &report.host,
         };
         if host.host_id == self.own_host.host_id {
             return;
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -125,6 +125,7 @@
             confirmed_span_ms: self.continuity.span.as_millis() as u64,
             follows_outage: self.continuity.follows_outage,
             digest: self.digest,
+            era: 0,
         }
     }
 
@@ -145,7 +146,7 @@
             })
             .collect();
         records.sort_by_key(|record| record.offset);
-        RelayedChanges { position: self.position.unwrap_or(0), records, is_complete }
+        RelayedChanges { position: self.position.unwrap_or(0), records, is_complete, era: 0 }
     }
 
     /// The encoded changes since an offset; `None` if they are too large.
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -64,6 +64,7 @@
         confirmed_span_ms: 0,
         follows_outage: false,
         digest: 0,
+        era: 0,
     };
     GossipMessage::RelayStatus(RelayStatus {
         host: host(from),
