--- a/crates/standins/src/proxy/fault_proxy.rs
+++ b/crates/standins/src/proxy/fault_proxy.rs
@@ -86,6 +86,11 @@
         self.shared.close_all(Shutdown::Read);
     }
 
+    /// Lets the open connections go silent for good, without closing them; new ones work.
+    pub fn silence_connections(&self) {
+        self.shared.faults.silence_all();
+    }
+
     /// Sets whether new connections are closed at once.
     pub fn set_refusing(&self, refusing: bool) {
         self.shared.faults.set_refusing(refusing);
@@ -138,8 +143,8 @@
         // the lock ensures that `close_all` does not miss the new connection
         let mut open = self.open.lock();
         open.retain(|stream| stream.peer_addr().is_ok());
-        let close_count = self.faults.close_count();
-        ProxyLink::start(&caller, &target, &self.faults, close_count)?;
+        let start = self.faults.link_start();
+        ProxyLink::start(&caller, &target, &self.faults, start)?;
         open.push(caller);
         open.push(target);
         Ok(())
--- a/crates/standins/src/proxy/proxy_faults.rs
+++ b/crates/standins/src/proxy/proxy_faults.rs
@@ -18,6 +18,16 @@
     // the write side open, so that a socket with a linger time of 0 sends a TCP reset
     // when it is dropped
     shutdown: Shutdown,
+    // how often the open links were silenced; a link that started at a lower count forwards
+    // nothing any more
+    silence_count: u64,
+}
+
+/// The state of the faults when a link started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LinkStart {
+    close_count: u64,
+    silence_count: u64,
 }
 
 /// Faults that all links of a proxy share.
@@ -34,6 +44,7 @@
             delay: Duration::ZERO,
             close_count: 0,
             shutdown: Shutdown::Both,
+            silence_count: 0,
         };
         Self { faults: Mutex::new(faults), changed: Condvar::new() }
     }
@@ -64,14 +75,21 @@
         self.changed.notify_all();
     }
 
-    /// How a link that started at `close_count` shuts its sockets down at its end.
-    pub(crate) fn shutdown(&self, close_count: u64) -> Shutdown {
+    /// Lets all links that exist now forward nothing any more, without closing them.
+    pub(crate) fn silence_all(&self) {
+        self.faults.lock().silence_count += 1;
+    }
+
+    /// How a link shuts its sockets down at its end.
+    pub(crate) fn shutdown(&self, start: LinkStart) -> Shutdown {
         let faults = self.faults.lock();
-        if faults.close_count == close_count { Shutdown::Both } else { faults.shutdown }
+        if faults.close_count == start.close_count { Shutdown::Both } else { faults.shutdown }
     }
 
-    pub(crate) fn close_count(&self) -> u64 {
-        self.faults.lock().close_count
+    /// What a link that starts now has to remember.
+    pub(crate) fn link_start(&self) -> LinkStart {
+        let faults = self.faults.lock();
+        LinkStart { close_count: faults.close_count, silence_count: faults.silence_count }
     }
 
     /// Earliest time to forward data that arrives now.
@@ -79,20 +97,21 @@
         Instant::now() + self.faults.lock().delay
     }
 
-    /// Waits until `forward_at` and while the direction is frozen. Returns whether
-    /// the link, which started at `close_count`, is still open.
+    /// Waits until `forward_at` and while the direction is frozen or the link silenced. Returns
+    /// whether the link is still open.
     pub(crate) fn wait_to_forward(
         &self,
         direction: Direction,
         forward_at: Instant,
-        close_count: u64,
+        start: LinkStart,
     ) -> bool {
         let mut faults = self.faults.lock();
         loop {
-            if faults.close_count != close_count {
+            if faults.close_count != start.close_count {
                 return false;
             }
-            if faults.frozen[direction as usize] {
+            let is_silent = faults.silence_count != start.silence_count;
+            if is_silent || faults.frozen[direction as usize] {
                 self.changed.wait(&mut faults);
             } else if Instant::now() < forward_at {
                 self.changed.wait_until(&mut faults, forward_at);
--- a/crates/standins/src/proxy/proxy_link.rs
+++ b/crates/standins/src/proxy/proxy_link.rs
@@ -1,5 +1,5 @@
 use {
-    crate::proxy::{Direction, ProxyFaults},
+    crate::proxy::{Direction, ProxyFaults, proxy_faults::LinkStart},
     crossbeam::channel::{Receiver, Sender, bounded},
     std::{
         io::{self, Read, Write},
@@ -27,8 +27,7 @@
     to: TcpStream,
     faults: Arc<ProxyFaults>,
     direction: Direction,
-    // count in `ProxyFaults` when the connection started
-    close_count: u64,
+    start: LinkStart,
 }
 
 impl ProxyLink {
@@ -37,7 +36,7 @@
         caller: &TcpStream,
         target: &TcpStream,
         faults: &Arc<ProxyFaults>,
-        close_count: u64,
+        start: LinkStart,
     ) -> io::Result<()> {
         let directions =
             [(Direction::ToTarget, caller, target), (Direction::ToCaller, target, caller)];
@@ -45,7 +44,7 @@
             let (sender, receiver) = bounded(MAX_CHUNKS);
             let new_link = || -> io::Result<Self> {
                 let (from, to) = (from.try_clone()?, to.try_clone()?);
-                Ok(Self { from, to, faults: faults.clone(), direction, close_count })
+                Ok(Self { from, to, faults: faults.clone(), direction, start })
             };
             let (reader, writer) = (new_link()?, new_link()?);
             spawn("proxy-read", move || reader.read(&sender))?;
@@ -69,7 +68,7 @@
 
     fn write(mut self, receiver: &Receiver<Chunk>) {
         for chunk in receiver {
-            if !self.faults.wait_to_forward(self.direction, chunk.forward_at, self.close_count) {
+            if !self.faults.wait_to_forward(self.direction, chunk.forward_at, self.start) {
                 break;
             }
             if chunk.bytes.is_empty() {
@@ -81,7 +80,7 @@
             }
         }
         // fails only if the connections are already closed
-        let shutdown = self.faults.shutdown(self.close_count);
+        let shutdown = self.faults.shutdown(self.start);
         let _ = self.to.shutdown(shutdown);
         let _ = self.from.shutdown(shutdown);
     }
