Log what a listing of the store returned

Their logs told from where on records were relayed, not what a listing held and where it ended, so a record between the two could not be seen from them.

--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -153,6 +153,15 @@
         if has_failed {
             self.end_outage(&[], now);
         }
+        let newest = listing.records.iter().map(|record| record.offset).max();
+        event!(
+            "log_listed",
+            "feed={} records={} end={} newest={}",
+            S::KIND,
+            listing.records.len(),
+            listing.end,
+            newest.map_or(-1, |offset| offset as i64)
+        );
         self.replace_all(&listing.records, listing.end, now);
         self.set_position(listing.end);
         self.confirm(sent_at, now);
