Make the era of the store a part of each position

What callers saw: hosts refuse routes that were added (404) and send requests to endpoints that had left, for seconds, while their lines call the configuration 0.1 to 1.1 s old; on all hosts at once, in both logs. A route, a key or an endpoint that was withdrawn could come back.

Cause: the store may come back from a copy that is some seconds old; offsets are then assigned again. A position was an offset alone, so records at offsets that had been read before were never read, and each further read confirmed the copy. Class: a position in a log without the identity of the log. In a new era all records are listed, and what a host knows does not go back: the newer configuration stays in force, unconfirmed until the store has it; endpoints that are missing are kept until they have written again; endpoints that were not known wait for their heartbeat; evacuations are kept until they are settled; hosts check their own record. Held-back records now have to stand up to a time for which the log is known, without outages.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -1,9 +1,12 @@
 use {
-    super::record_sink::{RecordDecoder, RecordSink},
+    super::{
+        record_sink::{RecordDecoder, RecordSink},
+        unsettled_evacuations::UnsettledEvacuations,
+    },
     crate::{
-        clock::BootInstant,
+        clock::Now,
         config::{ConfigState, Evacuations, OperatorKey, RoutingConfig},
-        records::{FeedKind, RawRecord},
+        records::{Era, FeedKind, RawRecord},
         telemetry::{GatewayMetrics, event},
     },
     std::{
@@ -35,6 +38,13 @@
     /// Whether the newest record could be decoded; otherwise the configuration in force is
     /// not confirmed.
     is_readable: bool,
+    /// Whether the store came back from an older copy that was not listed yet.
+    has_new_era: bool,
+    /// Whether the store has only an older configuration than the one in force, since it came back
+    /// from an older copy: the operators are about to write it again.
+    is_ahead_of_store: bool,
+    /// Evacuations that are missing in the older copy, and may be written again.
+    unsettled: Option<UnsettledEvacuations>,
 }
 
 impl ConfigSink {
@@ -45,7 +55,17 @@
         poll_wait: Duration,
         metrics: Rc<GatewayMetrics>,
     ) -> ConfigSink {
-        ConfigSink { state, evacuations, records, metrics, poll_wait, is_readable: false }
+        ConfigSink {
+            state,
+            evacuations,
+            records,
+            metrics,
+            poll_wait,
+            is_readable: false,
+            has_new_era: false,
+            is_ahead_of_store: false,
+            unsettled: None,
+        }
     }
 
     /// Applies a configuration unless a newer one is in force. Returns whether it was applied.
@@ -65,8 +85,17 @@
         is_applied
     }
 
+    /// Ends the evacuations that have not been written again since the store came back from an older
+    /// copy.
+    fn settle_evacuations(&mut self, now: Instant) {
+        if let Some(unsettled) = self.unsettled.take() {
+            self.evacuations.replace_all(unsettled.zones(), now);
+        }
+    }
+
     /// Applies a record of the configuration. Returns whether peers need it: it changed the
-    /// configuration in force, or cannot be read, so that nothing is confirmed any more.
+    /// configuration in force, was missing in the store, or cannot be read, so that nothing is
+    /// confirmed any more.
     fn apply_config_record(&mut self, record: &RawRecord) -> bool {
         let (key, offset) = (&record.key, record.offset);
         if record.value.is_empty() {
@@ -76,7 +105,11 @@
         match (self.records.decode_config)(key, &record.value) {
             Ok(config) => {
                 self.is_readable = true;
-                self.apply_config(config, offset)
+                let is_older = config.version < self.state.version();
+                let was_ahead = self.is_ahead_of_store;
+                self.is_ahead_of_store = is_older && (self.has_new_era || was_ahead);
+                let is_applied = self.apply_config(config, offset);
+                is_applied || (was_ahead && !self.is_ahead_of_store)
             }
             Err(reason) => {
                 self.is_readable = false;
@@ -98,27 +131,63 @@
         self.poll_wait
     }
 
-    fn replace_all(&mut self, records: &[RawRecord], now: Instant) {
+    fn era_changed(&mut self, era: Era, _now: Instant) {
+        self.metrics.store_era.set(era as i64);
+        self.has_new_era = true;
+    }
+
+    fn is_ahead_of_store(&self) -> bool {
+        self.is_ahead_of_store
+    }
+
+    /// Evacuations that are missing in an older copy stay in force until they may have been written
+    /// again.
+    fn replace_all(&mut self, records: &[RawRecord], now: Instant) -> Vec<Box<str>> {
         let mut evacuated = BTreeSet::new();
+        let mut newer = Vec::new();
         for record in records {
             match (self.records.key)(&record.key) {
-                Some(OperatorKey::Config) => drop(self.apply_config_record(record)),
+                Some(OperatorKey::Config) => {
+                    self.apply_config_record(record);
+                    newer.extend(self.is_ahead_of_store.then(|| record.key.clone()));
+                }
                 Some(OperatorKey::Evacuation { zone }) if !record.value.is_empty() => {
                     evacuated.insert(zone);
                 }
                 Some(OperatorKey::Evacuation { .. }) | None => {}
             }
         }
-        self.evacuations.replace_all(&evacuated, now);
+        if std::mem::take(&mut self.has_new_era) {
+            for zone in &evacuated {
+                self.evacuations.begin(zone);
+            }
+            self.unsettled = Some(UnsettledEvacuations::new(evacuated, now));
+        } else {
+            self.unsettled = None;
+            self.evacuations.replace_all(&evacuated, now);
+        }
+        newer
     }
 
     fn apply(&mut self, record: &RawRecord, now: Instant) -> bool {
         match (self.records.key)(&record.key) {
-            Some(OperatorKey::Config) => self.apply_config_record(record),
+            Some(OperatorKey::Config) => {
+                let is_news = self.apply_config_record(record);
+                self.settle_evacuations(now);
+                is_news
+            }
             Some(OperatorKey::Evacuation { zone }) if record.value.is_empty() => {
+                if let Some(unsettled) = &mut self.unsettled {
+                    unsettled.end(&zone);
+                }
                 self.evacuations.end(&zone, now)
             }
-            Some(OperatorKey::Evacuation { zone }) => self.evacuations.begin(&zone),
+            Some(OperatorKey::Evacuation { zone }) => {
+                if let Some(unsettled) = &mut self.unsettled {
+                    unsettled.begin(&zone);
+                }
+                self.evacuations.begin(&zone)
+            }
             None => false,
         }
     }
@@ -129,9 +198,9 @@
         zones.fold(self.state.version(), |digest, zone| digest ^ zone)
     }
 
-    fn confirmed(&mut self, at: BootInstant) {
+    fn confirmed(&mut self, at: Now) {
         if self.is_readable {
-            self.state.confirm(at);
+            self.state.confirm(at.boot);
         }
     }
 
@@ -141,7 +210,10 @@
 
     fn store_returned(&mut self, _outage: Duration, _at: Instant) {}
 
-    fn expire(&mut self, _now: Instant) -> Option<Instant> {
-        None
+    fn expire(&mut self, now: Instant) -> Option<Instant> {
+        if self.unsettled.as_ref().is_some_and(|unsettled| unsettled.settled_at() <= now) {
+            self.settle_evacuations(now);
+        }
+        self.unsettled.as_ref().map(UnsettledEvacuations::settled_at)
     }
 }
--- a/crates/gateway/src/followers/doubtful_records.rs
+++ b/crates/gateway/src/followers/doubtful_records.rs
@@ -1,6 +1,9 @@
 use {
     crate::endpoints::{EndpointId, EndpointRecord},
-    std::{collections::BTreeMap, time::Instant},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// Records that may be another writer's: they contradict what the endpoint said, or are older.
@@ -28,6 +31,11 @@
         self.by_id.insert(record.id.clone(), DoubtfulRecord { record, accepted_at });
     }
 
+    /// Whether a record with the same content is held back.
+    pub(super) fn holds(&self, record: &EndpointRecord) -> bool {
+        self.by_id.get(&record.id).is_some_and(|held| held.record.digest() == record.digest())
+    }
+
     /// Forgets the record of an endpoint, since a newer one settled the doubt.
     pub(super) fn forget(&mut self, id: &str) {
         self.by_id.remove(id);
@@ -39,8 +47,15 @@
         accepted.map(|(_, held)| held.record).collect()
     }
 
-    /// When the next record is to be accepted.
-    pub(super) fn next_due(&self) -> Option<Instant> {
-        self.by_id.values().map(|held| held.accepted_at).min()
+    /// Accepts all records later, since none could be replaced for a time.
+    pub(super) fn postpone(&mut self, time: Duration) {
+        for held in self.by_id.values_mut() {
+            held.accepted_at += time;
+        }
+    }
+
+    /// When the next record is to be accepted that was not due before.
+    pub(super) fn next_due(&self, now: Instant) -> Option<Instant> {
+        self.by_id.values().map(|held| held.accepted_at).filter(|at| *at > now).min()
     }
 }
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -5,9 +5,9 @@
         record_sink::{RecordDecoder, RecordSink},
     },
     crate::{
-        clock::BootInstant,
+        clock::Now,
         endpoints::{Directory, EndpointRecord},
-        records::{FeedKind, RawRecord},
+        records::{Era, FeedKind, RawRecord},
         telemetry::{GatewayMetrics, event},
     },
     std::{
@@ -22,6 +22,9 @@
 /// Time for which a doubtful record has to stand, in heartbeats: longer than the store keeps the record of
 /// an endpoint that is silent.
 const ACCEPTANCE_HEARTBEATS: f64 = 3.5;
+/// The same for a record in an older copy of the store whose endpoint may have left: longer than the
+/// record lasts and the hosts take to learn of its removal.
+const OLDER_COPY_HEARTBEATS: f64 = 7.0;
 /// Time within which endpoints write expired records again after the store's recovery.
 const RENEWAL_TIME: Duration = Duration::from_millis(2_100);
 
@@ -45,6 +48,10 @@
     /// Endpoints whose record is removed before this time stay in use until then: the record
     /// may have expired in an outage of the store.
     keep_removed_until: Option<Instant>,
+    /// Whether the store came back from an older copy that was not listed yet.
+    has_new_era: bool,
+    /// Up to when all records are known.
+    confirmed_at: Option<Instant>,
 }
 
 impl EndpointSink {
@@ -65,6 +72,8 @@
             doubtful: DoubtfulRecords::default(),
             unreadable_keys: BTreeSet::new(),
             keep_removed_until: None,
+            has_new_era: false,
+            confirmed_at: None,
         }
     }
 
@@ -114,7 +123,7 @@
     }
 
     /// Holds back a record that may be another writer's, until it has stood for some heartbeats.
-    fn hold(&mut self, record: EndpointRecord, now: Instant) {
+    fn hold(&mut self, record: EndpointRecord, heartbeats: f64, now: Instant) {
         self.metrics.doubtful_endpoint_records.inc();
         event!(
             "endpoint_record_doubtful",
@@ -125,7 +134,7 @@
             record.state,
             record.sequence
         );
-        self.doubtful.hold(record, now + self.heartbeat.mul_f64(ACCEPTANCE_HEARTBEATS));
+        self.doubtful.hold(record, now + self.heartbeat.mul_f64(heartbeats));
     }
 
     fn record_unreadable(&mut self, record: &RawRecord, reason: &str) {
@@ -160,21 +169,46 @@
         Duration::ZERO
     }
 
+    /// Endpoints that are missing in the older copy write their records again; they are kept meanwhile.
+    fn era_changed(&mut self, _era: Era, now: Instant) {
+        let renewed_at = now + self.heartbeat.mul_f64(ACCEPTANCE_HEARTBEATS);
+        self.keep_removed_until = self.keep_removed_until.max(Some(renewed_at));
+        self.doubtful = DoubtfulRecords::default();
+        self.has_new_era = true;
+    }
+
+    fn is_ahead_of_store(&self) -> bool {
+        false
+    }
+
     /// An endpoint whose record in the listing cannot be read keeps its last one.
-    fn replace_all(&mut self, records: &[RawRecord], now: Instant) {
+    fn replace_all(&mut self, records: &[RawRecord], now: Instant) -> Vec<Box<str>> {
         let listed = records.iter().filter(|record| !record.value.is_empty());
-        let endpoints = listed
+        let mut endpoints: Vec<EndpointRecord> = listed
             .filter_map(|record| match self.decode(record) {
                 Some(endpoint) => Some(endpoint),
                 None => self.known.get(&record.key).cloned(),
             })
             .collect();
-        for record in self.known.replace_all(endpoints) {
-            self.hold(record, now);
+        // an older copy may have records of endpoints that have left since
+        let has_new_era = std::mem::take(&mut self.has_new_era);
+        let may_have_left = |record: &mut EndpointRecord| {
+            let is_unknown = self.known.get(&record.id).is_none();
+            is_unknown && (has_new_era || self.doubtful.holds(record))
+        };
+        let unknown: Vec<_> = endpoints.extract_if(.., may_have_left).collect();
+        for record in unknown {
+            self.hold(record, OLDER_COPY_HEARTBEATS, now);
+        }
+        let older = self.known.replace_all(endpoints);
+        let newer = older.iter().map(|record| (*record.id).into()).collect();
+        for record in older {
+            self.hold(record, ACCEPTANCE_HEARTBEATS, now);
         }
         let endpoints = self.known.all().cloned().collect();
         self.directory.replace_all(endpoints, self.removal_grace_end(now));
         self.metrics.endpoints.set(self.directory.len() as i64);
+        newer
     }
 
     /// Peers need each removal, also of an endpoint that this host does not know.
@@ -193,7 +227,7 @@
                     self.doubtful.forget(&endpoint.id);
                     self.directory.upsert(endpoint);
                 }
-                RecordNews::Doubtful => self.hold(endpoint, now),
+                RecordNews::Doubtful => self.hold(endpoint, ACCEPTANCE_HEARTBEATS, now),
             }
             // hosts that listed the unreadable record do not know the endpoint
             news != RecordNews::Heartbeat || was_unreadable
@@ -206,7 +240,9 @@
         self.known.digest()
     }
 
-    fn confirmed(&mut self, _at: BootInstant) {}
+    fn confirmed(&mut self, at: Now) {
+        self.confirmed_at = self.confirmed_at.max(Some(at.instant));
+    }
 
     fn return_time(&self, outage: Duration, changes: &[RawRecord], now: Instant) -> Instant {
         // each endpoint writes one record per heartbeat: the number of records shows for how
@@ -226,16 +262,20 @@
             at.elapsed().as_millis()
         );
         self.keep_removed_until = self.keep_removed_until.max(Some(at + RENEWAL_TIME));
+        // endpoints could not write, and records did not lapse
+        self.doubtful.postpone(outage);
     }
 
     fn expire(&mut self, now: Instant) -> Option<Instant> {
-        for record in self.doubtful.take_accepted(now) {
+        // a record that was replaced or removed meanwhile does not stand any more
+        let confirmed_at = self.confirmed_at.unwrap_or(now).min(now);
+        for record in self.doubtful.take_accepted(confirmed_at) {
             event!("endpoint_record_accepted", "endpoint={}", record.id);
             self.known.accept(record.clone());
             self.directory.upsert(record);
         }
         let due = self.directory.expire(now);
         self.metrics.endpoints.set(self.directory.len() as i64);
-        [due, self.doubtful.next_due()].into_iter().flatten().min()
+        [due, self.doubtful.next_due(now)].into_iter().flatten().min()
     }
 }
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -89,7 +89,8 @@
     /// moment ago.
     fn relay_status(&self) -> Option<RelayedFeedStatus> {
         let is_paused = self.relay_paused_until.is_some_and(|until| Instant::now() < until);
-        self.peers.relayed_feed_status(self.kind).filter(|_| !is_paused)
+        let status = self.peers.relayed_feed_status(self.kind).filter(|_| !is_paused);
+        status.filter(|status| self.copy.accepts_era(status.era))
     }
 
     /// Returns the relay's state of the log if the log is to be read from the relay now.
@@ -144,7 +145,7 @@
                     .map(|changes| StoreAnswer::Changes(changes, from, wait))
             }
         };
-        match result {
+        match result.and_then(|answer| self.check_era(answer)) {
             Ok(answer) => {
                 let at_end = self.apply_answer(answer, sent_at);
                 let due = self.copy.sink.expire(Instant::now());
@@ -174,6 +175,18 @@
         }
     }
 
+    /// Rejects an answer from before the last return of the store from an older copy.
+    fn check_era(&self, answer: StoreAnswer) -> Result<StoreAnswer, FeedError> {
+        let era = match &answer {
+            StoreAnswer::Listing(listing) => listing.era,
+            StoreAnswer::Changes(changes, _, _) => changes.era,
+        };
+        match self.copy.accepts_era(era) {
+            true => Ok(answer),
+            false => Err(FeedError::Unavailable("the response is of an earlier era".into())),
+        }
+    }
+
     /// Pauses, but not beyond the time at which the log can be read from a relay.
     async fn pause_without_relay(&self, pause: Duration) {
         let ends_at = Instant::now() + pause;
--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -3,7 +3,7 @@
     crate::{
         clock::{BootInstant, Now},
         peers::{PeerState, RelayedFeedStatus},
-        records::{LogChanges, LogListing, Offset, RawRecord},
+        records::{Era, LogChanges, LogListing, Offset, RawRecord},
         telemetry::event,
     },
     mango_wire::gossip::{RelayedChanges, RelayedRecord},
@@ -20,6 +20,9 @@
     peers: Rc<PeerState>,
     /// Offset of the next record; `None` before the first listing.
     position: Option<Offset>,
+    /// Generation of the store's contents to which the position belongs; `None` before the first
+    /// listing.
+    era: Option<Era>,
     confirmations: Confirmations,
     agreement: Agreement,
 }
@@ -30,6 +33,7 @@
             sink,
             peers,
             position: None,
+            era: None,
             confirmations: Confirmations::default(),
             agreement: Agreement::default(),
         }
@@ -44,6 +48,28 @@
         self.position = None;
     }
 
+    /// Whether an answer or a status is not from before the last return of the store from an older
+    /// copy.
+    pub(super) fn accepts_era(&self, era: Era) -> bool {
+        self.era.is_none_or(|own| era >= own)
+    }
+
+    /// Goes on with the records of an era. The position in an earlier one means nothing in it.
+    fn enter_era(&mut self, era: Era, now: Instant) {
+        if let Some(previous) = self.era.filter(|previous| *previous != era) {
+            event!(
+                "store_era_changed",
+                "feed={} era={era} previous={previous} position={:?}",
+                S::KIND,
+                self.position
+            );
+            self.sink.era_changed(era, now);
+            self.peers.record_era_change();
+            self.reset_position();
+        }
+        self.era = Some(era);
+    }
+
     /// Time since the copy was last known to be current.
     pub(super) fn confirmation_age(&self, now: Instant) -> Option<Duration> {
         self.confirmations.age(now)
@@ -66,7 +92,8 @@
     /// The offset from which on records have to be read from the relay; `None` if the copy has all
     /// that the relay passes on.
     pub(super) fn missing_from(&self, relay: &RelayedFeedStatus) -> Option<Offset> {
-        let Some(position) = self.position else { return Some(0) };
+        let position = self.position.filter(|_| self.era == Some(relay.era));
+        let Some(position) = position else { return Some(0) };
         relay.last_change.is_some_and(|offset| offset >= position).then_some(position)
     }
 
@@ -80,6 +107,13 @@
             changes.records.len(),
             changes.is_complete
         );
+        let is_same_era = self.era == Some(changes.era);
+        if !is_same_era && (from > 0 || !self.accepts_era(changes.era)) {
+            // the offset belongs to another era than the records
+            self.reset_position();
+            return;
+        }
+        self.enter_era(changes.era, now.instant);
         let records: Vec<RawRecord> = changes
             .records
             .into_iter()
@@ -105,6 +139,9 @@
     /// Takes over the position and the confirmation of a relay, as far as the copy has all records
     /// that the relay passes on. Returns whether the copy is current.
     pub(super) fn follow_status(&mut self, relay: &RelayedFeedStatus, now: Now) -> bool {
+        if self.era != Some(relay.era) {
+            return false;
+        }
         let own_position = self.position.unwrap_or(0);
         // the records up to the relay's position say nothing new: skip them
         if relay.last_change.is_none_or(|offset| offset < own_position)
@@ -113,7 +150,8 @@
             self.set_position(relay.position);
         }
         let is_complete = self.position.unwrap_or(0) >= relay.position;
-        let confirmed_at = relay.confirmed_at.filter(|_| is_complete);
+        let is_current = is_complete && !self.sink.is_ahead_of_store();
+        let confirmed_at = relay.confirmed_at.filter(|_| is_current);
         if let Some(at) = confirmed_at {
             self.confirm(at, now);
         }
@@ -150,17 +188,19 @@
         sent_at: BootInstant,
         now: Now,
     ) {
+        self.enter_era(listing.era, now.instant);
         if has_failed {
             self.end_outage(&[], now);
         }
         let newest = listing.records.iter().map(|record| record.offset).max();
         event!(
             "log_listed",
-            "feed={} records={} end={} newest={}",
+            "feed={} records={} end={} newest={} era={}",
             S::KIND,
             listing.records.len(),
             listing.end,
-            newest.map_or(-1, |offset| offset as i64)
+            newest.map_or(-1, |offset| offset as i64),
+            listing.era
         );
         self.replace_all(&listing.records, listing.end, now);
         self.set_position(listing.end);
@@ -176,7 +216,12 @@
         complete_at: BootInstant,
         now: Now,
     ) -> bool {
-        let LogChanges { records, next, end } = changes;
+        let LogChanges { records, next, end, era } = changes;
+        if self.era != Some(era) {
+            // the offset from which was read belongs to another era
+            self.reset_position();
+            return false;
+        }
         if has_failed {
             self.end_outage(&records, now);
         }
@@ -206,8 +251,10 @@
     }
 
     fn replace_all(&mut self, records: &[RawRecord], end: Offset, now: Now) {
-        self.sink.replace_all(records, now.instant);
-        self.peers.published_feed(S::KIND).borrow_mut().replace_all(records, end);
+        let newer = self.sink.replace_all(records, now.instant);
+        let mut published = self.peers.published_feed(S::KIND).borrow_mut();
+        published.set_era(self.era.unwrap_or_default());
+        published.replace_all(records, end, &newer);
     }
 
     fn apply(&mut self, record: &RawRecord, now: Now) {
@@ -223,9 +270,13 @@
     }
 
     fn confirm(&mut self, at: BootInstant, now: Now) {
+        if self.sink.is_ahead_of_store() {
+            return;
+        }
         let age = now.boot.saturating_duration_since(at);
-        self.confirmations.record(now.instant.checked_sub(age).unwrap_or(now.instant));
-        self.sink.confirmed(at);
+        let instant = now.instant.checked_sub(age).unwrap_or(now.instant);
+        self.confirmations.record(instant);
+        self.sink.confirmed(Now { instant, boot: at });
         self.peers.confirm_feed(S::KIND, at, self.confirmations.continuity());
     }
 }
--- a/crates/gateway/src/followers/log_copy_tests.rs
+++ b/crates/gateway/src/followers/log_copy_tests.rs
@@ -31,7 +31,7 @@
         let mut copy = LogCopy::new(endpoint_sink(&directory), peers.clone());
         let records = vec![raw(0, "a", "1"), raw(1, "b", "1")];
         let listed_at = Now::read();
-        let listing = LogListing { records, end: 2 };
+        let listing = LogListing { records, end: 2, era: 0 };
         copy.apply_listing(listing, false, listed_at.boot, listed_at);
         Host { peers, directory, copy, listed_at }
     }
@@ -66,6 +66,7 @@
         continuous_since: Some(continuous_since.instant),
         follows_outage,
         digest: 0,
+        era: 0,
     }
 }
 
@@ -81,7 +82,7 @@
         ..relay_status(host.listed_at, false, host.after(40.0))
     };
     assert!(host.copy.follow_status(&status, host.after(40.0)));
-    let changes = LogChanges { records: vec![raw(2, "a", "")], next: 3, end: 3 };
+    let changes = LogChanges { records: vec![raw(2, "a", "")], next: 3, end: 3, era: 0 };
     host.copy.apply_changes(changes, true, host.after(41.5).boot, host.after(41.5));
     assert_eq!(host.directory.len(), 1);
 }
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -18,6 +18,7 @@
 mod relay_tests;
 #[cfg(test)]
 mod tests;
+mod unsettled_evacuations;
 #[cfg(test)]
 mod zone_tests;
 
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
-        clock::BootInstant,
-        records::{FeedKind, RawRecord},
+        clock::Now,
+        records::{Era, FeedKind, RawRecord},
     },
     std::time::{Duration, Instant},
 };
@@ -19,8 +19,16 @@
     /// Longest time for which the store holds a read open while there are no new records.
     fn poll_wait(&self) -> Duration;
 
-    /// Replaces the state by the newest record of every key.
-    fn replace_all(&mut self, records: &[RawRecord], now: Instant);
+    /// Called when the store has come back from an older copy, before its records are listed: they may
+    /// be older than what this host knows, and lack what is about to be written again.
+    fn era_changed(&mut self, era: Era, now: Instant);
+
+    /// Whether the store has not got back yet what this host knows, so that nothing is confirmed.
+    fn is_ahead_of_store(&self) -> bool;
+
+    /// Replaces the state by the newest record of every key. Returns the keys whose listed record
+    /// is older than the one that this host knows and keeps.
+    fn replace_all(&mut self, records: &[RawRecord], now: Instant) -> Vec<Box<str>>;
 
     /// Applies one record. Returns whether peers need it too: it says something that the records
     /// before it did not.
@@ -29,7 +37,7 @@
     /// Digest of what the records say; equal on hosts that agree.
     fn digest(&self) -> u64;
     /// Called when all records up to this time are applied.
-    fn confirmed(&mut self, at: BootInstant);
+    fn confirmed(&mut self, at: Now);
 
     /// Estimates when the store was back that now answers again after failed calls. `outage` is the
     /// time since the log was last confirmed, `changes` are the records since then; empty if the
--- a/crates/gateway/src/followers/relay_tests.rs
+++ b/crates/gateway/src/followers/relay_tests.rs
@@ -37,7 +37,7 @@
 /// Serves these records to peers, as the relay of a zone does. Returns its address.
 fn serve_records(records: &[RawRecord], end: u64) -> SocketAddr {
     let mut feed = PublishedFeed::default();
-    feed.replace_all(records, end);
+    feed.replace_all(records, end, &[]);
     feed.set_position(end, 9);
     let body = encode_changes(&feed, 0, LINK_MBPS).expect("a few records").to_vec();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -161,7 +161,7 @@
 /// ones paused for longer than a change may take.
 #[test]
 fn a_pause_without_a_relay_is_shorter_than_a_change_may_take() {
-    let listing = LogListing { records: vec![raw(8, "config", "9")], end: 9 };
+    let listing = LogListing { records: vec![raw(8, "config", "9")], end: 9, era: 0 };
     let host = LastHost::new([refused(), Ok(listing)]);
     host.run(async { sleep(CONFIG_APPLY_TIME).await });
     assert_eq!(host.state.version(), 9);
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -105,7 +105,7 @@
 }
 
 fn listing(records: Vec<RawRecord>, end: u64) -> Result<LogListing, FeedError> {
-    Ok(LogListing { records, end })
+    Ok(LogListing { records, end, era: 0 })
 }
 
 /// Guards against a follower that stops after its records expired or the log was rewound, and
@@ -118,9 +118,10 @@
         listing(vec![raw(1, "config", "6")], 2),
         listing(vec![raw(2, "config", "9")], 3),
     ]);
-    feed.changes
-        .borrow_mut()
-        .extend([Err(FeedError::Expired), Ok(LogChanges { records: Vec::new(), next: 2, end: 1 })]);
+    feed.changes.borrow_mut().extend([
+        Err(FeedError::Expired),
+        Ok(LogChanges { records: Vec::new(), next: 2, end: 1, era: 0 }),
+    ]);
     let state = follow_config(feed);
     assert_eq!(state.version(), 9);
     assert!(state.is_confirmed(BootInstant::now()));
@@ -135,6 +136,7 @@
         records: vec![raw(1, "config", "also torn")],
         next: 2,
         end: 2,
+        era: 0,
     }));
     let state = follow_config(feed);
     assert!(!state.is_confirmed(BootInstant::now()));
--- a/crates/gateway/src/followers/zone_tests/mod.rs
+++ b/crates/gateway/src/followers/zone_tests/mod.rs
@@ -9,7 +9,7 @@
 
 use {
     std::{env, ops::Range},
-    zone::Zone,
+    zone::{Hazards, Zone},
 };
 
 /// Histories that are played unless `ZONE_SEEDS=FROM..TO` says otherwise.
@@ -29,9 +29,9 @@
 const RETURN_LEFT_OUT_SEED: u64 = 4_866;
 
 /// Plays histories and reports those that fail.
-fn play(seeds: impl Iterator<Item = u64>, has_odd_records: bool) {
+fn play(seeds: impl Iterator<Item = u64>, hazards: Hazards) {
     let failed: Vec<(u64, String)> = seeds
-        .filter_map(|seed| Zone::new(seed, has_odd_records).play().err().map(|why| (seed, why)))
+        .filter_map(|seed| Zone::new(seed, hazards).play().err().map(|why| (seed, why)))
         .collect();
     let shown: Vec<_> = failed.iter().take(3).collect();
     assert!(failed.is_empty(), "{} histories failed: {shown:#?}", failed.len());
@@ -42,12 +42,20 @@
 /// records of other writers.
 #[test]
 fn all_hosts_of_a_zone_agree_with_the_store() {
-    play(seeds().chain(UNREADABLE_AT_LISTING_SEEDS), true);
+    let hazards = Hazards { odd_records: true, ..Hazards::default() };
+    play(seeds().chain(UNREADABLE_AT_LISTING_SEEDS), hazards);
 }
 
 /// Guards against the same without records of other writers, where a host never has to read all records
 /// again since it differs from its relay.
 #[test]
 fn a_host_knows_what_its_relay_knows() {
-    play(seeds().chain([RETURN_LEFT_OUT_SEED]), false);
+    play(seeds().chain([RETURN_LEFT_OUT_SEED]), Hazards::default());
+}
+
+/// Guards against hosts that never learn of a record whose offset was assigned again, and against
+/// endpoints that had left and are used again, where the store comes back from older copies.
+#[test]
+fn all_hosts_agree_with_a_store_that_comes_back_from_older_copies() {
+    play(seeds(), Hazards { older_copies: true, ..Hazards::default() });
 }
--- a/crates/gateway/src/followers/zone_tests/store.rs
+++ b/crates/gateway/src/followers/zone_tests/store.rs
@@ -10,6 +10,8 @@
     pub(super) newest: BTreeMap<Box<str>, RawRecord>,
     pub(super) down_since: Option<Instant>,
     pub(super) returned_at: Option<Instant>,
+    /// Rises with each return from an older copy.
+    pub(super) era: u64,
 }
 
 impl Store {
@@ -26,6 +28,17 @@
         self.log.push(record);
     }
 
+    /// Comes back from a copy without the last records.
+    pub(super) fn lose_records(&mut self, count: usize) {
+        self.era += 1;
+        let kept = self.log.len().saturating_sub(count);
+        let log: Vec<RawRecord> = std::mem::take(&mut self.log).drain(..kept).collect();
+        self.newest.clear();
+        for record in log {
+            self.write(&record.key, std::str::from_utf8(&record.value).expect("text"));
+        }
+    }
+
     pub(super) fn end(&self) -> u64 {
         self.log.len() as u64
     }
--- a/crates/gateway/src/followers/zone_tests/zone.rs
+++ b/crates/gateway/src/followers/zone_tests/zone.rs
@@ -44,12 +44,32 @@
     /// Endpoints that hosts must not lose.
     kept: Vec<KeptEndpoint>,
     lost: Option<String>,
-    /// Whether another writer leaves records too.
-    has_odd_records: bool,
+    /// Endpoints that had left before the store came back from an older copy, with hosts that had
+    /// stopped to use them.
+    departed: Vec<DepartedEndpoint>,
+    /// When records in an older copy lapse whose endpoints do not run.
+    lapses_at: Option<Instant>,
+    hazards: Hazards,
+}
+
+/// What a history may hold besides outages, restarts and changes of the relay.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Hazards {
+    /// Another writer leaves records too.
+    pub(super) odd_records: bool,
+    /// The store comes back from older copies.
+    pub(super) older_copies: bool,
+}
+
+/// An endpoint that had left, and a host that must not use it again.
+struct DepartedEndpoint {
+    host: usize,
+    host_started_at: Instant,
+    endpoint: String,
 }
 
 impl Zone {
-    pub(super) fn new(seed: u64, has_odd_records: bool) -> Zone {
+    pub(super) fn new(seed: u64, hazards: Hazards) -> Zone {
         let mut rng = StdRng::seed_from_u64(seed);
         let now = Now::read();
         let hosts =
@@ -65,7 +85,9 @@
             next_start_ms: 1_000,
             kept: Vec::new(),
             lost: None,
-            has_odd_records,
+            departed: Vec::new(),
+            lapses_at: None,
+            hazards,
         };
         for _ in 0..6 {
             zone.add_endpoint();
@@ -122,7 +144,7 @@
                     self.start_endpoint(id);
                 }
             }
-            4 if self.has_odd_records && self.store.down_since.is_none() => {
+            4 if self.hazards.odd_records && self.store.down_since.is_none() => {
                 // another writer; the endpoint's next heartbeat replaces its record
                 if let Some(id) = self.random_endpoint() {
                     self.store.write(&id, "odd");
@@ -138,6 +160,7 @@
             6..=9 => self.relay = self.rng.random_range(0..self.hosts.len()),
             10 if self.store.down_since.is_none() => self.store.down_since = Some(self.now.instant),
             11 | 12 => self.restore_store(),
+            13 if self.hazards.older_copies => self.lose_records(),
             _ => {}
         }
     }
@@ -175,6 +198,54 @@
         }
     }
 
+    /// Lets the store come back from an older copy. Endpoints that run write their records again with
+    /// the next heartbeat; the records of others lapse.
+    fn lose_records(&mut self) {
+        let count = self.rng.random_range(1..12);
+        self.store.lose_records(count);
+        self.kept.clear();
+        for endpoint in self.endpoints.values_mut() {
+            let delay = self.rng.random_range(Duration::ZERO..HEARTBEAT);
+            endpoint.writes_at = Some(self.now.instant + delay);
+        }
+        self.lapses_at = Some(self.now.instant + RECORD_LIFETIME);
+        for key in self.store.newest.keys().filter(|key| !self.endpoints.contains_key(&***key)) {
+            let hosts = self.hosts.iter().enumerate();
+            let without = hosts.filter(|(_, host)| host.is_following() && !host.uses_any(key));
+            self.departed.extend(without.map(|(host, known)| DepartedEndpoint {
+                host,
+                host_started_at: known.started_at,
+                endpoint: key.to_string(),
+            }));
+        }
+    }
+
+    /// Removes the records that have lapsed since the last return from an older copy.
+    fn lapse(&mut self) {
+        if self.store.down_since.is_some()
+            || self.lapses_at.take_if(|at| *at <= self.now.instant).is_none()
+        {
+            return;
+        }
+        let keys: Vec<_> = self.store.newest.keys().cloned().collect();
+        for key in keys.iter().filter(|key| !self.endpoints.contains_key(&***key)) {
+            self.store.write(key, "");
+        }
+    }
+
+    /// Checks that hosts do not use endpoints again that had left.
+    fn check_departed(&mut self) {
+        for departed in &self.departed {
+            let host = &self.hosts[departed.host];
+            let is_as_before = host.started_at == departed.host_started_at
+                && !self.endpoints.contains_key(&departed.endpoint);
+            if is_as_before && host.uses_any(&departed.endpoint) {
+                let DepartedEndpoint { host, endpoint, .. } = departed;
+                self.lost.get_or_insert(format!("host {host} uses {endpoint}, which had left"));
+            }
+        }
+    }
+
     /// Checks that hosts still use the endpoints whose records lapsed, if these run as before.
     fn check_kept(&mut self) {
         let now = self.now.instant;
@@ -207,10 +278,13 @@
                 for (id, endpoint) in &mut self.endpoints {
                     if endpoint.writes_at.take_if(|at| *at <= self.now.instant).is_some() {
                         let record = endpoint.record();
+                        // after a return from an older copy, heartbeats matter
+                        endpoint.writes_at = self.lapses_at.map(|_| self.now.instant + HEARTBEAT);
                         self.store.write(id, &record);
                     }
                 }
             }
+            self.lapse();
             self.read_hosts();
         }
     }
@@ -219,7 +293,8 @@
         let now = self.now;
         let relay = self.relay;
         for index in 0..self.hosts.len() {
-            let is_followed = self.hosts[relay].is_usable_relay(now);
+            let is_followed = self.hosts[relay].is_usable_relay(now)
+                && self.hosts[index].accepts(&self.hosts[relay], now);
             // datagrams are lost now and then
             if index == relay || !is_followed {
                 if self.hosts[index].next_poll_at <= now.instant {
@@ -229,13 +304,14 @@
                 let [host, relay] = self.hosts.get_disjoint_mut([index, relay]).expect("two hosts");
                 let agrees = host.follow(relay, now);
                 // a host that listed the log beside an odd record may differ for a while
-                if !agrees && !self.has_odd_records {
+                if !agrees && !self.hazards.odd_records && !self.hazards.older_copies {
                     self.lost.get_or_insert(format!("host {index} differs from its relay"));
                 }
             }
             self.hosts[index].copy.sink.expire(now.instant);
         }
         self.check_kept();
+        self.check_departed();
     }
 
     /// Plays a history and checks the hosts at its end.
@@ -246,7 +322,9 @@
             self.run(time);
         }
         self.restore_store();
-        self.run(RETURN_TIME + HEARTBEAT + AGREEMENT_TIME);
+        let lapse_time =
+            if self.lapses_at.is_some() { RECORD_LIFETIME * 2 } else { Duration::ZERO };
+        self.run(RETURN_TIME + HEARTBEAT + AGREEMENT_TIME + lapse_time);
         if let Some(lost) = self.lost {
             return Err(lost);
         }
--- a/crates/gateway/src/followers/zone_tests/zone_host.rs
+++ b/crates/gateway/src/followers/zone_tests/zone_host.rs
@@ -82,20 +82,42 @@
             return;
         }
         let has_failed = std::mem::take(&mut self.has_failed);
-        let end = store.end();
+        let (end, era) = (store.end(), store.era);
+        if self.copy.position().is_some_and(|from| from > end) {
+            self.copy.reset_position();
+        }
         match self.copy.position() {
             None => {
                 let records = store.newest.values().cloned().collect();
-                self.copy.apply_listing(LogListing { records, end }, has_failed, now.boot, now);
+                self.copy.apply_listing(
+                    LogListing { records, end, era },
+                    has_failed,
+                    now.boot,
+                    now,
+                );
             }
             Some(from) => {
                 let records = store.log[from as usize..].to_vec();
-                let changes = LogChanges { records, next: end, end };
+                let changes = LogChanges { records, next: end, end, era };
                 self.copy.apply_changes(changes, has_failed, now.boot, now);
+                if self.copy.position().is_none() {
+                    self.read_store(store, now);
+                }
             }
         }
     }
 
+    /// Whether the host has a copy of the log.
+    pub(super) fn is_following(&self) -> bool {
+        self.copy.position().is_some()
+    }
+
+    /// Whether this host may follow a relay with that copy.
+    pub(super) fn accepts(&self, relay: &ZoneHost, now: Now) -> bool {
+        let feed = relay.peers.published_feed(FeedKind::Endpoints).borrow();
+        self.copy.accepts_era(feed.status(now.boot).era)
+    }
+
     pub(super) fn is_usable_relay(&self, now: Now) -> bool {
         let feed = self.peers.published_feed(FeedKind::Endpoints).borrow();
         feed.confirmation_age(now.boot).is_some_and(|age| age <= MAX_AGE)
@@ -123,6 +145,7 @@
             continuous_since: now.instant.checked_sub(age + span),
             follows_outage: status.follows_outage,
             digest: status.digest,
+            era: status.era,
         };
         self.copy.record_outage(&status, self.has_failed, now);
         let missing_from = match design {
@@ -140,6 +163,11 @@
         bytes
     }
 
+    /// Whether the host uses any start of an endpoint.
+    pub(super) fn uses_any(&self, id: &str) -> bool {
+        self.endpoints().get(id).is_some_and(|(_, state)| *state == EndpointState::Ready)
+    }
+
     /// Whether the host uses an endpoint, and knows this start of it.
     pub(super) fn uses(&self, id: &str, endpoint: &RunningEndpoint) -> bool {
         self.endpoints().get(id) == Some(&(endpoint.started_at_ms, EndpointState::Ready))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,7 +42,7 @@
     },
     peers::{HostListing, HostRegistry, RegistryError},
     placement::{Candidate, Placement, PlacementRequest, choose_endpoint},
-    records::{FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
+    records::{Era, FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
     retry::{AttemptHistory, NextStep, RetryBudget, RetryPolicy, SendOutcome, next_step},
     server::{PlatformAdapters, run},
     settings::{Activation, Bounds, GatewaySettings, OverloadSettings, load_settings},
--- a/crates/gateway/src/peers/announcer.rs
+++ b/crates/gateway/src/peers/announcer.rs
@@ -13,6 +13,10 @@
 /// Mean pause after a failed call to the registry.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Longest time until the hosts read the registry again after the store has come back from an older
+/// copy.
+const MAX_RENEWAL_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Publishes this host's address in the registry and reads the other hosts' addresses.
 /// `is_first_start` says that the whole fleet starts for the first time, so that the registry is
 /// empty.
@@ -25,7 +29,11 @@
     loop {
         match take_step(&mut registry, &state, next).await {
             Ok(Some(following)) => next = following,
-            Ok(None) => return,
+            Ok(None) => {
+                state.registry_outdated.notified().await;
+                sleep(rand::rng().random_range(Duration::ZERO..MAX_RENEWAL_DELAY)).await;
+                next = Step::Read;
+            }
             Err(RegistryError(reason)) => {
                 event!("announce_failed", "step={next} reason={reason:?}");
                 sleep(RETRY_PAUSE.mul_f64(rand::rng().random_range(0.7..1.3))).await;
--- a/crates/gateway/src/peers/followed_relay.rs
+++ b/crates/gateway/src/peers/followed_relay.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{clock::BootInstant, records::Offset},
+    crate::{
+        clock::BootInstant,
+        records::{Era, Offset},
+    },
     mango_wire::gossip::FeedStatus,
     std::{
         net::SocketAddr,
@@ -24,6 +27,8 @@
     pub(crate) follows_outage: bool,
     /// Digest of what the records before `position` say.
     pub(crate) digest: u64,
+    /// Generation of the store's contents to which the position belongs.
+    pub(crate) era: Era,
 }
 
 /// The relay from which this host takes records and the loads of other hosts, with its last
@@ -61,6 +66,7 @@
             continuous_since: age.and_then(|age| self.received_at.checked_sub(age + span)),
             follows_outage: status.follows_outage,
             digest: status.digest,
+            era: status.era,
         }
     }
 }
--- a/crates/gateway/src/peers/peer_state.rs
+++ b/crates/gateway/src/peers/peer_state.rs
@@ -60,6 +60,8 @@
     departure_reports: RefCell<DepartureReports>,
     pub(crate) config_feed: RefCell<PublishedFeed>,
     pub(crate) endpoint_feed: RefCell<PublishedFeed>,
+    /// Asks for the registry to be read again, since the store has come back from an older copy.
+    pub(super) registry_outdated: Notify,
     /// Asks for a round of gossip before the next regular one.
     pub(super) round_wanted: Notify,
     /// Wakes the followers when a relay status was received.
@@ -83,6 +85,7 @@
             departure_reports: RefCell::default(),
             config_feed: RefCell::default(),
             endpoint_feed: RefCell::default(),
+            registry_outdated: Notify::new(),
             round_wanted: Notify::new(),
             status_received: Notify::new(),
         }
@@ -113,6 +116,11 @@
         }
     }
 
+    /// Records that the store has come back from an older copy, which may lack this host's record.
+    pub(crate) fn record_era_change(&self) {
+        self.registry_outdated.notify_one();
+    }
+
     /// Records that all hosts of the registry were added.
     pub(crate) fn record_registry(&self) {
         self.fleet_size.borrow_mut().record_registry();
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -2,7 +2,7 @@
     super::{changes_codec, relay_election::max_response_bytes},
     crate::{
         clock::BootInstant,
-        records::{Continuity, FeedComparison, Offset, RawRecord},
+        records::{Continuity, Era, FeedComparison, Offset, RawRecord},
     },
     mango_wire::gossip::{FeedStatus, RelayedChanges, RelayedRecord},
     std::{
@@ -20,6 +20,8 @@
 /// of each key, without records that did not change the state.
 #[derive(Debug, Default)]
 pub(crate) struct PublishedFeed {
+    /// Generation of the store's contents to which the offsets belong.
+    era: Era,
     /// Offset after the last record read.
     position: Option<Offset>,
     /// Offset of the last record that changed the state.
@@ -73,20 +75,31 @@
         }
     }
 
-    /// Replaces all records by a complete listing.
-    pub(crate) fn replace_all(&mut self, records: &[RawRecord], end: Offset) {
+    /// Replaces all records by a complete listing. The known values of the keys `newer` are kept,
+    /// since the listed ones are older.
+    pub(crate) fn replace_all(&mut self, records: &[RawRecord], end: Offset, newer: &[Box<str>]) {
         self.encoded.take();
-        self.records.clear();
+        let mut known = std::mem::take(&mut self.records);
         self.last_change = None;
         self.complete_before = end;
         for record in records {
-            self.add(record);
+            let newer_value =
+                newer.contains(&record.key).then(|| known.remove(&record.key)).flatten();
+            match newer_value {
+                Some((_, value)) => self.add(&RawRecord { value, ..record.clone() }),
+                None => self.add(record),
+            }
         }
         // peers that have read past the last listed record must read the listing as well: it
         // shows removed keys only by their absence
         self.last_change = self.last_change.max(end.checked_sub(1));
     }
 
+    /// Sets the generation of the store's contents to which the offsets belong.
+    pub(crate) fn set_era(&mut self, era: Era) {
+        self.era = era;
+    }
+
     /// Records that all records before `position` were read, with the digest of what they say.
     pub(crate) fn set_position(&mut self, position: Offset, digest: u64) {
         self.position = Some(position);
@@ -125,7 +138,7 @@
             confirmed_span_ms: self.continuity.span.as_millis() as u64,
             follows_outage: self.continuity.follows_outage,
             digest: self.digest,
-            era: 0,
+            era: self.era,
         }
     }
 
@@ -146,7 +159,7 @@
             })
             .collect();
         records.sort_by_key(|record| record.offset);
-        RelayedChanges { position: self.position.unwrap_or(0), records, is_complete, era: 0 }
+        RelayedChanges { position: self.position.unwrap_or(0), records, is_complete, era: self.era }
     }
 
     /// The encoded changes since an offset; `None` if they are too large.
--- a/crates/gateway/src/records/mod.rs
+++ b/crates/gateway/src/records/mod.rs
@@ -5,5 +5,5 @@
 mod feed_kind;
 mod record_feed;
 
-pub use record_feed::{FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed};
+pub use record_feed::{Era, FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed};
 pub(crate) use {continuity::Continuity, feed_comparison::FeedComparison, feed_kind::FeedKind};
--- a/crates/gateway/src/records/record_feed.rs
+++ b/crates/gateway/src/records/record_feed.rs
@@ -3,6 +3,10 @@
 /// Position of a record in its log.
 pub type Offset = u64;
 
+/// Generation of the store's contents. It rises when the store comes back from an older copy:
+/// later records are lost then, and their offsets are assigned again.
+pub type Era = u64;
+
 /// A log of keyed records in the platform's store.
 pub trait RecordFeed: 'static {
     /// Returns the newest record of each key. The end of the log is read before the records.
@@ -22,6 +26,8 @@
     pub records: Vec<RawRecord>,
     /// Records from this offset on may be missing from the listing.
     pub end: Offset,
+    /// Generation to which the offsets belong.
+    pub era: Era,
 }
 
 /// Consecutive records of a log.
@@ -32,6 +38,8 @@
     pub next: Offset,
     /// Offset after the last record of the log.
     pub end: Offset,
+    /// Generation to which the offsets belong.
+    pub era: Era,
 }
 
 /// A record before it is decoded.
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -80,6 +80,7 @@
     pub(crate) blocked_parts: Gauge,
     pub(crate) caller_connections: Gauge,
     pub(crate) config_version: Gauge,
+    pub(crate) store_era: Gauge,
     pub(crate) config_confirmation_age_ms: Gauge,
     pub(crate) endpoints: Gauge,
     pub(crate) resident_bytes: Gauge,
@@ -112,6 +113,7 @@
             blocked_parts: Gauge::default(),
             caller_connections: Gauge::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
             config_confirmation_age_ms: Gauge::default(),
             endpoints: Gauge::default(),
             resident_bytes: Gauge::default(),
@@ -214,6 +216,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "store_era",
+            "Generation of the store's contents, as of the last return from an older copy",
+            self.store_era.clone(),
+        );
         registry.register(
             "config_confirmation_age_ms",
             "Time since the store confirmed the configuration",
