Tell peers which endpoints have written again since an older copy

Drawn histories found what the first form of the eras left: a host held a running endpoint back for 8 s after the store had come back from an older copy, as its relay passed no heartbeats on; a record that was held back was accepted although a listing lacked it, so an endpoint that had left was used.

--- a/crates/gateway/src/followers/doubtful_records.rs
+++ b/crates/gateway/src/followers/doubtful_records.rs
@@ -47,6 +47,11 @@
         accepted.map(|(_, held)| held.record).collect()
     }
 
+    /// Forgets the records of endpoints that are no longer listed.
+    pub(super) fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
+        self.by_id.retain(|id, _| is_listed(id));
+    }
+
     /// Accepts all records later, since none could be replaced for a time.
     pub(super) fn postpone(&mut self, time: Duration) {
         for held in self.by_id.values_mut() {
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -50,6 +50,9 @@
     keep_removed_until: Option<Instant>,
     /// Whether the store came back from an older copy that was not listed yet.
     has_new_era: bool,
+    /// Until then, heartbeats are news to peers: they show which records of an older copy are those of
+    /// endpoints that run.
+    heartbeats_are_news_until: Option<Instant>,
     /// Up to when all records are known.
     confirmed_at: Option<Instant>,
 }
@@ -73,6 +76,7 @@
             unreadable_keys: BTreeSet::new(),
             keep_removed_until: None,
             has_new_era: false,
+            heartbeats_are_news_until: None,
             confirmed_at: None,
         }
     }
@@ -173,6 +177,7 @@
     fn era_changed(&mut self, _era: Era, now: Instant) {
         let renewed_at = now + self.heartbeat.mul_f64(ACCEPTANCE_HEARTBEATS);
         self.keep_removed_until = self.keep_removed_until.max(Some(renewed_at));
+        self.heartbeats_are_news_until = Some(now + self.heartbeat.mul_f64(OLDER_COPY_HEARTBEATS));
         self.doubtful = DoubtfulRecords::default();
         self.has_new_era = true;
     }
@@ -190,6 +195,7 @@
                 None => self.known.get(&record.key).cloned(),
             })
             .collect();
+        self.doubtful.retain(|id| endpoints.iter().any(|record| *record.id == *id));
         // an older copy may have records of endpoints that have left since
         let has_new_era = std::mem::take(&mut self.has_new_era);
         let may_have_left = |record: &mut EndpointRecord| {
@@ -230,7 +236,8 @@
                 RecordNews::Doubtful => self.hold(endpoint, ACCEPTANCE_HEARTBEATS, now),
             }
             // hosts that listed the unreadable record do not know the endpoint
-            news != RecordNews::Heartbeat || was_unreadable
+            let is_renewal = self.heartbeats_are_news_until.is_some_and(|until| now < until);
+            news != RecordNews::Heartbeat || was_unreadable || is_renewal
         };
         self.metrics.endpoints.set(self.directory.len() as i64);
         is_news
--- a/crates/gateway/src/followers/zone_tests/zone.rs
+++ b/crates/gateway/src/followers/zone_tests/zone.rs
@@ -198,8 +198,8 @@
         }
     }
 
-    /// Lets the store come back from an older copy. Endpoints that run write their records again with
-    /// the next heartbeat; the records of others lapse.
+    /// Lets the store come back from an older copy. Endpoints that run write their records with each
+    /// heartbeat from then on; the records of others lapse.
     fn lose_records(&mut self) {
         let count = self.rng.random_range(1..12);
         self.store.lose_records(count);
@@ -278,8 +278,8 @@
                 for (id, endpoint) in &mut self.endpoints {
                     if endpoint.writes_at.take_if(|at| *at <= self.now.instant).is_some() {
                         let record = endpoint.record();
-                        // after a return from an older copy, heartbeats matter
-                        endpoint.writes_at = self.lapses_at.map(|_| self.now.instant + HEARTBEAT);
+                        let writes_again = self.store.era > 0;
+                        endpoint.writes_at = writes_again.then(|| self.now.instant + HEARTBEAT);
                         self.store.write(id, &record);
                     }
                 }
