--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -1,8 +1,9 @@
 use {
     super::{
         attempt::{Delivery, Target, attempt},
-        candidates::{AttemptedEndpoints, Candidates, with_candidates},
+        candidates::{AttemptedEndpoints, with_candidates},
         failure::{FailureCause, SendFailure},
+        placement_log::log_placement,
         request_parts::RequestParts,
         stream_progress::StreamProgress,
     },
@@ -12,7 +13,7 @@
         clock::BootInstant,
         endpoints::{Endpoint, EndpointId},
         http1::ResponseHead,
-        placement::{Placement, PlacementRequest, choose_endpoint},
+        placement::{PlacementRequest, choose_endpoint},
         queueing::{Arrival, NoPermit, Permit, PermitRequest},
         retry::{AttemptHistory, NextStep, RetryPolicy, SendOutcome, next_step},
         server::Gateway,
@@ -222,41 +223,12 @@
             if let Some(prefix) = prefix {
                 self.gateway.peers.record_prefix_use(prefix.hash, endpoint.hash);
             }
-            self.log_placement(candidates, &placement);
+            log_placement(self.request, self.tried.len(), candidates, &placement);
             let source = placement.prefix_source.map(|index| candidates.records[index].address);
             Some((endpoint.clone(), source))
         })
     }
 
-    fn log_placement(&self, candidates: &Candidates<'_>, placement: &Placement) {
-        let chosen = &candidates.list[placement.target];
-        let source = placement.prefix_source.map(|index| candidates.list[index].id);
-        let prefix = self.request.caller.prefix;
-        event!(
-            "request_placed",
-            "id={} route={} kind={} endpoint={} load={:.1} reported={:.0} failures={:.2} \
-             slowness={:.2} waiting={} candidates={} prefix={:016x} shared_tokens={} \
-             holds_prefix={} prefix_source={} config_version={} sends={} time_left_ms={}",
-            self.request.caller.id,
-            self.request.route.name,
-            self.request.route.kind,
-            chosen.id,
-            chosen.requests,
-            chosen.reported_requests,
-            chosen.failure_share,
-            chosen.slowness,
-            chosen.waiting,
-            candidates.list.len(),
-            prefix.map_or(0, |prefix| prefix.hash),
-            prefix.map_or(0, |prefix| prefix.shared_tokens),
-            chosen.holds_prefix,
-            source.unwrap_or("-"),
-            self.request.config_version,
-            self.tried.len(),
-            self.request.time_left().as_millis()
-        );
-    }
-
     /// Records the result of a finished send. Returns whether the caller's connection may carry
     /// another request.
     fn finish(&mut self, sink: &CallerSink<'_, P>, delivery: Delivery) -> bool {
