Count silent endpoints as failing

What callers saw: an endpoint that took requests and answered none kept getting every request with a prompt prefix that it held.

Cause: a send that was cancelled recorded nothing. At the deadline `run_request` drops the send in its `select!`, and when a caller leaves the whole run is dropped. The failure share of the endpoint stayed 0.00, and placement prefers the endpoint that holds the prefix.

Change: each send is watched. It is overdue after four times the usual time to an answer of its service and route (the complete response, or the first event of a stream), or after three times if its deadline comes sooner. While sends are overdue, the failure share of the endpoint includes their share of the requests in flight. A send that is cancelled while it is overdue, for whatever reason, counts as failed, as a broken connection does. One that is cancelled earlier, or that waited for a permit only, counts for nothing. Nothing is sent again because of it, so neither the retry budget nor what may run twice is concerned.

Why it works: the usual time comes from all endpoints of the service, so a silent one cannot excuse itself, and a slow service raises it. One overdue request stays below the share at which placement avoids an endpoint, and an endpoint without a sound alternative is still chosen.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        answer_watch::AnswerWatch,
         endpoint_call::EndpointCall,
         endpoint_request::EndpointRequest,
         event_splitter::EventSplitter,
@@ -40,7 +41,8 @@
 }
 
 /// The endpoint of one send.
-pub(super) struct Target<'a> {
+pub(super) struct Target<'a, P: Protocol> {
+    pub(super) watch: &'a AnswerWatch<'a, P>,
     pub(super) endpoint: &'a Rc<Endpoint>,
     pub(super) permit: &'a Permit,
     /// Address of an endpoint that may hold the cache of the prompt's prefix.
@@ -53,7 +55,7 @@
 pub(super) async fn attempt<P: Protocol>(
     gateway: &Gateway<P>,
     request: &AdmittedRequest,
-    target: &Target<'_>,
+    target: &Target<'_, P>,
     progress: &mut StreamProgress,
     sink: &mut CallerSink<'_, P>,
 ) -> Result<Delivery, SendFailure> {
@@ -78,7 +80,7 @@
     check_response(&head, &meta, endpoint)?;
     let is_success = (200..300).contains(&head.status);
     if is_success && request.route.kind == RequestKind::Streaming {
-        return forward_stream(gateway, request, target.permit, call, &head, progress, sink).await;
+        return forward_stream(gateway, request, target, call, &head, progress, sink).await;
     }
     let body = read_full_body(&mut call, head.framing).await?;
     call.finish();
@@ -94,6 +96,9 @@
         let failure = SendFailure::new(SendOutcome::Failed, FailureCause::FailedStatus);
         return Err(SendFailure { response: Some((head, body)), ..failure });
     }
+    if is_success {
+        target.watch.record_answer();
+    }
     gateway.blocklist.record_response(&request.part_keys);
     record_response_start(gateway, request, target.permit);
     Ok(delivery_result(sink.send_response(&head, &body).await, head.status))
@@ -103,7 +108,7 @@
 async fn exchange<P: Protocol>(
     gateway: &Gateway<P>,
     request: &AdmittedRequest,
-    target: &Target<'_>,
+    target: &Target<'_, P>,
     progress: &StreamProgress,
     call: &mut EndpointCall,
 ) -> Result<(ResponseHead, ResponseMeta), SendFailure> {
@@ -199,7 +204,7 @@
 async fn forward_stream<P: Protocol>(
     gateway: &Gateway<P>,
     request: &AdmittedRequest,
-    permit: &Permit,
+    target: &Target<'_, P>,
     mut call: EndpointCall,
     head: &ResponseHead,
     progress: &mut StreamProgress,
@@ -218,10 +223,11 @@
         }
         if !progress.has_begun_send && (is_complete || !events.bytes.is_empty()) {
             progress.has_begun_send = true;
+            target.watch.record_answer();
             gateway.blocklist.record_response(&request.part_keys);
         }
         if !progress.has_started && (is_complete || !events.bytes.is_empty()) {
-            record_response_start(gateway, request, permit);
+            record_response_start(gateway, request, target.permit);
             progress.has_started = true;
             progress.last_event_id = events.last_id.or(progress.last_event_id);
             if sink.start_stream(head, &events.bytes).await.is_err() {
--- a/crates/gateway/src/dispatch/candidates.rs
+++ b/crates/gateway/src/dispatch/candidates.rs
@@ -102,7 +102,7 @@
         slots: record.slots,
         slowness: load.slowness(now),
         latency_ms: health.latency_ms(now),
-        failure_share: health.failure_share(now),
+        failure_share: endpoint.failure_share(now),
         is_paused: health.is_paused(now),
         was_tried: attempted.tried.contains(&record.id),
         has_refused: attempted.refused_by.contains(&record.id),
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -1,3 +1,5 @@
+mod answer_times;
+mod answer_watch;
 mod attempt;
 mod candidates;
 mod crash_checks;
@@ -14,6 +16,7 @@
 mod tests;
 
 pub(crate) use {
+    answer_times::AnswerTimes,
     candidates::{AttemptedEndpoints, with_candidates},
     crash_checks::CrashChecks,
     run_request::run_request,
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        answer_watch::AnswerWatch,
         attempt::{Delivery, Target, attempt},
         candidates::{AttemptedEndpoints, with_candidates},
         failure::{FailureCause, SendFailure},
@@ -139,14 +140,16 @@
             self.tried.push(endpoint.record.borrow().id.clone());
             // if endpoints drop idle connections, the next one is likely to be dropped as well
             let may_reuse_connection = self.last_cause != Some(FailureCause::IdleConnectionBroken);
+            let watch = AnswerWatch::start(self.gateway, self.request, &endpoint);
             let target = Target {
+                watch: &watch,
                 endpoint: &endpoint,
                 permit: &permit,
                 prefix_source,
                 may_reuse_connection,
             };
-            let result =
-                attempt(self.gateway, self.request, &target, &mut self.progress, sink).await;
+            let send = attempt(self.gateway, self.request, &target, &mut self.progress, sink);
+            let result = watch.run(send).await;
             let failure = match result {
                 Ok(delivery) => {
                     if matches!(delivery, Delivery::Completed { .. }) {
--- a/crates/gateway/src/dispatch/tests.rs
+++ b/crates/gateway/src/dispatch/tests.rs
@@ -1,6 +1,10 @@
 use {
-    super::event_splitter::{CompleteEvents, EventSplitter},
+    super::{
+        answer_watch::overdue_time,
+        event_splitter::{CompleteEvents, EventSplitter},
+    },
     proptest::prelude::*,
+    std::time::Duration,
 };
 
 fn events(bytes: &[u8], last_id: Option<u64>) -> CompleteEvents {
@@ -27,6 +31,19 @@
     assert_eq!(splitter.take_complete(Some(3)), events(b"id: 4\r\ndata: d\r\n\r\n", Some(4)));
 }
 
+/// Guards against an endpoint that counts as failing since requests leave it less time than it
+/// usually takes, and against one that never does since no deadline is late enough.
+#[test]
+fn a_send_is_overdue_after_several_usual_times() {
+    let usual_time = Duration::from_millis(500);
+    let overdue_ms = |left_ms| overdue_time(usual_time, Duration::from_millis(left_ms)).as_millis();
+    assert_eq!(overdue_ms(10_000), 2_000);
+    assert_eq!(overdue_ms(2_000), 1_800);
+    for short_ms in [0, 100, 1_000, 1_300] {
+        assert!(overdue_ms(short_ms) > u128::from(short_ms) + 120, "{short_ms} ms are left");
+    }
+}
+
 proptest! {
     /// Guards against lost or added bytes, however the stream is split into reads.
     #[test]
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -4,6 +4,7 @@
         health::Health,
         idle_connection::IdleConnection,
         load_estimate::LoadEstimate,
+        overdue::{OverdueGuard, overdue_share},
         slow_start::{ColdLimit, SlowStart},
     },
     std::{
@@ -29,6 +30,8 @@
     pub(crate) load: Cell<LoadEstimate>,
     slow_start: Cell<SlowStart>,
     in_flight: Cell<u32>,
+    /// Requests of this process that wait here for much longer than usual.
+    pub(super) overdue: Cell<u32>,
     is_leaving: Cell<bool>,
     /// When the endpoint was added; `None` if it was in the first listing.
     added_at: Option<Instant>,
@@ -47,6 +50,7 @@
             load: Cell::default(),
             slow_start: Cell::default(),
             in_flight: Cell::new(0),
+            overdue: Cell::new(0),
             is_leaving: Cell::new(is_leaving),
             added_at,
             idle_connections: RefCell::default(),
@@ -105,6 +109,18 @@
         InFlightGuard(self.clone())
     }
 
+    /// Counts a request in flight as overdue until the guard is dropped.
+    pub(crate) fn start_overdue(self: &Rc<Self>) -> OverdueGuard {
+        OverdueGuard::new(self.clone())
+    }
+
+    /// Share of recent requests that failed, and of those in flight that are overdue.
+    pub(crate) fn failure_share(&self, now: Instant) -> f64 {
+        let failed = self.health.get().failure_share(now);
+        let overdue = overdue_share(self.overdue.get(), self.in_flight());
+        failed + overdue - failed * overdue
+    }
+
     /// Takes the usable connection that was idle for the shortest time, unless that is longer
     /// than `max_idle`.
     pub(crate) fn take_idle_connection(
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -9,6 +9,7 @@
 mod idle_connection;
 mod idle_limit;
 mod load_estimate;
+mod overdue;
 mod slow_start;
 #[cfg(test)]
 mod slow_start_tests;
@@ -20,6 +21,7 @@
     endpoint::{Endpoint, InFlightGuard},
     idle_connection::IdleConnection,
     idle_limit::IdleLimit,
+    overdue::OverdueGuard,
     slow_start::ColdLimit,
 };
 pub use {
--- a/crates/gateway/src/endpoints/tests.rs
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -72,6 +72,27 @@
     assert!(!health.is_paused(start));
 }
 
+/// Guards against requests that are sent to an endpoint at which others wait for much longer than
+/// usual, and against an endpoint that is avoided because of a single one of them. Placement
+/// avoids endpoints with a failure share above 0.2.
+#[test]
+fn overdue_requests_raise_the_failure_share_while_they_wait() {
+    let directory = Directory::default();
+    directory.upsert(record("a", 1));
+    let endpoint = directory.of_service("s").remove(0);
+    let now = Instant::now();
+    let requests = [endpoint.start_request(), endpoint.start_request()];
+    assert_eq!(endpoint.failure_share(now), 0.0);
+    let first = endpoint.start_overdue();
+    assert!(endpoint.failure_share(now) < 0.2, "{}", endpoint.failure_share(now));
+    let second = endpoint.start_overdue();
+    assert!(endpoint.failure_share(now) > 0.2, "{}", endpoint.failure_share(now));
+    let others: Vec<_> = (0..20).map(|_| endpoint.start_request()).collect();
+    assert!(endpoint.failure_share(now) < 0.1, "{}", endpoint.failure_share(now));
+    drop((first, second, others, requests));
+    assert_eq!(endpoint.failure_share(now), 0.0);
+}
+
 /// Guards against an old report that replaces the current load, or is used forever.
 #[test]
 fn estimates_prefer_peers_then_fresh_reports() {
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -5,7 +5,7 @@
         callers::Protocol,
         clock::BootInstant,
         config::{CallerLimits, ConfigState, Evacuations},
-        dispatch::CrashChecks,
+        dispatch::{AnswerTimes, CrashChecks},
         endpoints::{ColdLimit, Directory, Endpoint, IdleLimit},
         memory::BytePool,
         peers::{MaxConfirmationAges, PeerState},
@@ -52,6 +52,8 @@
     pub(crate) blocklist: Rc<SharedBlocklist>,
     /// Endpoints that are being checked for a crash.
     pub(crate) crash_checks: Rc<CrashChecks>,
+    /// Usual times until endpoints answer.
+    pub(crate) answer_times: AnswerTimes,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
     /// Limits on the idle time of connections to endpoints, by service.
@@ -78,6 +80,7 @@
         Gateway {
             blocklist: Rc::new(blocklist),
             crash_checks: Rc::default(),
+            answer_times: AnswerTimes::default(),
             permits: Permits::new(directory.clone(), peers.clone(), evacuations.clone()),
             evacuations,
             directory,
--- a/crates/gateway/src/server/state_dump.rs
+++ b/crates/gateway/src/server/state_dump.rs
@@ -76,7 +76,7 @@
         "waiting": load.waiting(now),
         "slowness": load.slowness(now),
         "latency_ms": health.latency_ms(now),
-        "failure_share": health.failure_share(now),
+        "failure_share": endpoint.failure_share(now),
         "paused": health.is_paused(now),
         "idle_connections": endpoint.idle_connection_count(),
     })
