Do not count callers that read slowly against endpoints

What callers saw: nothing; found by reading the change before. An endpoint that had answered with a complete 4xx response counted as overdue while callers did not read it, and requests with its prefixes went elsewhere.

Cause: the watch of a send ended for responses with a 2xx status only, from which the usual time is learnt.

Change: it ends for every complete response.

Evidence: the new test failed without the change (`send_overdue` for both callers, the next request at another endpoint) and passes with it.

--- a/crates/gateway/src/dispatch/answer_watch.rs
+++ b/crates/gateway/src/dispatch/answer_watch.rs
@@ -74,17 +74,22 @@
                 send.await
             }
         };
-        self.state.replace(WatchState::Done);
+        self.stop();
         result
     }
 
     /// Records that a successful response is complete, or that the first event of a stream
     /// arrived.
     pub(super) fn record_answer(&self) {
-        self.state.replace(WatchState::Done);
+        self.stop();
         self.gateway.answer_times.record(self.request, self.sent_at.elapsed());
     }
 
+    /// Ends the watch: what is left to do does not depend on the endpoint.
+    pub(super) fn stop(&self) {
+        self.state.replace(WatchState::Done);
+    }
+
     fn set_overdue(&self) {
         let mut state = self.state.borrow_mut();
         if matches!(*state, WatchState::Waiting) {
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -96,8 +96,9 @@
         let failure = SendFailure::new(SendOutcome::Failed, FailureCause::FailedStatus);
         return Err(SendFailure { response: Some((head, body)), ..failure });
     }
-    if is_success {
-        target.watch.record_answer();
+    match is_success {
+        true => target.watch.record_answer(),
+        false => target.watch.stop(),
     }
     gateway.blocklist.record_response(&request.part_keys);
     record_response_start(gateway, request, target.permit);
