Do not take peers that read slowly for lost ones

Callers saw streams that ended after 1.8 s while their engine read a long body and sent events, streams that ran at two engines at once, and answers to bookings that were reset after 5 to 8 s although they read all the time.

Cause: connections have a TCP user timeout, 1.5 s to endpoints and 5 s to callers, to detect lost peers. The kernel also applies it while the peer's receive window is closed, although the peer answers each probe, and the small portions that it sends in probes do not start the time anew.

Change: while sent bytes wait to be acknowledged, the connection asks the kernel for its state, six times within the user timeout (`sock_diag(7)`, a netlink socket of socket2, so without unsafe code and without a new crate). If the latest probe or retransmission was answered, the peer is alive: the user timeout is prolonged by the time since the bytes were sent. If four checks in a row find it unanswered, the connection fails as before. When all bytes are acknowledged, the timeout is as it was. A caller's connection that is closed with unread bytes gives the caller 60 s for them. Where the system does not report the state, nothing changes and one line is logged.

Why it works: the kernel counts probes and retransmissions that no acknowledgement followed. A lost peer acknowledges none, one that reads slowly acknowledges each. As the timeout is only prolonged by what has passed, the kernel's next probe is never far away.

Other ways that were weighed, on a trial program with a peer whose kernel drops all segments: - a longer user timeout, or none: the lost peer was not found within 10 s, with an open and with a closed window (1.9 s and 1.3 s with 1.5 s), as keepalive probes are not sent while bytes are unacknowledged; - no user timeout while a write is blocked: the kernel's buffer takes bodies of 70 kB and answers of 200 kB at once, so no write is blocked; - TCP_INFO by getsockopt: none of the crates in use offers it without unsafe code.

Before, both tests of the whole path failed: the stream ended with cause=truncated after 1,819 ms, the answers with "connection reset by peer". The tests of the watch do not compile on the code before.

Unplugged peers are found after 1.4 to 1.8 s (six of them, also after 4 and 7 s with a closed window). Tests of mango-gateway and mango-platform pass.

--- a/crates/gateway/src/callers/caller_sink.rs
+++ b/crates/gateway/src/callers/caller_sink.rs
@@ -1,6 +1,6 @@
 use {
     super::{protocol::Protocol, refusal::Refusal},
-    crate::http1::{Headers, ResponseHead, allows_body},
+    crate::http1::{Headers, PeerWatch, ResponseHead, allows_body},
     std::{io, io::Write, marker::PhantomData},
     tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf},
 };
@@ -8,6 +8,7 @@
 /// Writes the response to one request on a caller's connection.
 pub(crate) struct CallerSink<'a, P> {
     writer: &'a mut OwnedWriteHalf,
+    watch: &'a PeerWatch,
     request_id: Box<str>,
     state: State,
     /// Whether the connection is closed after this response.
@@ -28,12 +29,14 @@
     /// `closes_connection` adds `Connection: close` to the response.
     pub(crate) fn new(
         writer: &'a mut OwnedWriteHalf,
+        watch: &'a PeerWatch,
         request_id: &str,
         method: &str,
         closes_connection: bool,
     ) -> CallerSink<'a, P> {
         CallerSink {
             writer,
+            watch,
             request_id: request_id.into(),
             state: State::Unanswered,
             closes_connection,
@@ -67,7 +70,7 @@
             output.extend_from_slice(b"\r\n");
         }
         self.state = State::Complete;
-        self.writer.write_all(&output).await
+        self.write(&output).await
     }
 
     /// Starts a streaming response: sends the head and the first events, chunked. A response without a
@@ -87,7 +90,7 @@
             output.extend_from_slice(b"\r\n");
             self.state = State::Complete;
         }
-        self.writer.write_all(&output).await
+        self.write(&output).await
     }
 
     /// Sends further events of a streaming response.
@@ -97,7 +100,7 @@
         }
         let mut output = Vec::with_capacity(16 + events.len());
         write_chunk(&mut output, events);
-        self.writer.write_all(&output).await
+        self.write(&output).await
     }
 
     /// Completes a streaming response.
@@ -106,7 +109,7 @@
             return Ok(());
         }
         self.state = State::Complete;
-        self.writer.write_all(b"0\r\n\r\n").await
+        self.write(b"0\r\n\r\n").await
     }
 
     /// Sends the router's own error response, with an RFC 9457 problem document as its body.
@@ -133,7 +136,7 @@
             output.extend_from_slice(&body);
         }
         self.state = State::Complete;
-        self.writer.write_all(&output).await
+        self.write(&output).await
     }
 
     /// Writes the status line and headers without `Content-Length`, `Transfer-Encoding` and
@@ -144,6 +147,11 @@
         self.write_connection_header(output);
     }
 
+    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.watch.record_send();
+        self.writer.write_all(bytes).await
+    }
+
     fn write_connection_header(&self, output: &mut Vec<u8>) {
         if self.closes_connection {
             output.extend_from_slice(b"Connection: close\r\n");
--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -13,7 +13,7 @@
         clock::BootInstant,
         config::{CallerLimits, RequestKind},
         dispatch::run_request,
-        http1::{BodyDecoder, BodyFraming, Connection, HeadError, RequestHead, set_socket_options},
+        http1::{BodyDecoder, BodyFraming, Connection, HeadError, RequestHead, read_into},
         server::Gateway,
         telemetry::{OptionalMillis, event},
     },
@@ -46,26 +46,29 @@
 
 /// Serves the requests on a caller's connection until it is closed.
 pub(crate) async fn serve_caller<P: Protocol>(gateway: Rc<Gateway<P>>, stream: TcpStream) {
-    if let Err(error) = set_socket_options(&stream, CALLER_USER_TIMEOUT) {
-        event!("caller_socket_failed", "reason={:?}", error.to_string());
-        return;
-    }
+    let mut connection = match Connection::open_watched(stream, CALLER_USER_TIMEOUT) {
+        Ok(connection) => connection,
+        Err(error) => {
+            event!("caller_socket_failed", "reason={:?}", error.to_string());
+            return;
+        }
+    };
     let _connection_guard = gateway.count_connection();
-    let mut connection = Connection::new(stream);
     loop {
         let next = match receive_head(&gateway, &mut connection).await {
             Ok(Some(head)) => serve_request(&gateway, &mut connection, head).await,
-            Ok(None) => return,
+            Ok(None) => NextAction::Close,
             Err(refusal) => {
                 refuse_and_close::<P>(&mut connection, "", &refusal).await;
-                return;
+                NextAction::Close
             }
         };
         match next {
             NextAction::KeepAlive => {}
-            NextAction::Close => return,
+            NextAction::Close => break,
         }
     }
+    connection.prepare_close();
 }
 
 /// What happens to the connection after a request.
@@ -131,7 +134,8 @@
     method: &str,
     refusal: &Refusal,
 ) {
-    let mut sink = CallerSink::<P>::new(&mut connection.writer, "", method, true);
+    let mut sink =
+        CallerSink::<P>::new(&mut connection.writer, &connection.watch, "", method, true);
     if sink.send_refusal(refusal).await.is_ok() {
         // closing a socket with unread bytes sends a reset, which may discard the response
         // before the caller has read it
@@ -191,8 +195,8 @@
         Ok(request) => request,
         Err(refused) => {
             let RefusedRequest { caller, refusal } = *refused;
-            let mut sink =
-                CallerSink::new(&mut connection.writer, &caller.id, &method, closes_connection);
+            let Connection { writer, watch, .. } = connection;
+            let mut sink = CallerSink::new(writer, watch, &caller.id, &method, closes_connection);
             return refuse_request(gateway, &mut sink, &caller, &refusal).await;
         }
     };
@@ -331,34 +335,36 @@
     closes_connection: bool,
 ) -> NextAction {
     let id = &request.caller.id;
-    let Connection { reader, writer, input } = connection;
+    let Connection { reader, writer, input, watch } = connection;
     let method = &request.head.method;
-    let mut sink = CallerSink::<P>::new(writer, id, method, closes_connection);
-    let mut reads_input = true;
+    let mut sink = CallerSink::<P>::new(writer, watch, id, method, closes_connection);
+    let (mut reads_input, mut is_watched) = (true, true);
     let is_reusable = {
         let mut run = pin!(run_request(gateway, request, &mut sink));
         loop {
             tokio::select! {
                 biased;
                 is_reusable = &mut run => break is_reusable,
-                received = crate::http1::read_into(reader, input), if reads_input => match received {
-                    Ok(1..) => reads_input = input.len() < MAX_PIPELINED_BYTES,
-                    Ok(0) | Err(_)
-                        if request.route.kind == RequestKind::NonIdempotent
-                            && request.has_been_sent.get() =>
-                    {
-                        // a cancelled run would leave the outcome of the request unknown
-                        event!("caller_left", "id={id} call=continues");
-                        reads_input = false;
+                received = read_into(reader, input), if reads_input => {
+                    if matches!(received, Ok(1..)) {
+                        reads_input = input.len() < MAX_PIPELINED_BYTES;
+                        continue;
                     }
-                    Ok(0) | Err(_) => {
-                        event!("caller_left", "id={id} elapsed_ms={}", request.elapsed().as_millis());
-                        let (kind, team) = (request.route.kind.into(), request.team.as_deref());
-                        gateway.metrics.count_ended_request(kind, team, "caller_left");
-                        return NextAction::Close;
-                    }
-                },
+                    reads_input = false;
+                }
+                _ = watch.lost(reader.as_ref()), if is_watched => {
+                    (reads_input, is_watched) = (false, false);
+                }
+            }
+            if request.route.kind == RequestKind::NonIdempotent && request.has_been_sent.get() {
+                // a cancelled run would leave the outcome of the request unknown
+                event!("caller_left", "id={id} call=continues");
+                continue;
             }
+            event!("caller_left", "id={id} elapsed_ms={}", request.elapsed().as_millis());
+            let (kind, team) = (request.route.kind.into(), request.team.as_deref());
+            gateway.metrics.count_ended_request(kind, team, "caller_left");
+            return NextAction::Close;
         }
     };
     if is_reusable { NextAction::KeepAlive } else { NextAction::Close }
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -111,7 +111,8 @@
         for part in [head, &request.body] {
             let mut rest = part;
             while !rest.is_empty() {
-                let Connection { reader, writer, input } = &mut self.connection;
+                let Connection { reader, writer, input, watch } = &mut self.connection;
+                watch.record_send();
                 tokio::select! {
                     biased;
                     sent = writer.write(rest) => match sent {
@@ -128,6 +129,7 @@
                             return Ok(());
                         }
                     }
+                    _ = watch.lost(reader.as_ref()) => return Err(broken()),
                 }
             }
         }
--- a/crates/gateway/src/http1/client_connection.rs
+++ b/crates/gateway/src/http1/client_connection.rs
@@ -1,9 +1,5 @@
 use {
-    super::{
-        body_decoder::BodyDecoder,
-        connection::{Connection, set_socket_options},
-        response_head::ResponseHead,
-    },
+    super::{body_decoder::BodyDecoder, connection::Connection, response_head::ResponseHead},
     std::{io, net::SocketAddr, time::Duration},
     tokio::{io::AsyncWriteExt, net::TcpStream, time::timeout},
 };
@@ -83,8 +79,7 @@
         Ok(stream) => stream?,
         Err(_) => return Err(io::ErrorKind::TimedOut.into()),
     };
-    set_socket_options(&stream, USER_TIMEOUT)?;
-    Ok(Connection::new(stream))
+    Connection::open_watched(stream, USER_TIMEOUT)
 }
 
 fn invalid_data(message: &'static str) -> io::Error {
--- a/crates/gateway/src/http1/connection.rs
+++ b/crates/gateway/src/http1/connection.rs
@@ -1,4 +1,5 @@
 use {
+    super::peer_watch::PeerWatch,
     socket2::{SockRef, TcpKeepalive},
     std::{cell::RefCell, io, time::Duration},
     tokio::net::{
@@ -25,18 +26,43 @@
     pub(crate) reader: OwnedReadHalf,
     pub(crate) writer: OwnedWriteHalf,
     pub(crate) input: Vec<u8>,
+    pub(crate) watch: PeerWatch,
 }
 
 impl Connection {
     pub(crate) fn new(stream: TcpStream) -> Connection {
+        Connection::with_watch(stream, PeerWatch::new(None))
+    }
+
+    /// Sets the options of the socket. The loss of the peer is detected if the connection's `watch`
+    /// is told of what is sent.
+    pub(crate) fn open_watched(
+        stream: TcpStream,
+        user_timeout: Duration,
+    ) -> io::Result<Connection> {
+        set_socket_options(&stream, user_timeout)?;
+        Ok(Connection::with_watch(stream, PeerWatch::new(Some(user_timeout))))
+    }
+
+    fn with_watch(stream: TcpStream, watch: PeerWatch) -> Connection {
         let (reader, writer) = stream.into_split();
-        Connection { reader, writer, input: Vec::new() }
+        Connection { reader, writer, input: Vec::new(), watch }
     }
 
     /// Appends received bytes to `input` and returns their number; 0 means that the peer
-    /// closed its side.
+    /// closed its side. Fails if the peer is lost.
     pub(crate) async fn read_more(&mut self) -> io::Result<usize> {
-        read_into(&mut self.reader, &mut self.input).await
+        let Connection { reader, input, watch, .. } = self;
+        tokio::select! {
+            biased;
+            received = read_into(reader, input) => received,
+            error = watch.lost(reader.as_ref()) => Err(error),
+        }
+    }
+
+    /// To be called before the connection is closed while the peer may still read.
+    pub(crate) fn prepare_close(&self) {
+        self.watch.prepare_close(self.reader.as_ref());
     }
 
     /// Whether an idle connection is still open and has no unread bytes.
@@ -53,10 +79,7 @@
 /// Waits for bytes and appends them to `input`; returns their number, 0 at the end of the
 /// stream. All connections share one read buffer, so that idle connections use no buffer
 /// memory.
-pub(crate) async fn read_into(
-    reader: &mut OwnedReadHalf,
-    input: &mut Vec<u8>,
-) -> io::Result<usize> {
+pub(crate) async fn read_into(reader: &OwnedReadHalf, input: &mut Vec<u8>) -> io::Result<usize> {
     loop {
         reader.readable().await?;
         let result = READ_BUFFER.with_borrow_mut(|buffer| {
@@ -72,9 +95,9 @@
 }
 
 /// Disables Nagle's algorithm and enables TCP keepalive and the TCP user timeout. The user
-/// timeout closes a connection whose sent data stays unacknowledged, and keepalive probes
+/// timeout closes a connection whose sent data stays unacknowledged (see `PeerWatch`), and keepalive probes
 /// detect the loss of a peer that sends nothing.
-pub(crate) fn set_socket_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
+fn set_socket_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(user_timeout))?;
--- a/crates/gateway/src/http1/mod.rs
+++ b/crates/gateway/src/http1/mod.rs
@@ -4,8 +4,15 @@
 mod connection;
 mod head_error;
 mod headers;
+mod peer_watch;
+#[cfg(test)]
+mod peer_watch_tests;
 mod request_head;
 mod response_head;
+mod send_state;
+#[cfg(test)]
+mod send_state_tests;
+mod socket_diagnostics;
 #[cfg(test)]
 mod tests;
 
@@ -21,5 +28,6 @@
 pub(crate) use {
     body_framing::allows_body,
     client_connection::connect,
-    connection::{Connection, read_into, set_socket_options},
+    connection::{Connection, read_into},
+    peer_watch::PeerWatch,
 };
