Reset the connections of calls that are given up

Engines that still read a long body worked on for 1.6 s and longer for callers that had cancelled their stream.

Cause: a dropped EndpointCall closed its connection in an orderly way. The end of the connection waits behind the part of the body that the engine's receive window has no room for, so the engine did not see it.

Change: a connection is reset when it is dropped while a call is in progress (SO_LINGER of 0 s, set at the drop). `finish` takes that back, also if the connection is not kept, so what an engine is still to read after a complete response is not lost. Connections to callers are never reset that way.

Why it works: a reset discards what is unsent and is not held back by the peer's window.

--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -335,7 +335,7 @@
     closes_connection: bool,
 ) -> NextAction {
     let id = &request.caller.id;
-    let Connection { reader, writer, input, watch } = connection;
+    let Connection { reader, writer, input, watch, .. } = connection;
     let method = &request.head.method;
     let mut sink = CallerSink::<P>::new(writer, watch, id, method, closes_connection);
     let (mut reads_input, mut is_watched) = (true, true);
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -34,8 +34,8 @@
 /// Most interim responses (1xx) that are skipped before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
-/// One request on a connection to an endpoint. Dropping it before `finish` closes the
-/// connection, which makes the endpoint cancel the request.
+/// One request on a connection to an endpoint. Dropping it before `finish` resets the
+/// connection, which makes the endpoint cancel the request, also while it still reads the body.
 pub(super) struct EndpointCall {
     endpoint: Rc<Endpoint>,
     connection: Connection,
@@ -69,7 +69,7 @@
             true => gateway.idle_limit(&request.service).max_idle(request.route.may_rerun(), now),
             false => Some(Duration::ZERO),
         };
-        let (connection, idle_time) = match endpoint.take_idle_connection(max_idle, now) {
+        let (mut connection, idle_time) = match endpoint.take_idle_connection(max_idle, now) {
             Some(idle) => {
                 let idle_time = idle.idle_time(now);
                 (idle.connection, Some(idle_time))
@@ -85,6 +85,7 @@
                 (connected?, None)
             }
         };
+        connection.resets_on_drop = true;
         Ok(EndpointCall {
             endpoint: endpoint.clone(),
             connection,
@@ -111,7 +112,7 @@
         for part in [head, &request.body] {
             let mut rest = part;
             while !rest.is_empty() {
-                let Connection { reader, writer, input, watch } = &mut self.connection;
+                let Connection { reader, writer, input, watch, .. } = &mut self.connection;
                 watch.record_send();
                 tokio::select! {
                     biased;
@@ -315,7 +316,8 @@
 
     /// Keeps the connection for another request if the response was read completely and the
     /// connection is reusable.
-    pub(super) fn finish(self) {
+    pub(super) fn finish(mut self) {
+        self.connection.resets_on_drop = false;
         let is_done = self.decoder.as_ref().is_some_and(BodyDecoder::is_done);
         let keep_alive = self.keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
         if is_done && self.is_reusable && self.connection.input.is_empty() {
--- a/crates/gateway/src/http1/connection.rs
+++ b/crates/gateway/src/http1/connection.rs
@@ -27,6 +27,9 @@
     pub(crate) writer: OwnedWriteHalf,
     pub(crate) input: Vec<u8>,
     pub(crate) watch: PeerWatch,
+    /// Whether the connection is reset when it is dropped. The end of a connection reaches the peer
+    /// after all bytes sent before, a reset at once.
+    pub(crate) resets_on_drop: bool,
 }
 
 impl Connection {
@@ -46,7 +49,7 @@
 
     fn with_watch(stream: TcpStream, watch: PeerWatch) -> Connection {
         let (reader, writer) = stream.into_split();
-        Connection { reader, writer, input: Vec::new(), watch }
+        Connection { reader, writer, input: Vec::new(), watch, resets_on_drop: false }
     }
 
     /// Appends received bytes to `input` and returns their number; 0 means that the peer
@@ -76,6 +79,15 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.resets_on_drop {
+            // a socket that refuses the option is closed in an orderly way
+            let _ = self.reader.as_ref().set_zero_linger();
+        }
+    }
+}
+
 /// Waits for bytes and appends them to `input`; returns their number, 0 at the end of the
 /// stream. All connections share one read buffer, so that idle connections use no buffer
 /// memory.
