Count responses until callers have read them

Bookings ended without an answer when 300 callers that read 2 MB answers slowly took a router past the memory of its machine: 4 MB for each of them.

Cause: the reservation in the pool of response bytes ended with `EndpointCall::finish`, before the answer was written, and the answer was copied once more for the write. 5xx responses that are held while their request is sent again, and events of streams on their way to the caller, were not counted either.

Change: `finish` returns the reservation, and `HeldResponse` keeps it with the head and the body until both are written or dropped. What follows the first 16 KiB of a body is written without a copy. The events that are written to a caller count, with their copy. Buffers above 64 KiB do not grow beyond three quarters of a pool, so that long answers, and long request bodies in their own pool, leave room for short ones.

Why it works: what a slow caller holds is counted for as long as it is held, so the sum stays at the limit. Answers beyond it end with 502, as such answers did before while they were received.

The accounting of events has no test of its own.

--- a/crates/gateway/src/callers/caller_sink.rs
+++ b/crates/gateway/src/callers/caller_sink.rs
@@ -5,6 +5,9 @@
     tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf},
 };
 
+/// Bytes of a body that are sent together with the head; the rest is not copied.
+const MAX_COPIED_BYTES: usize = 16_384;
+
 /// Writes the response to one request on a caller's connection.
 pub(crate) struct CallerSink<'a, P> {
     writer: &'a mut OwnedWriteHalf,
@@ -61,16 +64,19 @@
         head: &ResponseHead,
         body: &[u8],
     ) -> io::Result<()> {
-        let mut output = Vec::with_capacity(512 + body.len());
+        let copied_bytes = body.len().min(MAX_COPIED_BYTES);
+        let mut output = Vec::with_capacity(512 + copied_bytes);
         self.write_head(&mut output, head);
-        if allows_body(&self.method, head.status) {
-            let _ = write!(output, "Content-Length: {}\r\n\r\n", body.len());
-            output.extend_from_slice(body);
-        } else {
+        self.state = State::Complete;
+        if !allows_body(&self.method, head.status) {
             output.extend_from_slice(b"\r\n");
+            return self.write(&output).await;
         }
-        self.state = State::Complete;
-        self.write(&output).await
+        let _ = write!(output, "Content-Length: {}\r\n\r\n", body.len());
+        let (copied, rest) = body.split_at(copied_bytes);
+        output.extend_from_slice(copied);
+        self.write(&output).await?;
+        self.write(rest).await
     }
 
     /// Starts a streaming response: sends the head and the first events, chunked. A response without a
@@ -148,6 +154,9 @@
     }
 
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
         self.watch.record_send();
         self.writer.write_all(bytes).await
     }
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -4,6 +4,7 @@
         endpoint_request::EndpointRequest,
         event_splitter::EventSplitter,
         failure::{FailureCause, SendFailure},
+        held_response::HeldResponse,
         response_meta::ResponseMeta,
         stream_progress::StreamProgress,
     },
@@ -81,7 +82,7 @@
         return forward_stream(gateway, request, target.permit, call, &head, progress, sink).await;
     }
     let body = read_full_body(&mut call, head.framing).await?;
-    call.finish();
+    let response = HeldResponse { head, body, _reservation: call.finish() };
     if progress.has_started {
         // the caller has a part of a stream, to which this is no continuation
         return Err(SendFailure::new(SendOutcome::Failed, FailureCause::FailedStatus));
@@ -90,13 +91,14 @@
         endpoint
             .update_health(|health| health.record_response(started_at.elapsed(), Instant::now()));
     }
-    if head.status >= 500 {
+    if response.head.status >= 500 {
         let failure = SendFailure::new(SendOutcome::Failed, FailureCause::FailedStatus);
-        return Err(SendFailure { response: Some((head, body)), ..failure });
+        return Err(SendFailure { response: Some(response), ..failure });
     }
     gateway.blocklist.record_response(&request.part_keys);
     record_response_start(gateway, request, target.permit);
-    Ok(delivery_result(sink.send_response(&head, &body).await, head.status))
+    let written = sink.send_response(&response.head, &response.body).await;
+    Ok(delivery_result(written, response.head.status))
 }
 
 /// Writes the request and reads the head of its response.
@@ -185,13 +187,16 @@
         return Err(too_large());
     }
     let mut body = Vec::new();
-    while !call.read_body(&mut body).await? {
+    loop {
+        let is_complete = call.read_body(&mut body).await?;
         if body.len() > MAX_BUFFERED_BYTES {
             return Err(too_large());
         }
         call.reserve_buffer(body.capacity())?;
+        if is_complete {
+            return Ok(body);
+        }
     }
-    Ok(body)
 }
 
 /// Forwards complete events as they arrive. The head is sent with the first event, so that the
@@ -209,7 +214,8 @@
     loop {
         let is_complete = call.read_body(splitter.buffer()).await?;
         let events = splitter.take_complete(progress.last_event_id);
-        call.reserve_buffer(splitter.buffer().capacity())?;
+        // the events and their copy in a chunk are held until the caller has read them
+        call.reserve_buffer(splitter.buffer().capacity() + 2 * events.bytes.capacity())?;
         if splitter.buffer().len() > MAX_EVENT_BYTES {
             return Err(SendFailure::may_have_run(FailureCause::TooLarge));
         }
--- a/crates/gateway/src/dispatch/endpoint_call.rs
+++ b/crates/gateway/src/dispatch/endpoint_call.rs
@@ -315,8 +315,8 @@
     }
 
     /// Keeps the connection for another request if the response was read completely and the
-    /// connection is reusable.
-    pub(super) fn finish(mut self) {
+    /// connection is reusable. Returns the reservation, for what was received and is not forwarded yet.
+    pub(super) fn finish(mut self) -> Reservation {
         self.connection.resets_on_drop = false;
         let is_done = self.decoder.as_ref().is_some_and(BodyDecoder::is_done);
         let keep_alive = self.keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
@@ -327,5 +327,6 @@
                 usable_until: Instant::now() + keep_alive,
             });
         }
+        self.reservation
     }
 }
--- a/crates/gateway/src/dispatch/failure.rs
+++ b/crates/gateway/src/dispatch/failure.rs
@@ -1,5 +1,6 @@
 use {
-    crate::{http1::ResponseHead, memory::PoolExhausted, retry::SendOutcome},
+    super::held_response::HeldResponse,
+    crate::{memory::PoolExhausted, retry::SendOutcome},
     strum::{Display, IntoStaticStr},
 };
 
@@ -9,7 +10,7 @@
     pub(super) outcome: SendOutcome,
     pub(super) cause: FailureCause,
     /// The endpoint's 5xx response, which is forwarded if no later send succeeds.
-    pub(super) response: Option<(ResponseHead, Vec<u8>)>,
+    pub(super) response: Option<HeldResponse>,
 }
 
 /// Why a send failed.
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint_request;
 mod event_splitter;
 mod failure;
+mod held_response;
 mod request_parts;
 mod response_meta;
 mod run_request;
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -3,6 +3,7 @@
         attempt::{Delivery, Target, attempt},
         candidates::{AttemptedEndpoints, Candidates, with_candidates},
         failure::{FailureCause, SendFailure},
+        held_response::HeldResponse,
         request_parts::RequestParts,
         stream_progress::StreamProgress,
     },
@@ -11,7 +12,6 @@
         callers::{AdmittedRequest, CallerSink, Protocol, Refusal, recheck_api_key, with_jitter},
         clock::BootInstant,
         endpoints::{Endpoint, EndpointId},
-        http1::ResponseHead,
         placement::{Placement, PlacementRequest, choose_endpoint},
         queueing::{Arrival, NoPermit, Permit, PermitRequest},
         retry::{AttemptHistory, NextStep, RetryPolicy, SendOutcome, next_step},
@@ -80,7 +80,7 @@
     /// Endpoints that reported that they did not run the request.
     refused_by: Vec<EndpointId>,
     /// The last signed 5xx response of an endpoint, forwarded if no later send succeeds.
-    failed_response: Option<(ResponseHead, Vec<u8>)>,
+    failed_response: Option<HeldResponse>,
     last_cause: Option<FailureCause>,
     permit: Option<Rc<Permit>>,
     parts: RequestParts<'a>,
@@ -352,10 +352,11 @@
             self.outcome = "broken_off";
             return false;
         }
-        if let Some((head, body)) = self.failed_response.take() {
+        if let Some(response) = self.failed_response.take() {
             self.outcome = "endpoint_failed";
-            self.status = head.status;
-            return sink.send_response(&head, &body).await.is_ok() && sink.is_connection_reusable();
+            self.status = response.head.status;
+            let written = sink.send_response(&response.head, &response.body).await;
+            return written.is_ok() && sink.is_connection_reusable();
         }
         let is_accurate = refusal.verdict != Verdict::NotRun || self.history.has_not_run();
         let refusal = if is_accurate { refusal } else { Refusal::outcome_unknown(refusal.reason) };
--- a/crates/gateway/src/memory/byte_pool.rs
+++ b/crates/gateway/src/memory/byte_pool.rs
@@ -4,6 +4,12 @@
 //! connections at once. A limit for each message alone would let their sum end the process.
 use std::{cell::Cell, rc::Rc};
 
+/// Buffers up to this size may take the whole pool.
+const SMALL_BUFFER_BYTES: usize = 65_536;
+/// Part of the pool, in percent, beyond which no larger buffer grows, so that long messages of peers that
+/// read slowly leave room for short ones.
+const LARGE_BUFFERS_PERCENT: usize = 75;
+
 /// Bytes that all buffers of one kind may take together.
 #[derive(Clone, Debug)]
 pub(crate) struct BytePool(Rc<PoolState>);
@@ -45,7 +51,11 @@
     pub(crate) fn resize(&mut self, bytes: usize) -> Result<(), PoolExhausted> {
         let pool = &self.pool.0;
         let others = pool.reserved_bytes.get() - self.bytes;
-        if bytes > self.bytes && others + bytes > pool.max_bytes {
+        let max_bytes = match bytes {
+            0..=SMALL_BUFFER_BYTES => pool.max_bytes,
+            _ => pool.max_bytes * LARGE_BUFFERS_PERCENT / 100,
+        };
+        if bytes > self.bytes && others + bytes > max_bytes {
             return Err(PoolExhausted);
         }
         pool.reserved_bytes.set(others + bytes);
