--- a/crates/gateway/src/callers/caller_sink.rs
+++ b/crates/gateway/src/callers/caller_sink.rs
@@ -1,13 +1,17 @@
 use {
     super::{protocol::Protocol, refusal::Refusal},
-    crate::http1::{Headers, ResponseHead, allows_body},
+    crate::http1::{Headers, PeerWatch, ResponseHead, allows_body},
     std::{io, io::Write, marker::PhantomData},
     tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf},
 };
 
+/// Bytes of a body that are sent together with the head; the rest is not copied.
+const MAX_COPIED_BYTES: usize = 16_384;
+
 /// Writes the response to one request on a caller's connection.
 pub(crate) struct CallerSink<'a, P> {
     writer: &'a mut OwnedWriteHalf,
+    watch: &'a PeerWatch,
     request_id: Box<str>,
     state: State,
     /// Whether the connection is closed after this response.
@@ -28,12 +32,14 @@
     /// `closes_connection` adds `Connection: close` to the response.
     pub(crate) fn new(
         writer: &'a mut OwnedWriteHalf,
+        watch: &'a PeerWatch,
         request_id: &str,
         method: &str,
         closes_connection: bool,
     ) -> CallerSink<'a, P> {
         CallerSink {
             writer,
+            watch,
             request_id: request_id.into(),
             state: State::Unanswered,
             closes_connection,
@@ -58,16 +64,19 @@
         head: &ResponseHead,
         body: &[u8],
     ) -> io::Result<()> {
-        let mut output = Vec::with_capacity(512 + body.len());
+        let copied_bytes = body.len().min(MAX_COPIED_BYTES);
+        let mut output = Vec::with_capacity(512 + copied_bytes);
         self.write_head(&mut output, head);
-        if allows_body(&self.method, head.status) {
-            let _ = write!(output, "Content-Length: {}\r\n\r\n", body.len());
-            output.extend_from_slice(body);
-        } else {
+        self.state = State::Complete;
+        if !allows_body(&self.method, head.status) {
             output.extend_from_slice(b"\r\n");
+            return self.write(&output).await;
         }
-        self.state = State::Complete;
-        self.writer.write_all(&output).await
+        let _ = write!(output, "Content-Length: {}\r\n\r\n", body.len());
+        let (copied, rest) = body.split_at(copied_bytes);
+        output.extend_from_slice(copied);
+        self.write(&output).await?;
+        self.write(rest).await
     }
 
     /// Starts a streaming response: sends the head and the first events, chunked. A response without a
@@ -87,7 +96,7 @@
             output.extend_from_slice(b"\r\n");
             self.state = State::Complete;
         }
-        self.writer.write_all(&output).await
+        self.write(&output).await
     }
 
     /// Sends further events of a streaming response.
@@ -97,7 +106,7 @@
         }
         let mut output = Vec::with_capacity(16 + events.len());
         write_chunk(&mut output, events);
-        self.writer.write_all(&output).await
+        self.write(&output).await
     }
 
     /// Completes a streaming response.
@@ -106,7 +115,7 @@
             return Ok(());
         }
         self.state = State::Complete;
-        self.writer.write_all(b"0\r\n\r\n").await
+        self.write(b"0\r\n\r\n").await
     }
 
     /// Sends the router's own error response, with an RFC 9457 problem document as its body.
@@ -133,7 +142,7 @@
             output.extend_from_slice(&body);
         }
         self.state = State::Complete;
-        self.writer.write_all(&output).await
+        self.write(&output).await
     }
 
     /// Writes the status line and headers without `Content-Length`, `Transfer-Encoding` and
@@ -144,6 +153,14 @@
         self.write_connection_header(output);
     }
 
+    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.watch.record_send();
+        self.writer.write_all(bytes).await
+    }
+
     fn write_connection_header(&self, output: &mut Vec<u8>) {
         if self.closes_connection {
             output.extend_from_slice(b"Connection: close\r\n");
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint_request;
 mod event_splitter;
 mod failure;
+mod held_response;
 mod placement_log;
 mod request_parts;
 mod response_meta;
