Treat a store without the configuration as behind its hosts

What callers saw: a host that starts after the store has come back from a copy without any configuration is never ready. Its relay had the configuration, took the store's records for current, and did not pass on that the configuration was written again, since that said nothing new to it. The same followed an unreadable record in the older copy; the host then also called an older configuration of the store confirmed.

Cause: a host noticed that it was ahead of the store only by an older, readable record in the listing. Change: in a new era, a host with a configuration is ahead until the store shows it or a newer one.

Evidence: both tests of older_copy_tests failed before: confirmed 0 s ago instead of 1 s and 2 s; without that assertion, the first one passed on no record instead of version 3.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -40,8 +40,8 @@
     is_readable: bool,
     /// Whether the store came back from an older copy that was not listed yet.
     has_new_era: bool,
-    /// Whether the store has only an older configuration than the one in force, since it came back
-    /// from an older copy: the operators are about to write it again.
+    /// Whether the store has no configuration, or only an older one than that in force, since it came
+    /// back from an older copy: the operators are about to write it again.
     is_ahead_of_store: bool,
     /// Evacuations that are missing in the older copy, and may be written again.
     unsettled: Option<UnsettledEvacuations>,
@@ -107,7 +107,7 @@
                 self.is_readable = true;
                 let is_older = config.version < self.state.version();
                 let was_ahead = self.is_ahead_of_store;
-                self.is_ahead_of_store = is_older && (self.has_new_era || was_ahead);
+                self.is_ahead_of_store = is_older && was_ahead;
                 let is_applied = self.apply_config(config, offset);
                 is_applied || (was_ahead && !self.is_ahead_of_store)
             }
@@ -143,6 +143,10 @@
     /// Evacuations that are missing in an older copy stay in force until they may have been written
     /// again.
     fn replace_all(&mut self, records: &[RawRecord], now: Instant) -> Vec<Box<str>> {
+        let has_new_era = std::mem::take(&mut self.has_new_era);
+        if has_new_era {
+            self.is_ahead_of_store = self.state.current().is_some();
+        }
         let mut evacuated = BTreeSet::new();
         let mut newer = Vec::new();
         for record in records {
@@ -157,7 +161,7 @@
                 Some(OperatorKey::Evacuation { .. }) | None => {}
             }
         }
-        if std::mem::take(&mut self.has_new_era) {
+        if has_new_era {
             for zone in &evacuated {
                 self.evacuations.begin(zone);
             }
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -13,6 +13,8 @@
 mod log_copy;
 #[cfg(test)]
 mod log_copy_tests;
+#[cfg(test)]
+mod older_copy_tests;
 mod record_sink;
 #[cfg(test)]
 mod relay_tests;
--- /dev/null
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -0,0 +1,92 @@
+//! Copies of a log whose store has come back from an older copy, or has been away.
+
+use {
+    super::{
+        ConfigSink,
+        log_copy::LogCopy,
+        record_sink::RecordSink,
+        tests::{config_sink, peers, raw},
+    },
+    crate::{
+        clock::Now,
+        config::{ConfigState, Evacuations},
+        peers::PeerState,
+        records::{Era, LogChanges, LogListing, Offset, RawRecord},
+        telemetry::GatewayMetrics,
+    },
+    std::{rc::Rc, time::Duration},
+};
+
+/// A host with a copy of a log. Times are seconds since its start.
+struct Host<S> {
+    peers: Rc<PeerState>,
+    copy: LogCopy<S>,
+    started_at: Now,
+}
+
+impl<S: RecordSink> Host<S> {
+    fn new(sink: S) -> Host<S> {
+        let peers = peers();
+        Host { copy: LogCopy::new(sink, peers.clone()), peers, started_at: Now::read() }
+    }
+
+    fn after(&self, seconds: f64) -> Now {
+        let time = Duration::from_secs_f64(seconds);
+        Now { instant: self.started_at.instant + time, boot: self.started_at.boot + time }
+    }
+
+    fn list(&mut self, seconds: f64, era: Era, end: Offset, records: &[RawRecord]) {
+        let now = self.after(seconds);
+        let listing = LogListing { records: records.to_vec(), end, era };
+        self.copy.apply_listing(listing, false, now.boot, now);
+    }
+
+    /// Reads records from the store, the last ones of the log.
+    fn read(&mut self, seconds: f64, era: Era, has_failed: bool, records: &[RawRecord]) {
+        let now = self.after(seconds);
+        let next = self.copy.position().expect("a position") + records.len() as u64;
+        let changes = LogChanges { records: records.to_vec(), next, end: next, era };
+        self.copy.apply_changes(changes, has_failed, now.boot, now);
+    }
+
+    /// The records that a host without any reads from this one as its relay.
+    fn passed_on(&self) -> Vec<(String, String)> {
+        let feed = self.peers.published_feed(S::KIND).borrow();
+        let records = feed.changes(0).records.into_iter();
+        let text = |value| String::from_utf8(value).expect("text");
+        records.map(|record| (record.key, text(record.value))).collect()
+    }
+}
+
+fn config_host() -> (Host<ConfigSink>, Rc<Evacuations>) {
+    let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
+    let evacuations = Rc::new(Evacuations::new(Rc::new(GatewayMetrics::new())));
+    (Host::new(config_sink(&state, &evacuations)), evacuations)
+}
+
+/// Guards against hosts that never get a configuration from their relay: the relay had it when the store
+/// came back from a copy without any, and did not pass on that it was written again.
+#[test]
+fn a_configuration_that_an_older_copy_lacks_is_passed_on_once_it_is_back() {
+    let (mut host, _) = config_host();
+    host.list(0.0, 0, 1, &[raw(0, "config", "3")]);
+    host.list(1.0, 1, 0, &[]);
+    let age = host.copy.confirmation_age(host.after(1.0).instant);
+    assert_eq!(age, Some(Duration::from_secs(1)), "the store lacks the configuration");
+    host.read(2.0, 1, false, &[raw(0, "config", "3")]);
+    assert_eq!(host.passed_on(), [("config".to_owned(), "3".to_owned())]);
+    assert_eq!(host.copy.confirmation_age(host.after(2.0).instant), Some(Duration::ZERO));
+}
+
+/// Guards against a configuration that is confirmed although the store has an older one: the first record
+/// after the return could not be read.
+#[test]
+fn an_unreadable_configuration_in_an_older_copy_confirms_no_older_one() {
+    let (mut host, _) = config_host();
+    host.list(0.0, 0, 1, &[raw(0, "config", "7")]);
+    host.list(1.0, 1, 1, &[raw(0, "config", "torn")]);
+    host.read(2.0, 1, false, &[raw(1, "config", "6")]);
+    assert_eq!(host.copy.confirmation_age(host.after(2.0).instant), Some(Duration::from_secs(2)));
+    host.read(3.0, 1, false, &[raw(2, "config", "7")]);
+    assert_eq!(host.passed_on(), [("config".to_owned(), "7".to_owned())]);
+}
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Default)]
 pub(super) struct ScriptedFeed {
     pub(super) listings: Rc<RefCell<VecDeque<Result<LogListing, FeedError>>>>,
-    changes: Rc<RefCell<VecDeque<Result<LogChanges, FeedError>>>>,
+    pub(super) changes: Rc<RefCell<VecDeque<Result<LogChanges, FeedError>>>>,
 }
 
 impl RecordFeed for ScriptedFeed {
@@ -71,7 +71,7 @@
     Rc::new(peers)
 }
 
-fn peers() -> Rc<PeerState> {
+pub(super) fn peers() -> Rc<PeerState> {
     peers_of(own_host(), Duration::from_millis(1_500))
 }
 
