Keep unsettled evacuations when the records are listed again

What callers saw: requests go to an evacuated zone, from some hosts only, after the store has come back from an older copy that lacks the evacuation. Evacuations are kept for 5 s, but a second listing in that time dropped them: an expired offset, a copy that differs from the relay's, or a relay that has listed later than the host and therefore returns all of its records.

Change: a listing replaces what the store is known to have; what is kept is still settled by the operators' next configuration or the end of the 5 s.

Evidence: an_evacuation_that_an_older_copy_lacks_outlasts_another_listing failed before at its first assertion.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -162,13 +162,16 @@
             }
         }
         if has_new_era {
-            for zone in &evacuated {
-                self.evacuations.begin(zone);
+            self.unsettled = Some(UnsettledEvacuations::new(now));
+        }
+        match &mut self.unsettled {
+            Some(unsettled) => {
+                for zone in &evacuated {
+                    self.evacuations.begin(zone);
+                }
+                unsettled.replace_all(evacuated);
             }
-            self.unsettled = Some(UnsettledEvacuations::new(evacuated, now));
-        } else {
-            self.unsettled = None;
-            self.evacuations.replace_all(&evacuated, now);
+            None => self.evacuations.replace_all(&evacuated, now),
         }
         newer
     }
--- a/crates/gateway/src/followers/older_copy_tests.rs
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -90,3 +90,19 @@
     host.read(3.0, 1, false, &[raw(2, "config", "7")]);
     assert_eq!(host.passed_on(), [("config".to_owned(), "7".to_owned())]);
 }
+
+/// Guards against requests to an evacuated zone: the evacuation was missing in an older copy, and the host
+/// listed the records again, or read all those of its relay, before it was back.
+#[test]
+fn an_evacuation_that_an_older_copy_lacks_outlasts_another_listing() {
+    let (mut host, evacuations) = config_host();
+    host.list(0.0, 0, 2, &[raw(0, "config", "3"), raw(1, "zone-a", "{}")]);
+    host.list(1.0, 1, 1, &[raw(0, "config", "3")]);
+    host.copy.reset_position();
+    host.list(2.0, 1, 2, &[raw(0, "config", "3"), raw(1, "zone-b", "{}")]);
+    assert!(evacuations.is_evacuated("a") && evacuations.is_evacuated("b"));
+    host.copy.sink.expire(host.after(5.9).instant);
+    assert!(evacuations.is_evacuated("a"), "it may be written again");
+    host.copy.sink.expire(host.after(6.1).instant);
+    assert!(!evacuations.is_evacuated("a") && evacuations.is_evacuated("b"));
+}
--- a/crates/gateway/src/followers/unsettled_evacuations.rs
+++ b/crates/gateway/src/followers/unsettled_evacuations.rs
@@ -17,8 +17,13 @@
 }
 
 impl UnsettledEvacuations {
-    pub(super) fn new(listed: BTreeSet<Rc<str>>, now: Instant) -> UnsettledEvacuations {
-        UnsettledEvacuations { zones: listed, settled_at: now + RENEWAL_TIME }
+    pub(super) fn new(now: Instant) -> UnsettledEvacuations {
+        UnsettledEvacuations { zones: BTreeSet::new(), settled_at: now + RENEWAL_TIME }
+    }
+
+    /// Replaces the zones by those of a complete listing.
+    pub(super) fn replace_all(&mut self, listed: BTreeSet<Rc<str>>) {
+        self.zones = listed;
     }
 
     /// Records that the operators have evacuated a zone.
