Settle evacuations once the store has the configuration in force

What callers saw: requests go to an evacuated zone for a moment after the store has come back from an older copy. The first configuration that the operators wrote again ended all evacuations that were missing there, also if it was older than that in force, so that later records of the operators were still to come.

Change: evacuations are settled by a configuration that is not older than the one in force, and by the end of the 5 s as before.

Evidence: an_evacuation_is_kept_until_the_newest_configuration_is_back failed before at its first assertion.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -180,7 +180,9 @@
         match (self.records.key)(&record.key) {
             Some(OperatorKey::Config) => {
                 let is_news = self.apply_config_record(record);
-                self.settle_evacuations(now);
+                if !self.is_ahead_of_store {
+                    self.settle_evacuations(now);
+                }
                 is_news
             }
             Some(OperatorKey::Evacuation { zone }) if record.value.is_empty() => {
--- a/crates/gateway/src/followers/older_copy_tests.rs
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -106,3 +106,16 @@
     host.copy.sink.expire(host.after(6.1).instant);
     assert!(!evacuations.is_evacuated("a") && evacuations.is_evacuated("b"));
 }
+
+/// Guards against requests to an evacuated zone: the operators wrote their records again in order, and
+/// an older configuration before the evacuation.
+#[test]
+fn an_evacuation_is_kept_until_the_newest_configuration_is_back() {
+    let (mut host, evacuations) = config_host();
+    host.list(0.0, 0, 4, &[raw(1, "zone-a", "{}"), raw(3, "config", "7")]);
+    host.list(1.0, 1, 1, &[raw(0, "config", "5")]);
+    host.read(1.2, 1, false, &[raw(1, "config", "6")]);
+    assert!(evacuations.is_evacuated("a"), "the records up to version 7 are not back");
+    host.read(1.4, 1, false, &[raw(2, "config", "7")]);
+    assert!(!evacuations.is_evacuated("a"), "it was taken back meanwhile");
+}
