Date a confirmation by all records of an answer, used or not

What callers saw: a host calls its configuration newer than it is, by up to the wait of a read (800 ms). An answer without records that arrives after the whole wait confirms the log up to the end of the wait. An answer with records whose keys the host ignores was taken for one, although the store had answered at once and only the answer was late.

Change: an answer is empty if the position does not advance.

Evidence: an_answer_with_unused_records_does_not_confirm_the_end_of_the_wait failed before.

--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -216,8 +216,10 @@
                 self.copy.reset_position();
                 false
             }
-            StoreAnswer::Changes(changes, _, wait) => {
-                let complete_at = confirmation_time(sent_at, wait, changes.records.is_empty());
+            StoreAnswer::Changes(changes, from, wait) => {
+                // records that this host does not use end the wait as well
+                let is_empty = changes.next == from;
+                let complete_at = confirmation_time(sent_at, wait, is_empty);
                 self.copy.apply_changes(changes, has_failed, complete_at, now)
             }
         }
--- a/crates/gateway/src/followers/older_copy_tests.rs
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -2,19 +2,23 @@
 
 use {
     super::{
-        ConfigSink,
+        ConfigSink, Follower,
         log_copy::LogCopy,
         record_sink::RecordSink,
         tests::{config_sink, peers, raw},
     },
     crate::{
-        clock::Now,
+        clock::{BootInstant, Now},
         config::{ConfigState, Evacuations},
         peers::PeerState,
-        records::{Era, LogChanges, LogListing, Offset, RawRecord},
+        records::{Era, FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
         telemetry::GatewayMetrics,
     },
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, future::pending, rc::Rc, time::Duration},
+    tokio::{
+        task::LocalSet,
+        time::{sleep, timeout},
+    },
 };
 
 /// A host with a copy of a log. Times are seconds since its start.
@@ -64,6 +68,18 @@
     (Host::new(config_sink(&state, &evacuations)), evacuations)
 }
 
+/// Runs a follower of the configuration until its feed gives no more answers.
+fn follow<F: RecordFeed>(feed: F, state: &Rc<ConfigState>, peers: Rc<PeerState>) {
+    let metrics = Rc::new(GatewayMetrics::new());
+    let evacuations = Rc::new(Evacuations::new(metrics.clone()));
+    let follower = Follower::new(feed, config_sink(state, &evacuations), peers, metrics);
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let _ = timeout(Duration::from_millis(600), follower.run()).await;
+    });
+}
+
 /// Guards against hosts that never get a configuration from their relay: the relay had it when the store
 /// came back from a copy without any, and did not pass on that it was written again.
 #[test]
@@ -119,3 +135,38 @@
     host.read(1.4, 1, false, &[raw(2, "config", "7")]);
     assert!(!evacuations.is_evacuated("a"), "it was taken back meanwhile");
 }
+
+/// A log whose second answer has only a record with a key that is not used, and takes longer than the
+/// wait of the read.
+struct SlowFeed {
+    answers: u32,
+    read_at: Rc<Cell<Option<BootInstant>>>,
+}
+
+impl RecordFeed for SlowFeed {
+    async fn list_newest(&mut self) -> Result<LogListing, FeedError> {
+        Ok(LogListing { records: vec![raw(0, "config", "3")], end: 1, era: 0 })
+    }
+
+    async fn changes(&mut self, from: Offset, wait: Duration) -> Result<LogChanges, FeedError> {
+        self.answers += 1;
+        if self.answers > 1 {
+            return pending().await;
+        }
+        self.read_at.set(Some(BootInstant::now()));
+        sleep(wait + Duration::from_millis(20)).await;
+        Ok(LogChanges { records: Vec::new(), next: from + 1, end: from + 1, era: 0 })
+    }
+}
+
+/// Guards against a confirmation of a time at which the store had not looked: it answered at once with a
+/// record that this host does not use, and the answer was as late as one after the whole wait.
+#[test]
+fn an_answer_with_unused_records_does_not_confirm_the_end_of_the_wait() {
+    let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
+    let read_at = Rc::default();
+    follow(SlowFeed { answers: 0, read_at: Rc::clone(&read_at) }, &state, peers());
+    let half_wait = Duration::from_millis(50);
+    let age = state.confirmation_age(read_at.get().expect("a read") + half_wait);
+    assert!(age.is_some_and(|age| age >= half_wait), "{age:?}");
+}
