Record an outage that ends with another era or a rewound log

What callers saw: hosts lose endpoints whose records lapsed in an outage and are about to return. The first answer of the store after the outage was of another era, or showed a rewound log: it was discarded, and with it the knowledge that calls had failed. The listing that followed did not end an outage, on this host and on those that follow it.

Change: an answer that makes a position void ends the outage before the position is dropped.

Evidence: an_outage_that_ends_with_another_era_is_recorded and an_outage_that_ends_with_a_rewound_log_is_recorded failed before.

--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -213,7 +213,7 @@
             }
             StoreAnswer::Changes(LogChanges { end, .. }, from, _) if end < from => {
                 event!("log_rewound", "feed={} offset={from} end={end}", self.kind);
-                self.copy.reset_position();
+                self.copy.start_again(has_failed, now);
                 false
             }
             StoreAnswer::Changes(changes, from, wait) => {
--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -48,6 +48,15 @@
         self.position = None;
     }
 
+    /// Forgets the position, since an answer of the store shows that it means nothing any more.
+    /// `has_failed` says that calls to the store failed before.
+    pub(super) fn start_again(&mut self, has_failed: bool, now: Now) {
+        if has_failed {
+            self.end_outage(&[], now);
+        }
+        self.reset_position();
+    }
+
     /// Whether an answer or a status is not from before the last return of the store from an older
     /// copy.
     pub(super) fn accepts_era(&self, era: Era) -> bool {
@@ -219,7 +228,7 @@
         let LogChanges { records, next, end, era } = changes;
         if self.era != Some(era) {
             // the offset from which was read belongs to another era
-            self.reset_position();
+            self.start_again(has_failed, now);
             return false;
         }
         if has_failed {
--- a/crates/gateway/src/followers/older_copy_tests.rs
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -2,16 +2,20 @@
 
 use {
     super::{
-        ConfigSink, Follower,
+        ConfigSink, EndpointSink, Follower,
+        endpoint_sink_tests::endpoint_sink,
         log_copy::LogCopy,
         record_sink::RecordSink,
-        tests::{config_sink, peers, raw},
+        tests::{ScriptedFeed, config_sink, peers, raw},
     },
     crate::{
         clock::{BootInstant, Now},
         config::{ConfigState, Evacuations},
+        endpoints::Directory,
         peers::PeerState,
-        records::{Era, FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
+        records::{
+            Era, FeedError, FeedKind, LogChanges, LogListing, Offset, RawRecord, RecordFeed,
+        },
         telemetry::GatewayMetrics,
     },
     std::{cell::Cell, future::pending, rc::Rc, time::Duration},
@@ -60,6 +64,11 @@
         let text = |value| String::from_utf8(value).expect("text");
         records.map(|record| (record.key, text(record.value))).collect()
     }
+
+    fn follows_outage(&self) -> bool {
+        let feed = self.peers.published_feed(S::KIND).borrow();
+        feed.status(BootInstant::now()).follows_outage
+    }
 }
 
 fn config_host() -> (Host<ConfigSink>, Rc<Evacuations>) {
@@ -80,6 +89,11 @@
     });
 }
 
+fn endpoint_host() -> (Host<EndpointSink>, Rc<Directory>) {
+    let directory = Rc::new(Directory::default());
+    (Host::new(endpoint_sink(&directory)), directory)
+}
+
 /// Guards against hosts that never get a configuration from their relay: the relay had it when the store
 /// came back from a copy without any, and did not pass on that it was written again.
 #[test]
@@ -170,3 +184,31 @@
     let age = state.confirmation_age(read_at.get().expect("a read") + half_wait);
     assert!(age.is_some_and(|age| age >= half_wait), "{age:?}");
 }
+
+/// Guards against endpoints that peers lose after an outage of which they do not learn: the first answer
+/// after it was of another era.
+#[test]
+fn an_outage_that_ends_with_another_era_is_recorded() {
+    let (mut host, _) = endpoint_host();
+    host.list(0.0, 0, 2, &[raw(0, "a", "1"), raw(1, "b", "1")]);
+    host.read(6.0, 1, true, &[]);
+    host.list(6.1, 1, 0, &[]);
+    assert!(host.follows_outage());
+}
+
+/// Guards against the same where the first answer after the outage shows that the log was rewound.
+#[test]
+fn an_outage_that_ends_with_a_rewound_log_is_recorded() {
+    let feed = ScriptedFeed::default();
+    let listing =
+        |offset| LogListing { records: vec![raw(offset, "config", "3")], end: offset + 1, era: 0 };
+    feed.listings.borrow_mut().extend([Ok(listing(4)), Ok(listing(1))]);
+    feed.changes.borrow_mut().extend([
+        Err(FeedError::Unavailable("refused".into())),
+        Ok(LogChanges { records: Vec::new(), next: 5, end: 2, era: 0 }),
+    ]);
+    let (state, peers) = (Rc::new(ConfigState::new(Duration::from_secs(3))), peers());
+    follow(feed, &state, peers.clone());
+    let feed = peers.published_feed(FeedKind::Config).borrow();
+    assert!(feed.status(BootInstant::now()).follows_outage);
+}
