Count no time to return while the store is away

What callers saw: too few endpoints, or none, after the store has come back from an older copy and was away again. Endpoints whose record is missing stay in use for a time in which they can write it again. That time passed also while this host could not read the store, so that it dropped endpoints that had written again.

Change: endpoints are removed only while the log is confirmed, that is within two heartbeats or two polls; the end of an outage moves their removal to the time within which records are back.

Test changed: a_host_keeps_expired_endpoints_as_long_as_its_relay let 1.7 s pass without a status of the relay, which a host treats as an outage; it now takes the statuses that a relay sends, and asserts the same.

Evidence: an_endpoint_that_an_older_copy_lacks_is_kept_while_the_store_is_away failed before.

--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -122,6 +122,20 @@
         self.has_listing.set(true);
     }
 
+    /// Keeps endpoints whose record is gone until this time at least.
+    pub(crate) fn postpone_removals(&self, until: Instant) {
+        for removed_at in self.removal_times.borrow_mut().values_mut() {
+            *removed_at = until.max(*removed_at);
+        }
+    }
+
+    /// Removes idle connections that are no longer usable.
+    pub(crate) fn prune_idle_connections(&self, now: Instant) {
+        for endpoint in self.by_id.borrow().values() {
+            endpoint.prune_idle_connections(now);
+        }
+    }
+
     /// Removes endpoints whose removal time has passed, and idle connections that are no
     /// longer usable. Returns the next removal time.
     pub(crate) fn expire(&self, now: Instant) -> Option<Instant> {
@@ -135,9 +149,7 @@
         for id in expired {
             self.remove(&id, None);
         }
-        for endpoint in self.by_id.borrow().values() {
-            endpoint.prune_idle_connections(now);
-        }
+        self.prune_idle_connections(now);
         self.removal_times.borrow().values().min().copied()
     }
 
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -85,6 +85,12 @@
         self.keep_removed_until.filter(|until| now < *until)
     }
 
+    /// Whether the log was confirmed a moment ago, or is not followed yet.
+    fn is_in_touch(&self, now: Instant) -> bool {
+        let max_age = (self.heartbeat * MIN_OUTAGE_HEARTBEATS).max(self.poll_pause * 2);
+        self.confirmed_at.is_none_or(|at| now.saturating_duration_since(at) < max_age)
+    }
+
     /// How many records half of the known endpoints have written at least, since their last removal.
     /// The first one after a removal does not count: it says only that its endpoint is back.
     fn median_heartbeats(&self, changes: &[RawRecord]) -> u32 {
@@ -268,7 +274,9 @@
             outage.as_millis(),
             at.elapsed().as_millis()
         );
-        self.keep_removed_until = self.keep_removed_until.max(Some(at + RENEWAL_TIME));
+        let renewed_at = at + RENEWAL_TIME;
+        self.keep_removed_until = self.keep_removed_until.max(Some(renewed_at));
+        self.directory.postpone_removals(renewed_at);
         // endpoints could not write, and records did not lapse
         self.doubtful.postpone(outage);
     }
@@ -281,7 +289,14 @@
             self.known.accept(record.clone());
             self.directory.upsert(record);
         }
-        let due = self.directory.expire(now);
+        // endpoints cannot write their records again while the store is away
+        let due = match self.is_in_touch(now) {
+            true => self.directory.expire(now),
+            false => {
+                self.directory.prune_idle_connections(now);
+                None
+            }
+        };
         self.metrics.endpoints.set(self.directory.len() as i64);
         [due, self.doubtful.next_due(now)].into_iter().flatten().min()
     }
--- a/crates/gateway/src/followers/log_copy_tests.rs
+++ b/crates/gateway/src/followers/log_copy_tests.rs
@@ -50,6 +50,11 @@
             RelayedChanges { position: 3, records: vec![removal], is_complete: false, era: 0 };
         self.copy.apply_relayed(changes, 2, now);
     }
+
+    /// Takes a status over after this number of seconds.
+    fn confirm(&mut self, relay: &RelayedFeedStatus, seconds: f64) {
+        assert!(self.copy.follow_status(relay, self.after(seconds)), "the copy is current");
+    }
 }
 
 /// The status of a relay that has read the removal of `a`, confirmed at the time of the last argument.
@@ -95,8 +100,10 @@
     let returned_at = host.after(5.0);
     host.take_removal(5.5, &relay_status(returned_at, true, host.after(5.4)), false);
     assert_eq!(host.directory.len(), 2);
+    host.confirm(&relay_status(returned_at, true, host.after(6.8)), 6.9);
     host.copy.sink.expire(host.after(6.9).instant);
     assert_eq!(host.directory.len(), 2, "it may be back");
+    host.confirm(&relay_status(returned_at, true, host.after(7.1)), 7.2);
     host.copy.sink.expire(host.after(7.2).instant);
     assert_eq!(host.directory.len(), 1, "it would be back");
 }
--- a/crates/gateway/src/followers/older_copy_tests.rs
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -212,3 +212,21 @@
     let feed = peers.published_feed(FeedKind::Config).borrow();
     assert!(feed.status(BootInstant::now()).follows_outage);
 }
+
+/// Guards against endpoints that are lost in an outage: they were missing in an older copy, and the time
+/// to write again passed while the store was away.
+#[test]
+fn an_endpoint_that_an_older_copy_lacks_is_kept_while_the_store_is_away() {
+    let (mut host, directory) = endpoint_host();
+    host.list(0.0, 0, 2, &[raw(0, "a", "1"), raw(1, "b", "1")]);
+    host.list(1.0, 1, 1, &[raw(0, "b", "1")]);
+    let due = host.copy.sink.expire(host.after(5.0).instant);
+    assert_eq!(directory.len(), 2, "the store has been away since 1.0");
+    assert!(due.is_none_or(|due| due > host.after(5.0).instant), "a follower would not pause");
+    host.read(6.0, 1, true, &[]);
+    host.copy.sink.expire(host.after(6.1).instant);
+    assert_eq!(directory.len(), 2, "it may be back");
+    host.read(8.0, 1, false, &[]);
+    host.copy.sink.expire(host.after(8.2).instant);
+    assert_eq!(directory.len(), 1, "it would be back");
+}
