Pass heartbeats on after the start of a relay too

What callers saw: for 7 heartbeats, hosts send nothing to a running endpoint that they learnt from an older copy of the store. They hold it back until its next heartbeat, and their relay passed no heartbeats on: it had started after the store came back, so that no change of era was known to it.

Change: with the first listing, a host learns the era; unless the store has never come back, it passes heartbeats on for 7 heartbeats. The metric mangobridge_store_era is set then too, no longer only at a change.

Evidence: a_relay_that_starts_after_an_older_copy_passes_heartbeats_on failed before.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -131,6 +131,10 @@
         self.poll_wait
     }
 
+    fn era_known(&mut self, era: Era, _now: Instant) {
+        self.metrics.store_era.set(era as i64);
+    }
+
     fn era_changed(&mut self, era: Era, _now: Instant) {
         self.metrics.store_era.set(era as i64);
         self.has_new_era = true;
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -85,6 +85,11 @@
         self.keep_removed_until.filter(|until| now < *until)
     }
 
+    /// Passes heartbeats on for as long as other hosts may hold back what an older copy has.
+    fn pass_heartbeats_on(&mut self, now: Instant) {
+        self.heartbeats_are_news_until = Some(now + self.heartbeat.mul_f64(OLDER_COPY_HEARTBEATS));
+    }
+
     /// Whether the log was confirmed a moment ago, or is not followed yet.
     fn is_in_touch(&self, now: Instant) -> bool {
         let max_age = (self.heartbeat * MIN_OUTAGE_HEARTBEATS).max(self.poll_pause * 2);
@@ -179,11 +184,18 @@
         Duration::ZERO
     }
 
+    /// The store may have come back from an older copy just before this host started.
+    fn era_known(&mut self, era: Era, now: Instant) {
+        if era > 0 {
+            self.pass_heartbeats_on(now);
+        }
+    }
+
     /// Endpoints that are missing in the older copy write their records again; they are kept meanwhile.
     fn era_changed(&mut self, _era: Era, now: Instant) {
         let renewed_at = now + self.heartbeat.mul_f64(ACCEPTANCE_HEARTBEATS);
         self.keep_removed_until = self.keep_removed_until.max(Some(renewed_at));
-        self.heartbeats_are_news_until = Some(now + self.heartbeat.mul_f64(OLDER_COPY_HEARTBEATS));
+        self.pass_heartbeats_on(now);
         self.doubtful = DoubtfulRecords::default();
         self.has_new_era = true;
     }
--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -76,6 +76,9 @@
             self.peers.record_era_change();
             self.reset_position();
         }
+        if self.era.is_none() {
+            self.sink.era_known(era, now);
+        }
         self.era = Some(era);
     }
 
--- a/crates/gateway/src/followers/older_copy_tests.rs
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -230,3 +230,15 @@
     host.copy.sink.expire(host.after(8.2).instant);
     assert_eq!(directory.len(), 1, "it would be back");
 }
+
+/// Guards against hosts that hold a running endpoint back for seconds, since its heartbeats are not passed on:
+/// their relay had started after the store came back from an older copy.
+#[test]
+fn a_relay_that_starts_after_an_older_copy_passes_heartbeats_on() {
+    let (mut host, _) = endpoint_host();
+    host.list(0.0, 1, 1, &[raw(0, "a", "1")]);
+    host.read(1.0, 1, false, &[raw(1, "a", "2")]);
+    assert_eq!(host.passed_on(), [("a".to_owned(), "2".to_owned())]);
+    host.read(7.5, 1, false, &[raw(2, "a", "3")]);
+    assert_eq!(host.passed_on(), [("a".to_owned(), "2".to_owned())], "no host waits for it");
+}
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -19,6 +19,9 @@
     /// Longest time for which the store holds a read open while there are no new records.
     fn poll_wait(&self) -> Duration;
 
+    /// Called with the era of the first listing, before its records are applied.
+    fn era_known(&mut self, era: Era, now: Instant);
+
     /// Called when the store has come back from an older copy, before its records are listed: they may
     /// be older than what this host knows, and lack what is about to be written again.
     fn era_changed(&mut self, era: Era, now: Instant);
