Pass on each configuration that peers may lack

What callers saw: a host refuses all keys (503, log_unavailable) for good, until the next version. The store came back from an older copy, and the operators wrote the configuration again after the hosts had lost their relay. The next relay had the configuration from another host, so that the store's record said nothing new to it; a host that waited for this record to confirm its own copy never got it. The same followed an unreadable record that was replaced by the configuration in force or an older one.

Change: a record is passed on unless it is older than the configuration in force, and then too if it replaces an unreadable one.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -68,8 +68,8 @@
         }
     }
 
-    /// Applies a configuration unless a newer one is in force. Returns whether it was applied.
-    fn apply_config(&self, config: Rc<RoutingConfig>, offset: u64) -> bool {
+    /// Applies a configuration unless a newer one is in force.
+    fn apply_config(&self, config: Rc<RoutingConfig>, offset: u64) {
         let (version, routes, in_force) =
             (config.version, config.route_count(), self.state.version());
         let is_applied = self.state.replace_if_newer(config);
@@ -82,7 +82,6 @@
         } else if version < in_force {
             event!("config_ignored", "version={version} in_force={in_force} offset={offset}");
         }
-        is_applied
     }
 
     /// Ends the evacuations that have not been written again since the store came back from an older
@@ -93,9 +92,9 @@
         }
     }
 
-    /// Applies a record of the configuration. Returns whether peers need it: it changed the
-    /// configuration in force, was missing in the store, or cannot be read, so that nothing is
-    /// confirmed any more.
+    /// Applies a record of the configuration. Returns whether peers need it: it is not older than the
+    /// configuration in force, which may have been missing in the store or in peers; it cannot be read,
+    /// so that nothing is confirmed any more; or it replaces one that could not.
     fn apply_config_record(&mut self, record: &RawRecord) -> bool {
         let (key, offset) = (&record.key, record.offset);
         if record.value.is_empty() {
@@ -104,12 +103,12 @@
         }
         match (self.records.decode_config)(key, &record.value) {
             Ok(config) => {
-                self.is_readable = true;
+                let was_readable = std::mem::replace(&mut self.is_readable, true);
                 let is_older = config.version < self.state.version();
                 let was_ahead = self.is_ahead_of_store;
                 self.is_ahead_of_store = is_older && was_ahead;
-                let is_applied = self.apply_config(config, offset);
-                is_applied || (was_ahead && !self.is_ahead_of_store)
+                self.apply_config(config, offset);
+                !is_older || !was_readable
             }
             Err(reason) => {
                 self.is_readable = false;
--- a/crates/gateway/src/followers/older_copy_tests.rs
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -12,7 +12,7 @@
         clock::{BootInstant, Now},
         config::{ConfigState, Evacuations},
         endpoints::Directory,
-        peers::PeerState,
+        peers::{PeerState, RelayedFeedStatus},
         records::{
             Era, FeedError, FeedKind, LogChanges, LogListing, Offset, RawRecord, RecordFeed,
         },
@@ -57,6 +57,29 @@
         self.copy.apply_changes(changes, has_failed, now.boot, now);
     }
 
+    /// Takes the status of a relay over, and its records if need be. Returns whether the copy is current.
+    fn follow(&mut self, relay: &Host<S>, seconds: f64) -> bool {
+        let now = self.after(seconds);
+        let feed = relay.peers.published_feed(S::KIND).borrow();
+        let status = feed.status(now.boot);
+        let age = status.confirmed_age_ms.map(Duration::from_millis);
+        let span = Duration::from_millis(status.confirmed_span_ms);
+        let status = RelayedFeedStatus {
+            address: ([127, 0, 0, 1], 1).into(),
+            position: status.position,
+            last_change: status.changed,
+            confirmed_at: age.and_then(|age| now.boot.checked_sub(age)),
+            continuous_since: age.and_then(|age| now.instant.checked_sub(age + span)),
+            follows_outage: status.follows_outage,
+            digest: status.digest,
+            era: status.era,
+        };
+        if let Some(from) = self.copy.missing_from(&status) {
+            self.copy.apply_relayed(feed.changes(from), from, now);
+        }
+        self.copy.follow_status(&status, now)
+    }
+
     /// The records that a host without any reads from this one as its relay.
     fn passed_on(&self) -> Vec<(String, String)> {
         let feed = self.peers.published_feed(S::KIND).borrow();
@@ -242,3 +265,34 @@
     host.read(7.5, 1, false, &[raw(2, "a", "3")]);
     assert_eq!(host.passed_on(), [("a".to_owned(), "2".to_owned())], "no host waits for it");
 }
+
+/// Guards against a host that refuses keys for good: it had a newer configuration than the store, and so did
+/// its relay, which had it from another host and did not pass on that it was written again.
+#[test]
+fn a_host_that_was_ahead_of_the_store_is_confirmed_once_its_configuration_is_back() {
+    let ((mut host, _), (mut relay, _)) = (config_host(), config_host());
+    for copy in [&mut host, &mut relay] {
+        copy.list(0.0, 0, 2, &[raw(1, "config", "2")]);
+    }
+    host.list(1.0, 1, 1, &[raw(0, "config", "1")]);
+    relay.follow(&host, 1.2);
+    relay.read(1.5, 1, false, &[]);
+    host.follow(&relay, 1.8);
+    relay.read(3.0, 1, false, &[raw(1, "config", "2")]);
+    assert!(host.follow(&relay, 3.2), "the store has the configuration");
+}
+
+/// Guards against the same after a configuration that none of the hosts could read: what replaced it said
+/// nothing new to the relay.
+#[test]
+fn a_host_is_confirmed_once_an_unreadable_configuration_is_replaced() {
+    let ((mut host, _), (mut relay, _)) = (config_host(), config_host());
+    for copy in [&mut host, &mut relay] {
+        copy.list(0.0, 0, 2, &[raw(1, "config", "2")]);
+    }
+    relay.read(1.0, 0, false, &[raw(2, "config", "torn")]);
+    host.follow(&relay, 1.2);
+    relay.read(2.0, 0, false, &[raw(3, "config", "1")]);
+    assert!(host.follow(&relay, 2.2), "the store has a readable configuration");
+    assert_eq!(host.passed_on(), [("config".to_owned(), "1".to_owned())]);
+}
