Count an outage once for records that are held back

What callers saw: an endpoint is used at an old address, or not at all, for longer than its record is held back. An outage whose end the relay told of was counted with each read until the next confirmation, and once more by this host's own read; each time, held-back records were put off by the whole outage again.

Change: only what an outage has grown by since then puts them off.

Evidence: an_outage_puts_off_a_record_only_once failed before.

--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -55,6 +55,8 @@
     heartbeats_are_news_until: Option<Instant>,
     /// Up to when all records are known.
     confirmed_at: Option<Instant>,
+    /// Time by which doubtful records were postponed since then.
+    postponed: Duration,
 }
 
 impl EndpointSink {
@@ -78,6 +80,7 @@
             has_new_era: false,
             heartbeats_are_news_until: None,
             confirmed_at: None,
+            postponed: Duration::ZERO,
         }
     }
 
@@ -267,6 +270,7 @@
 
     fn confirmed(&mut self, at: Now) {
         self.confirmed_at = self.confirmed_at.max(Some(at.instant));
+        self.postponed = Duration::ZERO;
     }
 
     fn return_time(&self, outage: Duration, changes: &[RawRecord], now: Instant) -> Instant {
@@ -290,7 +294,8 @@
         self.keep_removed_until = self.keep_removed_until.max(Some(renewed_at));
         self.directory.postpone_removals(renewed_at);
         // endpoints could not write, and records did not lapse
-        self.doubtful.postpone(outage);
+        self.doubtful.postpone(outage.saturating_sub(self.postponed));
+        self.postponed = self.postponed.max(outage);
     }
 
     fn expire(&mut self, now: Instant) -> Option<Instant> {
--- a/crates/gateway/src/followers/older_copy_tests.rs
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -296,3 +296,22 @@
     assert!(host.follow(&relay, 2.2), "the store has a readable configuration");
     assert_eq!(host.passed_on(), [("config".to_owned(), "1".to_owned())]);
 }
+
+/// Guards against an old address of an endpoint that is used for many seconds: the same outage was counted
+/// with each attempt to read from a relay, and each put off a record that was held back.
+#[test]
+fn an_outage_puts_off_a_record_only_once() {
+    let (mut host, directory) = endpoint_host();
+    host.list(0.0, 0, 1, &[raw(0, "a", "1")]);
+    host.read(0.1, 0, false, &[raw(1, "a", "2 address=127.0.0.1:10")]);
+    let returned_at = host.after(5.0).instant;
+    for tenths in 0..3 {
+        let outage = Duration::from_millis(5_000 + tenths * 100);
+        host.copy.sink.store_returned(outage, returned_at);
+    }
+    // 3.5 heartbeats and the outage after the record was read
+    host.read(8.9, 0, false, &[]);
+    host.copy.sink.expire(host.after(9.0).instant);
+    let address = directory.of_service("s")[0].record.borrow().address;
+    assert_eq!(address.port(), 10);
+}
