--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -40,8 +40,8 @@
     is_readable: bool,
     /// Whether the store came back from an older copy that was not listed yet.
     has_new_era: bool,
-    /// Whether the store has only an older configuration than the one in force, since it came back
-    /// from an older copy: the operators are about to write it again.
+    /// Whether the store has no configuration, or only an older one than that in force, since it came
+    /// back from an older copy: the operators are about to write it again.
     is_ahead_of_store: bool,
     /// Evacuations that are missing in the older copy, and may be written again.
     unsettled: Option<UnsettledEvacuations>,
@@ -68,8 +68,8 @@
         }
     }
 
-    /// Applies a configuration unless a newer one is in force. Returns whether it was applied.
-    fn apply_config(&self, config: Rc<RoutingConfig>, offset: u64) -> bool {
+    /// Applies a configuration unless a newer one is in force.
+    fn apply_config(&self, config: Rc<RoutingConfig>, offset: u64) {
         let (version, routes, in_force) =
             (config.version, config.route_count(), self.state.version());
         let is_applied = self.state.replace_if_newer(config);
@@ -82,7 +82,6 @@
         } else if version < in_force {
             event!("config_ignored", "version={version} in_force={in_force} offset={offset}");
         }
-        is_applied
     }
 
     /// Ends the evacuations that have not been written again since the store came back from an older
@@ -93,9 +92,9 @@
         }
     }
 
-    /// Applies a record of the configuration. Returns whether peers need it: it changed the
-    /// configuration in force, was missing in the store, or cannot be read, so that nothing is
-    /// confirmed any more.
+    /// Applies a record of the configuration. Returns whether peers need it: it is not older than the
+    /// configuration in force, which may have been missing in the store or in peers; it cannot be read,
+    /// so that nothing is confirmed any more; or it replaces one that could not.
     fn apply_config_record(&mut self, record: &RawRecord) -> bool {
         let (key, offset) = (&record.key, record.offset);
         if record.value.is_empty() {
@@ -104,12 +103,12 @@
         }
         match (self.records.decode_config)(key, &record.value) {
             Ok(config) => {
-                self.is_readable = true;
+                let was_readable = std::mem::replace(&mut self.is_readable, true);
                 let is_older = config.version < self.state.version();
                 let was_ahead = self.is_ahead_of_store;
-                self.is_ahead_of_store = is_older && (self.has_new_era || was_ahead);
-                let is_applied = self.apply_config(config, offset);
-                is_applied || (was_ahead && !self.is_ahead_of_store)
+                self.is_ahead_of_store = is_older && was_ahead;
+                self.apply_config(config, offset);
+                !is_older || !was_readable
             }
             Err(reason) => {
                 self.is_readable = false;
@@ -131,6 +130,10 @@
         self.poll_wait
     }
 
+    fn era_known(&mut self, era: Era, _now: Instant) {
+        self.metrics.store_era.set(era as i64);
+    }
+
     fn era_changed(&mut self, era: Era, _now: Instant) {
         self.metrics.store_era.set(era as i64);
         self.has_new_era = true;
@@ -143,6 +146,10 @@
     /// Evacuations that are missing in an older copy stay in force until they may have been written
     /// again.
     fn replace_all(&mut self, records: &[RawRecord], now: Instant) -> Vec<Box<str>> {
+        let has_new_era = std::mem::take(&mut self.has_new_era);
+        if has_new_era {
+            self.is_ahead_of_store = self.state.current().is_some();
+        }
         let mut evacuated = BTreeSet::new();
         let mut newer = Vec::new();
         for record in records {
@@ -157,14 +164,17 @@
                 Some(OperatorKey::Evacuation { .. }) | None => {}
             }
         }
-        if std::mem::take(&mut self.has_new_era) {
-            for zone in &evacuated {
-                self.evacuations.begin(zone);
+        if has_new_era {
+            self.unsettled = Some(UnsettledEvacuations::new(now));
+        }
+        match &mut self.unsettled {
+            Some(unsettled) => {
+                for zone in &evacuated {
+                    self.evacuations.begin(zone);
+                }
+                unsettled.replace_all(evacuated);
             }
-            self.unsettled = Some(UnsettledEvacuations::new(evacuated, now));
-        } else {
-            self.unsettled = None;
-            self.evacuations.replace_all(&evacuated, now);
+            None => self.evacuations.replace_all(&evacuated, now),
         }
         newer
     }
@@ -173,7 +183,9 @@
         match (self.records.key)(&record.key) {
             Some(OperatorKey::Config) => {
                 let is_news = self.apply_config_record(record);
-                self.settle_evacuations(now);
+                if !self.is_ahead_of_store {
+                    self.settle_evacuations(now);
+                }
                 is_news
             }
             Some(OperatorKey::Evacuation { zone }) if record.value.is_empty() => {
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -55,6 +55,8 @@
     heartbeats_are_news_until: Option<Instant>,
     /// Up to when all records are known.
     confirmed_at: Option<Instant>,
+    /// Time by which doubtful records were postponed since then.
+    postponed: Duration,
 }
 
 impl EndpointSink {
@@ -78,6 +80,7 @@
             has_new_era: false,
             heartbeats_are_news_until: None,
             confirmed_at: None,
+            postponed: Duration::ZERO,
         }
     }
 
@@ -85,6 +88,17 @@
         self.keep_removed_until.filter(|until| now < *until)
     }
 
+    /// Passes heartbeats on for as long as other hosts may hold back what an older copy has.
+    fn pass_heartbeats_on(&mut self, now: Instant) {
+        self.heartbeats_are_news_until = Some(now + self.heartbeat.mul_f64(OLDER_COPY_HEARTBEATS));
+    }
+
+    /// Whether the log was confirmed a moment ago, or is not followed yet.
+    fn is_in_touch(&self, now: Instant) -> bool {
+        let max_age = (self.heartbeat * MIN_OUTAGE_HEARTBEATS).max(self.poll_pause * 2);
+        self.confirmed_at.is_none_or(|at| now.saturating_duration_since(at) < max_age)
+    }
+
     /// How many records half of the known endpoints have written at least, since their last removal.
     /// The first one after a removal does not count: it says only that its endpoint is back.
     fn median_heartbeats(&self, changes: &[RawRecord]) -> u32 {
@@ -173,11 +187,18 @@
         Duration::ZERO
     }
 
+    /// The store may have come back from an older copy just before this host started.
+    fn era_known(&mut self, era: Era, now: Instant) {
+        if era > 0 {
+            self.pass_heartbeats_on(now);
+        }
+    }
+
     /// Endpoints that are missing in the older copy write their records again; they are kept meanwhile.
     fn era_changed(&mut self, _era: Era, now: Instant) {
         let renewed_at = now + self.heartbeat.mul_f64(ACCEPTANCE_HEARTBEATS);
         self.keep_removed_until = self.keep_removed_until.max(Some(renewed_at));
-        self.heartbeats_are_news_until = Some(now + self.heartbeat.mul_f64(OLDER_COPY_HEARTBEATS));
+        self.pass_heartbeats_on(now);
         self.doubtful = DoubtfulRecords::default();
         self.has_new_era = true;
     }
@@ -249,6 +270,7 @@
 
     fn confirmed(&mut self, at: Now) {
         self.confirmed_at = self.confirmed_at.max(Some(at.instant));
+        self.postponed = Duration::ZERO;
     }
 
     fn return_time(&self, outage: Duration, changes: &[RawRecord], now: Instant) -> Instant {
@@ -268,9 +290,12 @@
             outage.as_millis(),
             at.elapsed().as_millis()
         );
-        self.keep_removed_until = self.keep_removed_until.max(Some(at + RENEWAL_TIME));
+        let renewed_at = at + RENEWAL_TIME;
+        self.keep_removed_until = self.keep_removed_until.max(Some(renewed_at));
+        self.directory.postpone_removals(renewed_at);
         // endpoints could not write, and records did not lapse
-        self.doubtful.postpone(outage);
+        self.doubtful.postpone(outage.saturating_sub(self.postponed));
+        self.postponed = self.postponed.max(outage);
     }
 
     fn expire(&mut self, now: Instant) -> Option<Instant> {
@@ -281,7 +306,14 @@
             self.known.accept(record.clone());
             self.directory.upsert(record);
         }
-        let due = self.directory.expire(now);
+        // endpoints cannot write their records again while the store is away
+        let due = match self.is_in_touch(now) {
+            true => self.directory.expire(now),
+            false => {
+                self.directory.prune_idle_connections(now);
+                None
+            }
+        };
         self.metrics.endpoints.set(self.directory.len() as i64);
         [due, self.doubtful.next_due(now)].into_iter().flatten().min()
     }
--- a/crates/gateway/src/followers/follower.rs
+++ b/crates/gateway/src/followers/follower.rs
@@ -213,11 +213,13 @@
             }
             StoreAnswer::Changes(LogChanges { end, .. }, from, _) if end < from => {
                 event!("log_rewound", "feed={} offset={from} end={end}", self.kind);
-                self.copy.reset_position();
+                self.copy.start_again(has_failed, now);
                 false
             }
-            StoreAnswer::Changes(changes, _, wait) => {
-                let complete_at = confirmation_time(sent_at, wait, changes.records.is_empty());
+            StoreAnswer::Changes(changes, from, wait) => {
+                // records that this host does not use end the wait as well
+                let is_empty = changes.next == from;
+                let complete_at = confirmation_time(sent_at, wait, is_empty);
                 self.copy.apply_changes(changes, has_failed, complete_at, now)
             }
         }
