Log the software version of the chosen endpoint and what a request takes up

The log could not tell a stream that the router resumes within one answer from one that a caller takes up through another host, nor whether the version changed. request_placed now names the version, the attempt that the caller names in Resumes and the last event.

--- a/crates/gateway/src/callers/caller_request.rs
+++ b/crates/gateway/src/callers/caller_request.rs
@@ -13,6 +13,8 @@
     /// ID of the last event of a stream that the caller has received; the stream resumes
     /// after it.
     pub last_event_id: Option<u64>,
+    /// ID of the request that brought the first event of that stream.
+    pub resumed_request: Option<Box<str>>,
 }
 
 /// Identifies a part of prompts: a hash of the name that callers give it.
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -234,13 +234,17 @@
         let prefix = self.request.caller.prefix;
         event!(
             "request_placed",
-            "id={} route={} kind={} endpoint={} load={:.1} reported={:.0} failures={:.2} \
+            "id={} route={} kind={} endpoint={} version={} resumes={} after_event={} load={:.1} \
+             reported={:.0} failures={:.2} \
              slowness={:.2} waiting={} candidates={} prefix={:016x} shared_tokens={} \
              holds_prefix={} prefix_source={} config_version={} sends={} time_left_ms={}",
             self.request.caller.id,
             self.request.route.name,
             self.request.route.kind,
             chosen.id,
+            candidates.records[placement.target].software_version,
+            self.request.caller.resumed_request.as_deref().unwrap_or("-"),
+            self.progress.last_event_id.map_or_else(|| "-".to_owned(), |id| id.to_string()),
             chosen.requests,
             chosen.reported_requests,
             chosen.failure_share,
