Resume a stream within an answer only at the software version that began it

Callers got streams whose first events came from one software version of an engine and the rest from another: after an engine broke a stream off, the router sent the rest to any engine of the service. What two versions write does not fit together.

The version that brought the first event is now part of the progress of a stream, and endpoints of other versions are no candidates for later sends. If none is left, the stream ends without its last chunk, like other broken streams.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -15,6 +15,7 @@
         queueing::Permit,
         retry::SendOutcome,
         server::Gateway,
+        stream_origins::VersionHash,
         telemetry::{OptionalMillis, event},
     },
     std::{
@@ -42,6 +43,8 @@
 /// The endpoint of one send.
 pub(super) struct Target<'a> {
     pub(super) endpoint: &'a Rc<Endpoint>,
+    /// Software version of the endpoint.
+    pub(super) version: VersionHash,
     pub(super) permit: &'a Permit,
     /// Address of an endpoint that may hold the cache of the prompt's prefix.
     pub(super) prefix_source: Option<SocketAddr>,
@@ -78,7 +81,7 @@
     check_response(&head, &meta, endpoint)?;
     let is_success = (200..300).contains(&head.status);
     if is_success && request.route.kind == RequestKind::Streaming {
-        return forward_stream(gateway, request, target.permit, call, &head, progress, sink).await;
+        return forward_stream(gateway, request, target, call, &head, progress, sink).await;
     }
     let body = read_full_body(&mut call, head.framing).await?;
     call.finish();
@@ -199,7 +202,7 @@
 async fn forward_stream<P: Protocol>(
     gateway: &Gateway<P>,
     request: &AdmittedRequest,
-    permit: &Permit,
+    target: &Target<'_>,
     mut call: EndpointCall,
     head: &ResponseHead,
     progress: &mut StreamProgress,
@@ -221,8 +224,9 @@
             gateway.blocklist.record_response(&request.part_keys);
         }
         if !progress.has_started && (is_complete || !events.bytes.is_empty()) {
-            record_response_start(gateway, request, permit);
+            record_response_start(gateway, request, target.permit);
             progress.has_started = true;
+            progress.origin.get_or_insert(target.version);
             progress.last_event_id = events.last_id.or(progress.last_event_id);
             if sink.start_stream(head, &events.bytes).await.is_err() {
                 return Ok(Delivery::CallerDisconnected);
--- a/crates/gateway/src/dispatch/candidates.rs
+++ b/crates/gateway/src/dispatch/candidates.rs
@@ -4,6 +4,7 @@
         endpoints::{ColdLimit, Endpoint, EndpointId, EndpointRecord},
         placement::Candidate,
         server::Gateway,
+        stream_origins::AllowedVersions,
     },
     std::{
         cell::Ref,
@@ -12,13 +13,20 @@
     },
 };
 
-/// Endpoints that were already chosen for a request.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct AttemptedEndpoints<'a> {
-    /// All of them, including those to which no connection could be opened.
+/// What limits the endpoints of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct CandidateLimits<'a> {
+    /// Endpoints that were chosen for it, including those to which no connection could be opened.
     pub(crate) tried: &'a [EndpointId],
-    /// Those that reported that they did not run the request.
+    /// Endpoints that reported that they did not run it.
     pub(crate) refused_by: &'a [EndpointId],
+    pub(crate) versions: AllowedVersions,
+}
+
+impl CandidateLimits<'_> {
+    /// The limits of a request that was not sent yet and may run at any software version.
+    pub(crate) const NONE: CandidateLimits<'static> =
+        CandidateLimits { tried: &[], refused_by: &[], versions: AllowedVersions::Any };
 }
 
 /// Endpoints of a service with their records and placement candidates, all in the same order.
@@ -33,14 +41,14 @@
     gateway: &Gateway<P>,
     service: &str,
     prefix: Option<PromptPrefix>,
-    attempted: AttemptedEndpoints<'_>,
+    limits: &CandidateLimits<'_>,
     choose: impl FnOnce(&Candidates<'_>) -> T,
 ) -> T {
     let now = Instant::now();
     let endpoints = gateway.directory.of_service(service);
     let context = CandidateContext {
         prefix,
-        attempted,
+        limits,
         cold_limit: gateway.cold_limit(service),
         cold_start: gateway.cold_start(service),
         now,
@@ -57,7 +65,7 @@
 /// What is the same for all candidates of a request.
 struct CandidateContext<'a> {
     prefix: Option<PromptPrefix>,
-    attempted: AttemptedEndpoints<'a>,
+    limits: &'a CandidateLimits<'a>,
     cold_limit: ColdLimit,
     cold_start: Duration,
     now: Instant,
@@ -72,6 +80,7 @@
 ) -> bool {
     let now = context.now;
     if endpoint.is_leaving()
+        || !context.limits.versions.contains(&record.software_version)
         || gateway.directory.closed_time(record, now).is_some()
         || gateway.evacuations.is_evacuated(&record.zone)
     {
@@ -91,7 +100,7 @@
     record: &'a EndpointRecord,
     context: &CandidateContext<'_>,
 ) -> Candidate<'a> {
-    let CandidateContext { prefix, attempted, now, .. } = *context;
+    let CandidateContext { prefix, limits, now, .. } = *context;
     let (health, load) = (endpoint.health.get(), endpoint.load.get());
     let peer_requests = gateway.peers.requests_by_other_hosts(endpoint.hash);
     Candidate {
@@ -104,8 +113,8 @@
         latency_ms: health.latency_ms(now),
         failure_share: health.failure_share(now),
         is_paused: health.is_paused(now),
-        was_tried: attempted.tried.contains(&record.id),
-        has_refused: attempted.refused_by.contains(&record.id),
+        was_tried: limits.tried.contains(&record.id),
+        has_refused: limits.refused_by.contains(&record.id),
         holds_prefix: prefix
             .is_some_and(|prefix| gateway.peers.endpoint_holds_prefix(prefix.hash, endpoint.hash)),
         is_closed: is_closed(gateway, endpoint, record, context),
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 mod tests;
 
 pub(crate) use {
-    candidates::{AttemptedEndpoints, with_candidates},
+    candidates::{CandidateLimits, with_candidates},
     crash_checks::CrashChecks,
     run_request::run_request,
 };
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         attempt::{Delivery, Target, attempt},
-        candidates::{AttemptedEndpoints, Candidates, with_candidates},
+        candidates::{CandidateLimits, Candidates, with_candidates},
         failure::{FailureCause, SendFailure},
         request_parts::RequestParts,
         stream_progress::StreamProgress,
@@ -16,6 +16,7 @@
         queueing::{Arrival, NoPermit, Permit, PermitRequest},
         retry::{AttemptHistory, NextStep, RetryPolicy, SendOutcome, next_step},
         server::Gateway,
+        stream_origins::version_hash,
         telemetry::event,
     },
     mango_wire::{Reason, problem::Verdict},
@@ -100,7 +101,7 @@
             gateway,
             request,
             history: AttemptHistory::default(),
-            progress: StreamProgress { has_started: false, has_begun_send: false, last_event_id },
+            progress: StreamProgress { last_event_id, ..StreamProgress::default() },
             tried: Vec::new(),
             refused_by: Vec::new(),
             failed_response: None,
@@ -140,6 +141,7 @@
             let may_reuse_connection = self.last_cause != Some(FailureCause::IdleConnectionBroken);
             let target = Target {
                 endpoint: &endpoint,
+                version: version_hash(&endpoint.record.borrow().software_version),
                 permit: &permit,
                 prefix_source,
                 may_reuse_connection,
@@ -209,8 +211,12 @@
     /// the prompt's prefix.
     fn choose(&self) -> Option<(Rc<Endpoint>, Option<SocketAddr>)> {
         let prefix = self.request.caller.prefix;
-        let attempted = AttemptedEndpoints { tried: &self.tried, refused_by: &self.refused_by };
-        with_candidates(self.gateway, &self.request.service, prefix, attempted, |candidates| {
+        let limits = CandidateLimits {
+            tried: &self.tried,
+            refused_by: &self.refused_by,
+            versions: self.progress.allowed_versions(),
+        };
+        with_candidates(self.gateway, &self.request.service, prefix, &limits, |candidates| {
             let placement_request = PlacementRequest {
                 prefix_hash: prefix.map(|prefix| prefix.hash),
                 shared_tokens: prefix.map_or(0, |prefix| prefix.shared_tokens),
--- a/crates/gateway/src/dispatch/stream_progress.rs
+++ b/crates/gateway/src/dispatch/stream_progress.rs
@@ -1,3 +1,5 @@
+use crate::stream_origins::{AllowedVersions, VersionHash};
+
 /// The part of a stream that the caller has received.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct StreamProgress {
@@ -8,4 +10,13 @@
     /// ID of the last event that the caller has received, in this response or in an earlier one
     /// that this request resumes.
     pub(super) last_event_id: Option<u64>,
+    /// The software version that brought the first event of the stream; no other may go on with it.
+    pub(super) origin: Option<VersionHash>,
+}
+
+impl StreamProgress {
+    /// The software versions at which the next send may run.
+    pub(super) fn allowed_versions(&self) -> AllowedVersions {
+        self.origin.map_or(AllowedVersions::Any, AllowedVersions::Only)
+    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod server;
 mod settings;
 mod statistics;
+mod stream_origins;
 mod telemetry;
 
 pub use {
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -29,8 +29,9 @@
     pub has_idle_connection: bool,
     /// The prompt's prefix was sent to the endpoint recently, so its cache should hold it.
     pub holds_prefix: bool,
-    /// Receives no requests from this host now, since it is leaving, closed, evacuated or cold; other
-    /// endpoints may still fetch its cache.
+    /// Does not receive the request from this host, since it is leaving, closed, evacuated or cold, or
+    /// the request goes on with a stream of another software version; other endpoints may still fetch
+    /// its cache.
     pub is_closed: bool,
     /// Added recently, so other endpoints may still hold the prefixes that now rank it first.
     pub is_recently_added: bool,
--- a/crates/gateway/src/server/explain.rs
+++ b/crates/gateway/src/server/explain.rs
@@ -4,7 +4,7 @@
         blocklist::PartKey,
         callers::{PromptPrefix, Protocol},
         config::Route,
-        dispatch::{AttemptedEndpoints, with_candidates},
+        dispatch::{CandidateLimits, with_candidates},
         placement::{PlacementRequest, choose_endpoint},
     },
     serde_json::{Value, json},
@@ -77,7 +77,7 @@
     let now = Instant::now();
     let closed = gateway.directory.closed_time_of_service(service, now);
     let reopens_in = closed.map(|closed| closed.until.saturating_duration_since(now));
-    with_candidates(gateway, service, prefix, AttemptedEndpoints::default(), |candidates| {
+    with_candidates(gateway, service, prefix, &CandidateLimits::NONE, |candidates| {
         let request = PlacementRequest {
             prefix_hash: prefix.map(|prefix| prefix.hash),
             shared_tokens: prefix.map_or(0, |prefix| prefix.shared_tokens),
