Take streams up only at the software version that began them

Callers that took a stream up through another host got the rest of it from any software version of the service: no host but the first knew where the stream had begun, and after all hosts were killed nobody did.

Each host remembers the version that brought the first event of its resumable streams. While a service has several versions, it appends these origins to a log in the store, also those of streams in progress when the second version appears. A request with Last-Event-Id is sent only to the version of the stream that Resumes names; a host that doesn't know it reads the log first. If the origin stays unknown and several versions are possible, the request is refused at once with 503 stream_origin_unknown, and has not run. With one version nothing is read or written.

--- a/crates/gateway/src/callers/admitted_request.rs
+++ b/crates/gateway/src/callers/admitted_request.rs
@@ -3,8 +3,9 @@
     crate::{
         blocklist::{PartKey, TeamHash, team_hash},
         clock::BootInstant,
-        config::Route,
+        config::{RequestKind, Route},
         http1::RequestHead,
+        stream_origins::{StreamKey, stream_key},
     },
     std::{cell::Cell, rc::Rc, time::Duration},
 };
@@ -31,6 +32,21 @@
 }
 
 impl AdmittedRequest {
+    /// The stream that the request begins or goes on with; `None` if the caller goes on with one
+    /// and does not say which.
+    pub(crate) fn stream(&self) -> Option<StreamKey> {
+        let first_request = match self.caller.last_event_id {
+            None => Some(&self.caller.id),
+            Some(_) => self.caller.resumed_request.as_ref(),
+        };
+        first_request.map(|id| stream_key(&self.service, id))
+    }
+
+    /// Whether the request goes on with a stream of an earlier one.
+    pub(crate) fn takes_up_stream(&self) -> bool {
+        self.route.kind == RequestKind::Streaming && self.caller.last_event_id.is_some()
+    }
+
     /// Time left until the deadline. Time during which the host was suspended counts as
     /// elapsed.
     pub(crate) fn time_left(&self) -> Duration {
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -226,7 +226,7 @@
         if !progress.has_started && (is_complete || !events.bytes.is_empty()) {
             record_response_start(gateway, request, target.permit);
             progress.has_started = true;
-            progress.origin.get_or_insert(target.version);
+            record_origin(gateway, request, *progress.origin.get_or_insert(target.version));
             progress.last_event_id = events.last_id.or(progress.last_event_id);
             if sink.start_stream(head, &events.bytes).await.is_err() {
                 return Ok(Delivery::CallerDisconnected);
@@ -239,11 +239,22 @@
         }
         if is_complete {
             call.finish();
-            return Ok(delivery_result(sink.end_stream().await, head.status));
+            let delivery = delivery_result(sink.end_stream().await, head.status);
+            if let (Delivery::Completed { .. }, Some(stream)) = (delivery, request.stream()) {
+                gateway.origins.record_complete(stream);
+            }
+            return Ok(delivery);
         }
     }
 }
 
+/// Records the software version of a stream that its caller may take up again.
+fn record_origin<P>(gateway: &Gateway<P>, request: &AdmittedRequest, version: VersionHash) {
+    if let (true, Some(stream)) = (request.route.is_resumable, request.stream()) {
+        gateway.origins.record(&request.service, stream, version);
+    }
+}
+
 /// Records that a response, or the first event of a stream, is forwarded.
 fn record_response_start<P: Protocol>(
     gateway: &Gateway<P>,
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -16,7 +16,7 @@
         queueing::{Arrival, NoPermit, Permit, PermitRequest},
         retry::{AttemptHistory, NextStep, RetryPolicy, SendOutcome, next_step},
         server::Gateway,
-        stream_origins::version_hash,
+        stream_origins::{OriginUnknown, TakeUp, version_hash},
         telemetry::event,
     },
     mango_wire::{Reason, problem::Verdict},
@@ -96,6 +96,9 @@
 impl<'a, P: Protocol> Dispatch<'a, P> {
     fn new(gateway: &'a Gateway<P>, request: &'a AdmittedRequest) -> Dispatch<'a, P> {
         gateway.count_request(&request.service);
+        if request.route.is_resumable {
+            gateway.origins.record_wait(request.caller.time_left.unwrap_or(Duration::MAX));
+        }
         let last_event_id = request.caller.last_event_id;
         Dispatch {
             gateway,
@@ -121,6 +124,9 @@
             let refusal = self.refuse_part(blocked);
             return self.give_up(sink, refusal).await;
         }
+        if let Err(refusal) = self.find_origin().await {
+            return self.give_up(sink, refusal).await;
+        }
         let permit = match self.wait_for_permit().await {
             Ok(permit) => self.permit.insert(permit).clone(),
             Err(refusal) => return self.give_up(sink, refusal).await,
@@ -164,6 +170,29 @@
         }
     }
 
+    /// Finds the software version of a stream that the request goes on with.
+    async fn find_origin(&mut self) -> Result<(), Refusal> {
+        if !self.request.takes_up_stream() {
+            return Ok(());
+        }
+        let take_up = TakeUp {
+            request_id: &self.request.caller.id,
+            service: &self.request.service,
+            stream: self.request.stream(),
+            time_left: self.request.time_left(),
+        };
+        match self.gateway.origins.find(&take_up).await {
+            Ok(version) => {
+                self.progress.origin = Some(version);
+                Ok(())
+            }
+            Err(OriginUnknown) => Err(Refusal::unavailable(
+                Reason::StreamOriginUnknown,
+                with_jitter(MEAN_RETRY_AFTER),
+            )),
+        }
+    }
+
     /// Waits until the request may be sent to the service.
     async fn wait_for_permit(&mut self) -> Result<Rc<Permit>, Refusal> {
         let request = self.request;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,9 +1,10 @@
 //! Gateway: a router for small hosts that forwards callers' requests to endpoints.
 //!
-//! A single thread serves all connections of the process, with one task per connection. Three
+//! A single thread serves all connections of the process, with one task per connection. Four
 //! traits abstract from the platform: `Protocol` defines the headers of callers and endpoints,
-//! `RecordFeed` reads the logs with the configuration and the endpoint records, and
-//! `HostRegistry` publishes the addresses of the fleet's hosts.
+//! `RecordFeed` reads the logs with the configuration and the endpoint records,
+//! `HostRegistry` publishes the addresses of the fleet's hosts, and `OriginStore` keeps the
+//! software versions at which streams began.
 //!
 //! The store is the platform's service that holds these logs. The peers of a host are the
 //! other hosts of the fleet; in each zone one host, the relay, reads the store for the others.
@@ -45,6 +46,7 @@
     placement::{Candidate, Placement, PlacementRequest, choose_endpoint},
     records::{FeedError, LogChanges, LogListing, Offset, RawRecord, RecordFeed},
     retry::{AttemptHistory, NextStep, RetryBudget, RetryPolicy, SendOutcome, next_step},
-    server::{PlatformAdapters, run},
+    server::{OriginStores, PlatformAdapters, run},
     settings::{Activation, Bounds, GatewaySettings, OverloadSettings, load_settings},
+    stream_origins::{OriginBatch, OriginChanges, OriginStore, StreamOrigin},
 };
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -12,6 +12,7 @@
         queueing::Permits,
         retry::RetryBudget,
         settings::{Bounds, GatewaySettings, OverloadPolicy},
+        stream_origins::SharedOrigins,
         telemetry::GatewayMetrics,
     },
     mango_wire::gossip::HostRecord,
@@ -52,6 +53,8 @@
     pub(crate) blocklist: Rc<SharedBlocklist>,
     /// Endpoints that are being checked for a crash.
     pub(crate) crash_checks: Rc<CrashChecks>,
+    /// The software versions at which streams began.
+    pub(crate) origins: Rc<SharedOrigins>,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
     /// Limits on the idle time of connections to endpoints, by service.
@@ -78,6 +81,7 @@
         Gateway {
             blocklist: Rc::new(blocklist),
             crash_checks: Rc::default(),
+            origins: Rc::new(SharedOrigins::new(directory.clone(), metrics.clone())),
             permits: Permits::new(directory.clone(), peers.clone(), evacuations.clone()),
             evacuations,
             directory,
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -7,4 +7,4 @@
 mod stop_state;
 
 pub(crate) use gateway::Gateway;
-pub use run::{PlatformAdapters, run};
+pub use run::{OriginStores, PlatformAdapters, run};
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -11,6 +11,7 @@
         peers::{Gossip, HostRegistry, announce, receive_gossip, send_gossip},
         records::RecordFeed,
         settings::{GatewaySettings, load_settings},
+        stream_origins::{OriginReader, OriginStore, write_origins},
         telemetry::{event, start_logging},
     },
     anyhow::{Context, Result},
@@ -40,26 +41,35 @@
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Implementations of the gateway's interfaces for a platform.
-pub struct PlatformAdapters<P, C, E, R> {
+pub struct PlatformAdapters<P, C, E, R, O> {
     pub protocol: P,
     /// Log of the operators' records and how they are read.
     pub operators: (C, OperatorRecords),
     /// Log of the endpoint records and their decoder.
     pub endpoints: (E, RecordDecoder<EndpointRecord>),
     pub registry: R,
+    /// Store of the origins of streams, with a connection of its own for each kind of call.
+    pub origins: OriginStores<O>,
+}
+
+/// Handles to the store of the origins of streams.
+pub struct OriginStores<O> {
+    pub reader: O,
+    pub writer: O,
 }
 
 /// Loads the settings and serves callers until SIGTERM requests a graceful stop.
 /// `open_platform` creates the adapters to the platform.
-pub fn run<P, C, E, R>(
+pub fn run<P, C, E, R, O>(
     settings_path: &Path,
-    open_platform: impl FnOnce(&GatewaySettings) -> PlatformAdapters<P, C, E, R>,
+    open_platform: impl FnOnce(&GatewaySettings) -> PlatformAdapters<P, C, E, R, O>,
 ) -> Result<()>
 where
     P: Protocol,
     C: RecordFeed,
     E: RecordFeed,
     R: HostRegistry,
+    O: OriginStore,
 {
     let settings = load_settings(settings_path)?;
     let _logging = start_logging(&settings.log_spec)?;
@@ -72,16 +82,17 @@
 }
 
 /// Starts all tasks, waits for SIGTERM and stops gracefully.
-async fn serve<P, C, E, R>(
+async fn serve<P, C, E, R, O>(
     settings_path: &Path,
     settings: GatewaySettings,
-    adapters: PlatformAdapters<P, C, E, R>,
+    adapters: PlatformAdapters<P, C, E, R, O>,
 ) -> Result<()>
 where
     P: Protocol,
     C: RecordFeed,
     E: RecordFeed,
     R: HostRegistry,
+    O: OriginStore,
 {
     let mut terminate =
         signal(SignalKind::terminate()).context("cannot install the SIGTERM handler")?;
@@ -96,6 +107,7 @@
         env!("CARGO_PKG_VERSION")
     );
     spawn_followers(&gateway, adapters.operators, adapters.endpoints);
+    spawn_origin_tasks(&gateway, adapters.origins);
     let is_first_start = gateway.settings.is_first_start;
     spawn_local(announce(adapters.registry, gateway.peers.clone(), is_first_start));
     let gossip_socket = listeners.gossip;
@@ -146,6 +158,15 @@
     spawn_local(Follower::new(endpoint_feed, sink, peers.clone(), metrics.clone()).run());
 }
 
+/// Starts the tasks that share the origins of streams with other hosts.
+fn spawn_origin_tasks<P, O: OriginStore>(gateway: &Gateway<P>, stores: OriginStores<O>) {
+    let shared = || (gateway.origins.clone(), gateway.peers.clone(), gateway.metrics.clone());
+    let (origins, peers, metrics) = shared();
+    spawn_local(OriginReader::new(stores.reader, origins, peers, metrics).run());
+    let (origins, peers, metrics) = shared();
+    spawn_local(write_origins(stores.writer, origins, peers, metrics));
+}
+
 /// Stops without interrupting requests: first the load balancer stops opening connections, then
 /// idle connections are closed, then the requests in progress run until their responses are
 /// sent. Requests that would outlast the grace period are refused; those that do are told that
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -57,6 +57,11 @@
     pub(crate) change: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct TakeUpLabels {
+    pub(crate) origin: &'static str,
+}
+
 /// Prometheus metrics of the process.
 pub(crate) struct GatewayMetrics {
     registry: Registry,
@@ -68,6 +73,7 @@
     wait_seconds: Histogram,
     store_calls: Family<FeedLabels, Counter>,
     belief_changes: Family<BeliefLabels, Counter>,
+    take_ups: Family<TakeUpLabels, Counter>,
     copy_agrees: Family<CopyLabels, Gauge>,
     copy_comparison_age_ms: Family<CopyLabels, Gauge>,
     pub(crate) new_endpoint_connections: Counter,
@@ -100,6 +106,7 @@
             wait_seconds: Histogram::new(exponential_buckets(0.004, 2.0, 12)),
             store_calls: Family::default(),
             belief_changes: Family::default(),
+            take_ups: Family::default(),
             copy_agrees: Family::default(),
             copy_comparison_age_ms: Family::default(),
             new_endpoint_connections: Counter::default(),
@@ -204,6 +211,11 @@
             "Changes of belief about prompt parts that may crash endpoints",
             self.belief_changes.clone(),
         );
+        registry.register(
+            "stream_take_ups",
+            "Requests that go on with a stream, by how its software version was found",
+            self.take_ups.clone(),
+        );
         registry.register(
             "caller_connections",
             "Open connections from callers",
@@ -292,6 +304,11 @@
         self.belief_changes.get_or_create(&BeliefLabels { change }).inc();
     }
 
+    /// Counts a request that goes on with a stream, by how the stream's software version was found.
+    pub(crate) fn count_take_up(&self, origin: &'static str) {
+        self.take_ups.get_or_create(&TakeUpLabels { origin }).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> Result<String, fmt::Error> {
         let mut text = String::new();
--- a/crates/router/src/dispatch/refusal.rs
+++ b/crates/router/src/dispatch/refusal.rs
@@ -90,7 +90,8 @@
         | Reason::NoCapacity
         | Reason::OwnerUnavailable
         | Reason::LogUnavailable
-        | Reason::PartBlocked => 503,
+        | Reason::PartBlocked
+        | Reason::StreamOriginUnknown => 503,
         Reason::Deadline if verdict == Verdict::NotRun => 503,
         Reason::Deadline | Reason::EndpointStalled => 504,
         Reason::EndpointUnreachable
--- a/crates/wire/src/reason.rs
+++ b/crates/wire/src/reason.rs
@@ -40,4 +40,6 @@
     LogUnavailable,
     /// A part of the prompt crashes the endpoints that begin a response to it.
     PartBlocked,
+    /// The software version at which a stream began is not known, and several are possible.
+    StreamOriginUnknown,
 }
