Record the software versions in service, so that restarted hosts know of those that left

Callers that took a stream up after all hosts had been killed got the rest of it from the new software version, if the endpoints of the old one had just left: hosts took the versions in their directory for all that are possible.

A keyed record in the store names the versions of each service. A stream that may be taken up begins only at a version that the record names; the first host to see a new version names it, which takes a fraction of a second. A version is removed from the record after no endpoint of it was in service for the longest time for which a stream goes on. Hosts read the record at their start, and once more for a take-up that they don't know: only if it and the directory name one version, the stream goes on there. Without a record nothing is concluded. A host is ready once it has read the record, or cannot read it for 5 s.

--- a/crates/gateway/src/config/routing_config.rs
+++ b/crates/gateway/src/config/routing_config.rs
@@ -3,7 +3,7 @@
         caller_limits::CallerLimits, interactive::has_interactive_route, route::Route,
         service::Service, team::Team,
     },
-    std::{collections::HashMap, rc::Rc},
+    std::{collections::HashMap, rc::Rc, time::Duration},
 };
 
 /// One version of the configuration, which operators publish in the store.
@@ -81,6 +81,12 @@
         self.services.get(name)
     }
 
+    /// The longest time limit of a route whose streams callers may take up.
+    pub(crate) fn longest_stream(&self) -> Duration {
+        let routes = self.routes.values().flatten().filter(|route| route.is_resumable);
+        Duration::from_millis(routes.map(|route| route.timeout_ms).max().unwrap_or(0))
+    }
+
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
     }
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -10,13 +10,14 @@
         blocklist::BlockedPart,
         callers::{AdmittedRequest, CallerSink, Protocol, Refusal, recheck_api_key, with_jitter},
         clock::BootInstant,
+        config::RequestKind,
         endpoints::{Endpoint, EndpointId},
         http1::ResponseHead,
         placement::{Placement, PlacementRequest, choose_endpoint},
         queueing::{Arrival, NoPermit, Permit, PermitRequest},
         retry::{AttemptHistory, NextStep, RetryPolicy, SendOutcome, next_step},
         server::Gateway,
-        stream_origins::{OriginUnknown, TakeUp, version_hash},
+        stream_origins::{AllowedVersions, OriginUnknown, TakeUp, version_hash},
         telemetry::event,
     },
     mango_wire::{Reason, problem::Verdict},
@@ -243,7 +244,7 @@
         let limits = CandidateLimits {
             tried: &self.tried,
             refused_by: &self.refused_by,
-            versions: self.progress.allowed_versions(),
+            versions: self.allowed_versions(),
         };
         with_candidates(self.gateway, &self.request.service, prefix, &limits, |candidates| {
             let placement_request = PlacementRequest {
@@ -263,6 +264,19 @@
         })
     }
 
+    /// The software versions at which the next send may run. A stream goes on only at the version that
+    /// began it.
+    fn allowed_versions(&self) -> AllowedVersions {
+        let route = &self.request.route;
+        match self.progress.origin {
+            Some(origin) => AllowedVersions::Only(origin),
+            None if route.kind == RequestKind::Streaming && route.is_resumable => {
+                self.gateway.origins.versions_to_begin(&self.request.service)
+            }
+            None => AllowedVersions::Any,
+        }
+    }
+
     fn log_placement(&self, candidates: &Candidates<'_>, placement: &Placement) {
         let chosen = &candidates.list[placement.target];
         let source = placement.prefix_source.map(|index| candidates.list[index].id);
--- a/crates/gateway/src/dispatch/stream_progress.rs
+++ b/crates/gateway/src/dispatch/stream_progress.rs
@@ -1,4 +1,4 @@
-use crate::stream_origins::{AllowedVersions, VersionHash};
+use crate::stream_origins::VersionHash;
 
 /// The part of a stream that the caller has received.
 #[derive(Clone, Copy, Debug, Default)]
@@ -13,10 +13,3 @@
     /// The software version that brought the first event of the stream; no other may go on with it.
     pub(super) origin: Option<VersionHash>,
 }
-
-impl StreamProgress {
-    /// The software versions at which the next send may run.
-    pub(super) fn allowed_versions(&self) -> AllowedVersions {
-        self.origin.map_or(AllowedVersions::Any, AllowedVersions::Only)
-    }
-}
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -9,7 +9,7 @@
     mango_wire::gossip::{Departure, EndpointLoad},
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -242,6 +242,17 @@
         by_service.into_values().collect()
     }
 
+    /// The software versions of each service, including those of endpoints that accept no new requests.
+    pub(crate) fn versions_by_service(&self) -> BTreeMap<Rc<str>, BTreeSet<Rc<str>>> {
+        let mut by_service: BTreeMap<Rc<str>, BTreeSet<Rc<str>>> = BTreeMap::new();
+        for endpoint in self.by_id.borrow().values() {
+            let record = endpoint.record.borrow();
+            let versions = by_service.entry(record.service.clone()).or_default();
+            versions.insert(record.software_version.clone());
+        }
+        by_service
+    }
+
     /// Endpoints of a service, including those that accept no new requests.
     pub(crate) fn of_service(&self, service: &str) -> Vec<Rc<Endpoint>> {
         self.by_id
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,5 +48,8 @@
     retry::{AttemptHistory, NextStep, RetryBudget, RetryPolicy, SendOutcome, next_step},
     server::{OriginStores, PlatformAdapters, run},
     settings::{Activation, Bounds, GatewaySettings, OverloadSettings, load_settings},
-    stream_origins::{OriginBatch, OriginChanges, OriginStore, StreamOrigin},
+    stream_origins::{
+        ConditionalAppend, NamedVersion, OriginBatch, OriginChanges, OriginStore, SoftwareVersion,
+        StreamOrigin, VersionListing, VersionRecord,
+    },
 };
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -78,10 +78,13 @@
         let metrics = Rc::new(GatewayMetrics::new());
         let evacuations = Rc::new(Evacuations::new(metrics.clone()));
         let blocklist = SharedBlocklist::new(&settings.host, directory.clone(), metrics.clone());
+        let config = Rc::new(ConfigState::new(max_age));
+        let origins =
+            SharedOrigins::new(config.clone(), directory.clone(), peers.clone(), metrics.clone());
         Gateway {
             blocklist: Rc::new(blocklist),
             crash_checks: Rc::default(),
-            origins: Rc::new(SharedOrigins::new(directory.clone(), metrics.clone())),
+            origins: Rc::new(origins),
             permits: Permits::new(directory.clone(), peers.clone(), evacuations.clone()),
             evacuations,
             directory,
@@ -90,7 +93,7 @@
             response_bytes: BytePool::new(settings.message_pool_bytes()),
             protocol,
             settings,
-            config: Rc::new(ConfigState::new(max_age)),
+            config,
             metrics,
             stop: StopState::new(),
             started_at: Instant::now(),
@@ -150,6 +153,7 @@
             && self.config.current().is_some()
             && is_confirmed
             && self.directory.len() > 0
+            && self.origins.is_settled()
     }
 
     /// Counts a request in the service's retry budget.
--- a/crates/gateway/src/server/run.rs
+++ b/crates/gateway/src/server/run.rs
@@ -11,7 +11,7 @@
         peers::{Gossip, HostRegistry, announce, receive_gossip, send_gossip},
         records::RecordFeed,
         settings::{GatewaySettings, load_settings},
-        stream_origins::{OriginReader, OriginStore, write_origins},
+        stream_origins::{OriginReader, OriginStore, VersionPublisher, write_origins},
         telemetry::{event, start_logging},
     },
     anyhow::{Context, Result},
@@ -56,6 +56,7 @@
 pub struct OriginStores<O> {
     pub reader: O,
     pub writer: O,
+    pub version_publisher: O,
 }
 
 /// Loads the settings and serves callers until SIGTERM requests a graceful stop.
@@ -165,6 +166,9 @@
     spawn_local(OriginReader::new(stores.reader, origins, peers, metrics).run());
     let (origins, peers, metrics) = shared();
     spawn_local(write_origins(stores.writer, origins, peers, metrics));
+    let (origins, peers, metrics) = shared();
+    let store = stores.version_publisher;
+    spawn_local(VersionPublisher::new(store, origins, peers, metrics).run());
 }
 
 /// Stops without interrupting requests: first the load balancer stops opening connections, then
--- a/crates/gateway/src/server/state_dump.rs
+++ b/crates/gateway/src/server/state_dump.rs
@@ -42,7 +42,7 @@
         },
         "evacuated_zones": gateway.evacuations.zones().iter().map(|zone| &**zone).collect::<Vec<_>>(),
         "overload_parts": gateway.overload_policy(),
-        "stream_origins": gateway.origins.len(),
+        "stream_origins": gateway.origins.state(),
         "services": gateway.service_states(),
         "prompt_parts": gateway.blocklist.state(),
         "endpoints": endpoints,
--- a/crates/gateway/src/stream_origins/allowed_versions.rs
+++ b/crates/gateway/src/stream_origins/allowed_versions.rs
@@ -4,6 +4,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum AllowedVersions {
     Any,
+    AnyOf(Vec<VersionHash>),
     Only(VersionHash),
 }
 
@@ -11,6 +12,7 @@
     pub(crate) fn contains(&self, software_version: &str) -> bool {
         match self {
             AllowedVersions::Any => true,
+            AllowedVersions::AnyOf(versions) => versions.contains(&version_hash(software_version)),
             AllowedVersions::Only(version) => version_hash(software_version) == *version,
         }
     }
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -5,6 +5,13 @@
 //! host, also after all hosts were killed. While a service has several software versions, each host
 //! therefore appends the origins of its streams to a log in the store, and reads it when a caller
 //! takes up a stream that it does not know.
+//!
+//! Which versions a service may have is not left to the directory of one host, which can be out of
+//! date or, after a restart, lack a version that has just left. A record in the store names them: a
+//! stream that may be taken up begins only at a version that the record names, and a version is
+//! removed from it only after no endpoint of it was in service for the longest time for which a
+//! stream goes on. A host that reads the record after a take-up has arrived therefore knows every
+//! version at which its stream can have begun.
 
 mod allowed_versions;
 mod origin_reader;
@@ -14,11 +21,16 @@
 mod origin_table_tests;
 mod origin_writer;
 mod refresh_rounds;
+mod service_versions;
+#[cfg(test)]
+mod service_versions_tests;
 mod shared_origins;
 mod stream_key;
 mod version_hash;
+mod version_ledger;
+mod version_publisher;
+mod version_record;
 
-pub use origin_store::{OriginBatch, OriginChanges, OriginStore, StreamOrigin};
 pub(crate) use {
     allowed_versions::AllowedVersions,
     origin_reader::OriginReader,
@@ -26,4 +38,11 @@
     shared_origins::{OriginUnknown, SharedOrigins, TakeUp},
     stream_key::{StreamKey, stream_key},
     version_hash::{VersionHash, version_hash},
+    version_publisher::VersionPublisher,
+};
+pub use {
+    origin_store::{OriginBatch, OriginChanges, OriginStore, StreamOrigin},
+    version_record::{
+        ConditionalAppend, NamedVersion, SoftwareVersion, VersionListing, VersionRecord,
+    },
 };
--- a/crates/gateway/src/stream_origins/origin_reader.rs
+++ b/crates/gateway/src/stream_origins/origin_reader.rs
@@ -38,7 +38,7 @@
         loop {
             self.origins.refreshes.begin().await;
             let started_at = Instant::now();
-            let result = self.read_to_end().await;
+            let result = self.refresh().await;
             let label = if result.is_ok() { "ok" } else { "failed" };
             self.metrics.count_store_call("origins", label);
             if let Err(error) = &result {
@@ -50,6 +50,16 @@
         }
     }
 
+    /// Reads which versions are possible and, if a service has several, where streams began.
+    async fn refresh(&mut self) -> Result<(), FeedError> {
+        let listing = self.store.list_versions().await?;
+        self.origins.apply_version_listing(&listing);
+        match self.origins.any_has_several_versions() {
+            true => self.read_to_end().await,
+            false => Ok(()),
+        }
+    }
+
     /// Reads the log up to its end.
     async fn read_to_end(&mut self) -> Result<(), FeedError> {
         loop {
--- a/crates/gateway/src/stream_origins/origin_store.rs
+++ b/crates/gateway/src/stream_origins/origin_store.rs
@@ -1,11 +1,22 @@
 use {
+    super::version_record::{ConditionalAppend, VersionListing, VersionRecord},
     crate::records::{FeedError, Offset},
     std::{future::Future, time::SystemTime},
 };
 
-/// Store in which hosts leave the origins of streams for each other, and for themselves after a
-/// restart.
+/// Store in which hosts leave the origins of streams, and the software versions in service, for each
+/// other and for themselves after a restart.
 pub trait OriginStore: 'static {
+    /// Returns the newest records of the software versions in service.
+    fn list_versions(&mut self) -> impl Future<Output = Result<VersionListing, FeedError>>;
+
+    /// Appends records of software versions if the log still ends at `end`.
+    fn append_versions(
+        &mut self,
+        records: &[VersionRecord],
+        end: Offset,
+    ) -> impl Future<Output = Result<ConditionalAppend, FeedError>>;
+
     /// Appends origins to the log of all hosts.
     fn append_origins(
         &mut self,
--- a/crates/gateway/src/stream_origins/origin_writer.rs
+++ b/crates/gateway/src/stream_origins/origin_writer.rs
@@ -15,7 +15,7 @@
 };
 
 /// Shortest time between two appends of one host.
-const MIN_INTERVAL: Duration = Duration::from_millis(100);
+const MIN_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two appends of one host for each host of the fleet, which limits the appends of the
 /// whole fleet to 200 a second.
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(5);
--- a/crates/gateway/src/stream_origins/shared_origins.rs
+++ b/crates/gateway/src/stream_origins/shared_origins.rs
@@ -1,18 +1,25 @@
 use {
     super::{
+        allowed_versions::AllowedVersions,
         origin_store::{OriginBatch, StreamOrigin},
         origin_table::OriginTable,
         refresh_rounds::RefreshRounds,
         stream_key::StreamKey,
-        version_hash::{VersionHash, version_hash},
+        version_hash::VersionHash,
+        version_ledger::VersionLedger,
+        version_record::{VersionListing, VersionRecord},
     },
     crate::{
-        endpoints::{Directory, EndpointRecord},
+        clock::BootInstant,
+        config::ConfigState,
+        endpoints::Directory,
+        peers::PeerState,
+        records::FeedKind,
         telemetry::{GatewayMetrics, event},
     },
+    serde_json::{Map, Value, json},
     std::{
         cell::{Cell, RefCell},
-        collections::BTreeSet,
         rc::Rc,
         time::{Duration, Instant, SystemTime},
     },
@@ -23,6 +30,11 @@
 const LIFETIME_MARGIN: Duration = Duration::from_secs(10);
 /// Longest time for which a caller is expected to wait for a stream and to take it up again.
 const MAX_CALLER_WAIT: Duration = Duration::from_secs(120);
+/// Largest age of the directory at which it shows that a version has no endpoints.
+const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(2);
+/// Time after the start within which the record of the versions in service is read if the store can
+/// be reached.
+const MAX_SETTLING_TIME: Duration = Duration::from_secs(5);
 /// Most origins in one batch.
 const MAX_BATCH_ORIGINS: usize = 2_000;
 /// Longest time for which a request waits until its origin is found.
@@ -32,9 +44,13 @@
 
 /// What this host knows of the origins of streams, which all its connections share.
 pub(crate) struct SharedOrigins {
+    config: Rc<ConfigState>,
     directory: Rc<Directory>,
+    peers: Rc<PeerState>,
     metrics: Rc<GatewayMetrics>,
     table: RefCell<OriginTable>,
+    ledger: RefCell<VersionLedger>,
+    started_at: Instant,
     /// The longest time that a caller was ready to wait for its stream.
     longest_wait: Cell<Duration>,
     pub(super) refreshes: RefreshRounds,
@@ -64,11 +80,20 @@
 }
 
 impl SharedOrigins {
-    pub(crate) fn new(directory: Rc<Directory>, metrics: Rc<GatewayMetrics>) -> SharedOrigins {
+    pub(crate) fn new(
+        config: Rc<ConfigState>,
+        directory: Rc<Directory>,
+        peers: Rc<PeerState>,
+        metrics: Rc<GatewayMetrics>,
+    ) -> SharedOrigins {
         SharedOrigins {
+            config,
             directory,
+            peers,
             metrics,
             table: RefCell::default(),
+            ledger: RefCell::default(),
+            started_at: Instant::now(),
             longest_wait: Cell::default(),
             refreshes: RefreshRounds::default(),
         }
@@ -107,7 +132,7 @@
             }
             None => {
                 self.metrics.count_take_up("unknown");
-                let versions = self.possible_versions(service).len();
+                let versions = self.ledger.borrow().possible(service).join(",");
                 event!("stream_origin_unknown", "id={request_id} versions={versions}");
                 Err(OriginUnknown)
             }
@@ -119,25 +144,68 @@
         if let Some(version) = known() {
             return Some((version, OriginSource::Memory));
         }
-        if let Some(version) = self.only_version(take_up.service) {
-            return Some((version, OriginSource::OnlyVersion));
+        self.observe_versions();
+        // without the name of its first request, a stream goes on only if one version is possible
+        if take_up.stream.is_none() && self.ledger.borrow().has_several(take_up.service) {
+            return None;
         }
-        take_up.stream?;
         let time_limit = take_up.time_left.mul_f64(MAX_FIND_FRACTION).min(MAX_FIND_TIME);
-        self.refreshes.wait(time_limit).await;
-        known().map(|version| (version, OriginSource::Log))
+        let is_refreshed = self.refreshes.wait(time_limit).await;
+        if let Some(version) = known() {
+            return Some((version, OriginSource::Log));
+        }
+        self.observe_versions();
+        let only = self.ledger.borrow().only(take_up.service).filter(|_| is_refreshed);
+        only.map(|version| (version, OriginSource::OnlyVersion))
+    }
+
+    /// The software versions at which a stream that may be taken up can begin.
+    pub(crate) fn versions_to_begin(&self, service: &str) -> AllowedVersions {
+        self.ledger.borrow().versions_to_begin(service, Instant::now())
     }
 
-    /// The software versions of a service at which streams may have begun.
-    fn possible_versions(&self, service: &str) -> BTreeSet<VersionHash> {
-        let endpoints = self.directory.of_service(service);
-        let version_of = |record: &EndpointRecord| version_hash(&record.software_version);
-        endpoints.iter().map(|endpoint| version_of(&endpoint.record.borrow())).collect()
+    /// Whether streams can begin: the record of the versions in service was read, or cannot be read by
+    /// this host.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.ledger.borrow().is_listed() || self.started_at.elapsed() >= MAX_SETTLING_TIME
+    }
+
+    /// Takes over which versions the directory has.
+    pub(super) fn observe_versions(&self) {
+        if let Some(config) = self.config.current() {
+            self.record_wait(config.longest_stream());
+        }
+        let feed = self.peers.published_feed(FeedKind::Endpoints).borrow();
+        let age = feed.confirmation_age(BootInstant::now());
+        let is_up_to_date = age.is_some_and(|age| age <= MAX_DIRECTORY_AGE);
+        let present = self.directory.versions_by_service();
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.observe(&present, is_up_to_date, self.lifetime(), Instant::now());
+    }
+
+    pub(super) fn version_proposals(&self) -> Vec<VersionRecord> {
+        self.ledger.borrow().proposals(self.lifetime(), Instant::now(), SystemTime::now())
+    }
+
+    pub(super) fn apply_version_listing(&self, listing: &VersionListing) {
+        let is_first = !self.ledger.borrow().is_listed();
+        self.ledger.borrow_mut().apply_listing(listing, SystemTime::now());
+        self.observe_versions();
+        if is_first {
+            event!("versions_listed", "services={}", listing.records.len());
+        }
+    }
+
+    pub(super) fn apply_appended_versions(&self, records: &[VersionRecord]) {
+        for VersionRecord { service, versions } in records {
+            let versions: Vec<&str> = versions.iter().map(|named| &*named.version).collect();
+            event!("versions_recorded", "service={service} versions={}", versions.join(","));
+        }
+        self.ledger.borrow_mut().apply_appended(records, SystemTime::now());
     }
 
-    fn only_version(&self, service: &str) -> Option<VersionHash> {
-        let versions = self.possible_versions(service);
-        (versions.len() == 1).then(|| versions.first().copied()).flatten()
+    pub(super) fn any_has_several_versions(&self) -> bool {
+        self.ledger.borrow().any_has_several()
     }
 
     /// Origins that are to be appended to the log: of services with several software versions, and
@@ -145,7 +213,8 @@
     pub(super) fn unlogged(&self) -> Vec<StreamOrigin> {
         let mut table = self.table.borrow_mut();
         table.expire(Instant::now());
-        table.unlogged(|service| self.possible_versions(service).len() > 1, MAX_BATCH_ORIGINS)
+        let ledger = self.ledger.borrow();
+        table.unlogged(|service| ledger.has_several(service), MAX_BATCH_ORIGINS)
     }
 
     pub(super) fn set_logged(&self, origins: &[StreamOrigin]) {
@@ -163,8 +232,19 @@
         }
     }
 
-    /// Number of streams whose origin is known.
-    pub(crate) fn len(&self) -> usize {
-        self.table.borrow().len()
+    /// What this host knows, as JSON for the state dump.
+    pub(crate) fn state(&self) -> Value {
+        let ledger = self.ledger.borrow();
+        let versions: Map<String, Value> = ledger
+            .all_possible()
+            .into_iter()
+            .map(|(service, versions)| (service.to_string(), versions.join(",").into()))
+            .collect();
+        json!({
+            "known": self.table.borrow().len(),
+            "versions_listed": ledger.is_listed(),
+            "possible_versions": versions,
+            "lifetime_ms": self.lifetime().as_millis(),
+        })
     }
 }
