Replay versions, hosts and a store in virtual time

The replay fails if the record of versions is ignored for a conclusion, if streams begin at versions that it does not name, if names are removed after a sixth of the time, or if the log is not read.

--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -21,6 +21,8 @@
 mod origin_table_tests;
 mod origin_writer;
 mod refresh_rounds;
+#[cfg(test)]
+mod replay_tests;
 mod service_versions;
 #[cfg(test)]
 mod service_versions_tests;
