Take a stream up at the service that began it on a split route

On a route that is divided between services, a caller that took a stream up got the rest of it from any of them: each request drew its service anew. Found while looking for the same cause as that of streams of two software versions.

The service now follows from a hash of the request that began the stream, in proportion to the weights. For all other requests that is the hash of their own ID.

--- a/crates/gateway/src/callers/admitted_request.rs
+++ b/crates/gateway/src/callers/admitted_request.rs
@@ -35,11 +35,7 @@
     /// The stream that the request begins or goes on with; `None` if the caller goes on with one
     /// and does not say which.
     pub(crate) fn stream(&self) -> Option<StreamKey> {
-        let first_request = match self.caller.last_event_id {
-            None => Some(&self.caller.id),
-            Some(_) => self.caller.resumed_request.as_ref(),
-        };
-        first_request.map(|id| stream_key(&self.service, id))
+        self.caller.first_request().map(|id| stream_key(&self.service, id))
     }
 
     /// Whether the request goes on with a stream of an earlier one.
--- a/crates/gateway/src/callers/caller_request.rs
+++ b/crates/gateway/src/callers/caller_request.rs
@@ -17,6 +17,17 @@
     pub resumed_request: Option<Box<str>>,
 }
 
+impl CallerRequest {
+    /// ID of the request that began the stream that this one goes on with, or its own ID if it goes on
+    /// with none; `None` if the caller does not say.
+    pub(crate) fn first_request(&self) -> Option<&str> {
+        match self.last_event_id {
+            None => Some(&self.id),
+            Some(_) => self.resumed_request.as_deref(),
+        }
+    }
+}
+
 /// Identifies a part of prompts: a hash of the name that callers give it.
 pub type PromptPartId = u64;
 
--- a/crates/gateway/src/callers/caller_task.rs
+++ b/crates/gateway/src/callers/caller_task.rs
@@ -268,7 +268,9 @@
         Err(refusal) => return Err(Box::new(RefusedRequest { caller, refusal })),
     };
     let route = admission.route;
-    let Some(service) = route.choose_service().cloned() else {
+    // a stream goes on at the service that began it
+    let key = caller.first_request().unwrap_or(&caller.id);
+    let Some(service) = route.choose_service(key).cloned() else {
         let refusal = Refusal::unavailable(Reason::NoCapacity, with_jitter(Duration::from_secs(1)));
         return Err(Box::new(RefusedRequest { caller, refusal }));
     };
--- a/crates/gateway/src/config/route.rs
+++ b/crates/gateway/src/config/route.rs
@@ -1,4 +1,4 @@
-use {super::request_kind::RequestKind, rand::RngExt, std::rc::Rc};
+use {super::request_kind::RequestKind, std::rc::Rc, xxhash_rust::xxh3::xxh3_64};
 
 /// Rules for the requests to a path prefix of a host name.
 #[derive(Clone, Debug)]
@@ -36,14 +36,11 @@
 }
 
 impl Route {
-    /// Chooses a service at random, in proportion to the weights. Returns `None` if all weights
-    /// are 0.
-    pub(crate) fn choose_service(&self) -> Option<&Rc<str>> {
+    /// Chooses the service of a request by its key, in proportion to the weights: the same key
+    /// always gets the same service. Returns `None` if all weights are 0.
+    pub(crate) fn choose_service(&self, key: &str) -> Option<&Rc<str>> {
         let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
-        if total == 0 {
-            return None;
-        }
-        let mut remaining = rand::rng().random_range(0..total);
+        let mut remaining = xxh3_64(key.as_bytes()).checked_rem(total)?;
         for share in &self.shares {
             let weight = u64::from(share.weight);
             if remaining < weight {
--- a/crates/gateway/src/config/tests.rs
+++ b/crates/gateway/src/config/tests.rs
@@ -88,3 +88,20 @@
     assert!(!has_interactive_route(&[(0, 400, "s")]));
     assert!(!has_interactive_route(&[]));
 }
+
+/// Guards against a stream that is taken up at another service of its route, which knows nothing of it,
+/// and against shares that do not follow the weights.
+#[test]
+fn a_key_always_gets_the_same_service_of_a_split_route() {
+    let share = |service: &str, weight| ServiceShare { service: service.into(), weight };
+    let split =
+        Route { shares: vec![share("a", 1), share("none", 0), share("b", 3)], ..route("/a/") };
+    let choose = |key: u32| split.choose_service(&format!("{key:x}")).expect("a service").clone();
+    let chosen: Vec<Rc<str>> = (0..4_000).map(choose).collect();
+    assert_eq!(chosen, (0..4_000).map(choose).collect::<Vec<_>>());
+    let count = |service: &str| chosen.iter().filter(|chosen| ***chosen == *service).count();
+    assert_eq!(count("none"), 0);
+    assert!((900..1_100).contains(&count("a")), "{}", count("a"));
+    let unused = Route { shares: vec![share("a", 0)], ..route("/a/") };
+    assert!(unused.choose_service("1").is_none());
+}
