Judge the age of the directory by the time in which departures must be known

A version counted as absent only while the directory was confirmed within 2 s. Where departures may be learned later than that, no version would ever leave the record. The bound for departures of the settings now decides. Calls for versions and origins are counted with the result label of the other calls.

--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -79,8 +79,13 @@
         let evacuations = Rc::new(Evacuations::new(metrics.clone()));
         let blocklist = SharedBlocklist::new(&settings.host, directory.clone(), metrics.clone());
         let config = Rc::new(ConfigState::new(max_age));
-        let origins =
-            SharedOrigins::new(config.clone(), directory.clone(), peers.clone(), metrics.clone());
+        let origins = SharedOrigins::new(
+            config.clone(),
+            directory.clone(),
+            peers.clone(),
+            metrics.clone(),
+            settings.bounds.endpoint_drain(),
+        );
         Gateway {
             blocklist: Rc::new(blocklist),
             crash_checks: Rc::default(),
--- a/crates/gateway/src/stream_origins/origin_reader.rs
+++ b/crates/gateway/src/stream_origins/origin_reader.rs
@@ -39,8 +39,7 @@
             self.origins.refreshes.begin().await;
             let started_at = Instant::now();
             let result = self.refresh().await;
-            let label = if result.is_ok() { "ok" } else { "failed" };
-            self.metrics.count_store_call("origins", label);
+            self.metrics.count_store_result("origins", &result);
             if let Err(error) = &result {
                 event!("origins_unread", "reason={:?}", error.to_string());
             }
--- a/crates/gateway/src/stream_origins/origin_writer.rs
+++ b/crates/gateway/src/stream_origins/origin_writer.rs
@@ -38,7 +38,7 @@
         }
         let batch = OriginBatch { written_at: SystemTime::now(), origins: unlogged };
         let result = store.append_origins(&batch).await;
-        metrics.count_store_call("origins", if result.is_ok() { "ok" } else { "failed" });
+        metrics.count_store_result("origins", &result);
         match result {
             Ok(()) => origins.set_logged(&batch.origins),
             Err(error) => {
--- a/crates/gateway/src/stream_origins/shared_origins.rs
+++ b/crates/gateway/src/stream_origins/shared_origins.rs
@@ -30,8 +30,6 @@
 const LIFETIME_MARGIN: Duration = Duration::from_secs(10);
 /// Longest time for which a caller is expected to wait for a stream and to take it up again.
 const MAX_CALLER_WAIT: Duration = Duration::from_secs(120);
-/// Largest age of the directory at which it shows that a version has no endpoints.
-const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(2);
 /// Time after the start within which the record of the versions in service is read if the store can
 /// be reached.
 const MAX_SETTLING_TIME: Duration = Duration::from_secs(5);
@@ -48,6 +46,8 @@
     directory: Rc<Directory>,
     peers: Rc<PeerState>,
     metrics: Rc<GatewayMetrics>,
+    /// Largest age of the directory at which it shows that a version has no endpoints.
+    max_directory_age: Duration,
     table: RefCell<OriginTable>,
     ledger: RefCell<VersionLedger>,
     started_at: Instant,
@@ -85,12 +85,14 @@
         directory: Rc<Directory>,
         peers: Rc<PeerState>,
         metrics: Rc<GatewayMetrics>,
+        max_directory_age: Duration,
     ) -> SharedOrigins {
         SharedOrigins {
             config,
             directory,
             peers,
             metrics,
+            max_directory_age,
             table: RefCell::default(),
             ledger: RefCell::default(),
             started_at: Instant::now(),
@@ -177,7 +179,7 @@
         }
         let feed = self.peers.published_feed(FeedKind::Endpoints).borrow();
         let age = feed.confirmation_age(BootInstant::now());
-        let is_up_to_date = age.is_some_and(|age| age <= MAX_DIRECTORY_AGE);
+        let is_up_to_date = age.is_some_and(|age| age <= self.max_directory_age);
         let present = self.directory.versions_by_service();
         let mut ledger = self.ledger.borrow_mut();
         ledger.observe(&present, is_up_to_date, self.lifetime(), Instant::now());
--- a/crates/gateway/src/stream_origins/version_publisher.rs
+++ b/crates/gateway/src/stream_origins/version_publisher.rs
@@ -63,7 +63,7 @@
     /// the next check finds its record.
     async fn list_and_append(&mut self) -> Result<(), FeedError> {
         let listing = self.store.list_versions().await;
-        self.count(&listing);
+        self.metrics.count_store_result("versions", &listing);
         let listing = listing?;
         self.origins.apply_version_listing(&listing);
         let records = self.origins.version_proposals();
@@ -71,18 +71,13 @@
             return Ok(());
         }
         let appended = self.store.append_versions(&records, listing.end).await;
-        self.count(&appended);
+        self.metrics.count_store_result("versions", &appended);
         if appended? == ConditionalAppend::Appended {
             self.origins.apply_appended_versions(&records);
         }
         Ok(())
     }
 
-    fn count<T>(&self, result: &Result<T, FeedError>) {
-        let label = if result.is_ok() { "ok" } else { "failed" };
-        self.metrics.count_store_call("versions", label);
-    }
-
     async fn pause_after(&self, error: &FeedError) {
         event!("versions_unknown", "reason={:?}", error.to_string());
         sleep(RETRY_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))).await;
--- a/crates/gateway/src/telemetry/gateway_metrics.rs
+++ b/crates/gateway/src/telemetry/gateway_metrics.rs
@@ -291,6 +291,11 @@
         self.store_calls.get_or_create(&FeedLabels { feed, result }).inc();
     }
 
+    /// Counts a call to the store by its result.
+    pub(crate) fn count_store_result<T, E>(&self, feed: &'static str, result: &Result<T, E>) {
+        self.count_store_call(feed, if result.is_ok() { "ok" } else { "error" });
+    }
+
     /// Sets the result and the age of the last comparison with the relay.
     pub(crate) fn set_comparison(&self, feed: &'static str, comparison: &FeedComparison) {
         let labels = CopyLabels { feed };
