Append the origin of a broken stream without delay, and look for it twice

Callers whose connection broke soon after the first event, while two software versions served, were refused when they took the stream up at once through another host: the first host appends origins every 0.3 s at least, and the other one looked once.

A host now appends as soon as the connection of a stream breaks, and a host that finds nothing looks again 0.15 s later. At most 250 instead of 200 appends a second of the whole fleet are left for the others.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -15,7 +15,7 @@
         queueing::Permit,
         retry::SendOutcome,
         server::Gateway,
-        stream_origins::VersionHash,
+        stream_origins::{OpenStream, VersionHash},
         telemetry::{OptionalMillis, event},
     },
     std::{
@@ -226,7 +226,8 @@
         if !progress.has_started && (is_complete || !events.bytes.is_empty()) {
             record_response_start(gateway, request, target.permit);
             progress.has_started = true;
-            record_origin(gateway, request, *progress.origin.get_or_insert(target.version));
+            let origin = *progress.origin.get_or_insert(target.version);
+            progress.open_stream = open_stream(gateway, request, origin);
             progress.last_event_id = events.last_id.or(progress.last_event_id);
             if sink.start_stream(head, &events.bytes).await.is_err() {
                 return Ok(Delivery::CallerDisconnected);
@@ -240,8 +241,10 @@
         if is_complete {
             call.finish();
             let delivery = delivery_result(sink.end_stream().await, head.status);
-            if let (Delivery::Completed { .. }, Some(stream)) = (delivery, request.stream()) {
-                gateway.origins.record_complete(stream);
+            if delivery != Delivery::CallerDisconnected
+                && let Some(stream) = progress.open_stream.take()
+            {
+                stream.complete();
             }
             return Ok(delivery);
         }
@@ -249,10 +252,13 @@
 }
 
 /// Records the software version of a stream that its caller may take up again.
-fn record_origin<P>(gateway: &Gateway<P>, request: &AdmittedRequest, version: VersionHash) {
-    if let (true, Some(stream)) = (request.route.is_resumable, request.stream()) {
-        gateway.origins.record(&request.service, stream, version);
-    }
+fn open_stream<P>(
+    gateway: &Gateway<P>,
+    request: &AdmittedRequest,
+    origin: VersionHash,
+) -> Option<OpenStream> {
+    let stream = request.stream().filter(|_| request.route.is_resumable)?;
+    Some(gateway.origins.open(&request.service, stream, origin))
 }
 
 /// Records that a response, or the first event of a stream, is forwarded.
--- a/crates/gateway/src/dispatch/stream_progress.rs
+++ b/crates/gateway/src/dispatch/stream_progress.rs
@@ -1,7 +1,7 @@
-use crate::stream_origins::VersionHash;
+use crate::stream_origins::{OpenStream, VersionHash};
 
 /// The part of a stream that the caller has received.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Default)]
 pub(super) struct StreamProgress {
     /// Whether the response to the caller was started.
     pub(super) has_started: bool,
@@ -12,4 +12,6 @@
     pub(super) last_event_id: Option<u64>,
     /// The software version that brought the first event of the stream; no other may go on with it.
     pub(super) origin: Option<VersionHash>,
+    /// Set once the stream has begun, if its caller may take it up.
+    pub(super) open_stream: Option<OpenStream>,
 }
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -14,6 +14,7 @@
 //! version at which its stream can have begun.
 
 mod allowed_versions;
+mod open_stream;
 mod origin_reader;
 mod origin_store;
 mod origin_table;
@@ -35,6 +36,7 @@
 
 pub(crate) use {
     allowed_versions::AllowedVersions,
+    open_stream::OpenStream,
     origin_reader::OriginReader,
     origin_writer::write_origins,
     shared_origins::{OriginUnknown, SharedOrigins, TakeUp},
--- a/crates/gateway/src/stream_origins/origin_writer.rs
+++ b/crates/gateway/src/stream_origins/origin_writer.rs
@@ -11,14 +11,16 @@
         rc::Rc,
         time::{Duration, SystemTime},
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Shortest time between two appends of one host.
+const MIN_PAUSE: Duration = Duration::from_millis(20);
+/// Shortest time between two appends of one host whose streams do not break.
 const MIN_INTERVAL: Duration = Duration::from_millis(300);
-/// Time between two appends of one host for each host of the fleet, which limits the appends of the
-/// whole fleet to 200 a second.
-const INTERVAL_PER_HOST: Duration = Duration::from_millis(5);
+/// Time between two appends of one host for each host of the fleet, which limits these appends of the
+/// whole fleet to 250 a second.
+const INTERVAL_PER_HOST: Duration = Duration::from_millis(4);
 /// Pause after a failed append.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -31,7 +33,10 @@
     metrics: Rc<GatewayMetrics>,
 ) {
     loop {
-        sleep((INTERVAL_PER_HOST * peers.fleet_hosts()).max(MIN_INTERVAL)).await;
+        sleep(MIN_PAUSE).await;
+        let interval = (INTERVAL_PER_HOST * peers.fleet_hosts()).max(MIN_INTERVAL);
+        // the origin of a stream that has broken may be asked for at once
+        let _ = timeout(interval, origins.append_needed.notified()).await;
         let unlogged = origins.unlogged();
         if unlogged.is_empty() {
             continue;
--- a/crates/gateway/src/stream_origins/shared_origins.rs
+++ b/crates/gateway/src/stream_origins/shared_origins.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         allowed_versions::AllowedVersions,
+        open_stream::OpenStream,
         origin_store::{OriginBatch, StreamOrigin},
         origin_table::OriginTable,
         refresh_rounds::RefreshRounds,
@@ -23,6 +24,7 @@
         rc::Rc,
         time::{Duration, Instant, SystemTime},
     },
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// Added to the longest time for which callers wait, since hosts learn of endpoints late and
@@ -40,6 +42,9 @@
 /// Part of the time left of a request for which it waits until its origin is found.
 const MAX_FIND_FRACTION: f64 = 0.25;
 
+/// Time within which a host appends the origin of a stream whose connection has broken.
+const LATE_APPEND_TIME: Duration = Duration::from_millis(150);
+
 /// What this host knows of the origins of streams, which all its connections share.
 pub(crate) struct SharedOrigins {
     config: Rc<ConfigState>,
@@ -54,6 +59,8 @@
     /// The longest time that a caller was ready to wait for its stream.
     longest_wait: Cell<Duration>,
     pub(super) refreshes: RefreshRounds,
+    /// Signals that the origins of this host are to be appended to the log without delay.
+    pub(super) append_needed: Notify,
 }
 
 /// A request that goes on with a stream of an earlier one.
@@ -98,6 +105,7 @@
             started_at: Instant::now(),
             longest_wait: Cell::default(),
             refreshes: RefreshRounds::default(),
+            append_needed: Notify::new(),
         }
     }
 
@@ -112,16 +120,28 @@
     }
 
     /// Records the version that brought the first event, or goes on with the stream.
-    pub(crate) fn record(&self, service: &Rc<str>, stream: StreamKey, version: VersionHash) {
+    pub(crate) fn open(
+        self: &Rc<Self>,
+        service: &Rc<str>,
+        stream: StreamKey,
+        version: VersionHash,
+    ) -> OpenStream {
         let expires_at = Instant::now() + self.lifetime();
         self.table.borrow_mut().add_own(service, stream, version, expires_at);
+        OpenStream::new(self.clone(), service.clone(), stream)
     }
 
-    /// Records that the caller has the whole stream.
-    pub(crate) fn record_complete(&self, stream: StreamKey) {
+    pub(super) fn record_complete(&self, stream: StreamKey) {
         self.table.borrow_mut().set_complete(stream);
     }
 
+    /// Records that the caller of a stream may take it up, through any host.
+    pub(super) fn record_broken(&self, service: &str) {
+        if self.ledger.borrow().has_several(service) {
+            self.append_needed.notify_one();
+        }
+    }
+
     /// Finds the software version at which the stream of a request began.
     pub(crate) async fn find(&self, take_up: &TakeUp<'_>) -> Result<VersionHash, OriginUnknown> {
         let found = self.find_with_source(take_up).await;
@@ -156,9 +176,17 @@
         if let Some(version) = known() {
             return Some((version, OriginSource::Log));
         }
+        if !is_refreshed {
+            return None;
+        }
         self.observe_versions();
-        let only = self.ledger.borrow().only(take_up.service).filter(|_| is_refreshed);
-        only.map(|version| (version, OriginSource::OnlyVersion))
+        if let Some(version) = self.ledger.borrow().only(take_up.service) {
+            return Some((version, OriginSource::OnlyVersion));
+        }
+        // the host that had the stream may have noticed only now that it broke
+        sleep(LATE_APPEND_TIME.min(time_limit)).await;
+        self.refreshes.wait(time_limit).await;
+        known().map(|version| (version, OriginSource::Log))
     }
 
     /// The software versions at which a stream that may be taken up can begin.
