--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -5,9 +5,11 @@
 mod endpoint_request;
 mod event_splitter;
 mod failure;
+mod placement_log;
 mod request_parts;
 mod response_meta;
 mod run_request;
+mod stream_origin;
 mod stream_progress;
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -1,23 +1,24 @@
 use {
     super::{
         attempt::{Delivery, Target, attempt},
-        candidates::{CandidateLimits, Candidates, with_candidates},
+        candidates::{CandidateLimits, with_candidates},
         failure::{FailureCause, SendFailure},
+        placement_log::log_placement,
         request_parts::RequestParts,
+        stream_origin::{allowed_versions, find_origin},
         stream_progress::StreamProgress,
     },
     crate::{
         blocklist::BlockedPart,
         callers::{AdmittedRequest, CallerSink, Protocol, Refusal, recheck_api_key, with_jitter},
         clock::BootInstant,
-        config::RequestKind,
         endpoints::{Endpoint, EndpointId},
         http1::ResponseHead,
-        placement::{Placement, PlacementRequest, choose_endpoint},
+        placement::{PlacementRequest, choose_endpoint},
         queueing::{Arrival, NoPermit, Permit, PermitRequest},
         retry::{AttemptHistory, NextStep, RetryPolicy, SendOutcome, next_step},
         server::Gateway,
-        stream_origins::{AllowedVersions, OriginUnknown, TakeUp, version_hash},
+        stream_origins::version_hash,
         telemetry::event,
     },
     mango_wire::{Reason, problem::Verdict},
@@ -125,8 +126,9 @@
             let refusal = self.refuse_part(blocked);
             return self.give_up(sink, refusal).await;
         }
-        if let Err(refusal) = self.find_origin().await {
-            return self.give_up(sink, refusal).await;
+        match find_origin(self.gateway, self.request).await {
+            Ok(origin) => self.progress.origin = origin,
+            Err(refusal) => return self.give_up(sink, refusal).await,
         }
         let permit = match self.wait_for_permit().await {
             Ok(permit) => self.permit.insert(permit).clone(),
@@ -171,29 +173,6 @@
         }
     }
 
-    /// Finds the software version of a stream that the request goes on with.
-    async fn find_origin(&mut self) -> Result<(), Refusal> {
-        if !self.request.takes_up_stream() {
-            return Ok(());
-        }
-        let take_up = TakeUp {
-            request_id: &self.request.caller.id,
-            service: &self.request.service,
-            stream: self.request.stream(),
-            time_left: self.request.time_left(),
-        };
-        match self.gateway.origins.find(&take_up).await {
-            Ok(version) => {
-                self.progress.origin = Some(version);
-                Ok(())
-            }
-            Err(OriginUnknown) => Err(Refusal::unavailable(
-                Reason::StreamOriginUnknown,
-                with_jitter(MEAN_RETRY_AFTER),
-            )),
-        }
-    }
-
     /// Waits until the request may be sent to the service.
     async fn wait_for_permit(&mut self) -> Result<Rc<Permit>, Refusal> {
         let request = self.request;
@@ -244,7 +223,7 @@
         let limits = CandidateLimits {
             tried: &self.tried,
             refused_by: &self.refused_by,
-            versions: self.allowed_versions(),
+            versions: allowed_versions(self.gateway, self.request, &self.progress),
         };
         with_candidates(self.gateway, &self.request.service, prefix, &limits, |candidates| {
             let placement_request = PlacementRequest {
@@ -258,58 +237,12 @@
             if let Some(prefix) = prefix {
                 self.gateway.peers.record_prefix_use(prefix.hash, endpoint.hash);
             }
-            self.log_placement(candidates, &placement);
+            log_placement(self.request, &self.progress, self.tried.len(), candidates, &placement);
             let source = placement.prefix_source.map(|index| candidates.records[index].address);
             Some((endpoint.clone(), source))
         })
     }
 
-    /// The software versions at which the next send may run. A stream goes on only at the version that
-    /// began it.
-    fn allowed_versions(&self) -> AllowedVersions {
-        let route = &self.request.route;
-        match self.progress.origin {
-            Some(origin) => AllowedVersions::Only(origin),
-            None if route.kind == RequestKind::Streaming && route.is_resumable => {
-                self.gateway.origins.versions_to_begin(&self.request.service)
-            }
-            None => AllowedVersions::Any,
-        }
-    }
-
-    fn log_placement(&self, candidates: &Candidates<'_>, placement: &Placement) {
-        let chosen = &candidates.list[placement.target];
-        let source = placement.prefix_source.map(|index| candidates.list[index].id);
-        let prefix = self.request.caller.prefix;
-        event!(
-            "request_placed",
-            "id={} route={} kind={} endpoint={} version={} resumes={} after_event={} load={:.1} \
-             reported={:.0} failures={:.2} \
-             slowness={:.2} waiting={} candidates={} prefix={:016x} shared_tokens={} \
-             holds_prefix={} prefix_source={} config_version={} sends={} time_left_ms={}",
-            self.request.caller.id,
-            self.request.route.name,
-            self.request.route.kind,
-            chosen.id,
-            candidates.records[placement.target].software_version,
-            self.request.caller.resumed_request.as_deref().unwrap_or("-"),
-            self.progress.last_event_id.map_or_else(|| "-".to_owned(), |id| id.to_string()),
-            chosen.requests,
-            chosen.reported_requests,
-            chosen.failure_share,
-            chosen.slowness,
-            chosen.waiting,
-            candidates.list.len(),
-            prefix.map_or(0, |prefix| prefix.hash),
-            prefix.map_or(0, |prefix| prefix.shared_tokens),
-            chosen.holds_prefix,
-            source.unwrap_or("-"),
-            self.request.config_version,
-            self.tried.len(),
-            self.request.time_left().as_millis()
-        );
-    }
-
     /// Records the result of a finished send. Returns whether the caller's connection may carry
     /// another request.
     fn finish(&mut self, sink: &CallerSink<'_, P>, delivery: Delivery) -> bool {
