Append the origin of a stream as soon as it has begun

While two software versions served, callers whose streams had begun less than 0.3 s before all hosts lost power were refused when they took them up. Their versions were nowhere: hosts appended origins every 0.3 s.

A host now appends 20 ms after a stream has begun, and pauses for 4 ms for each host of the fleet after an append, as before.

the_log_has_the_origin_of_a_stream_soon_after_its_first_event failed before (no append within 0.21 s) and passes.

--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -21,6 +21,8 @@
 #[cfg(test)]
 mod origin_table_tests;
 mod origin_writer;
+#[cfg(test)]
+mod origin_writer_tests;
 mod refresh_rounds;
 #[cfg(test)]
 mod replay_tests;
--- a/crates/gateway/src/stream_origins/origin_writer.rs
+++ b/crates/gateway/src/stream_origins/origin_writer.rs
@@ -14,13 +14,13 @@
     tokio::time::{sleep, timeout},
 };
 
-/// Shortest time between two appends of one host.
-const MIN_PAUSE: Duration = Duration::from_millis(20);
-/// Shortest time between two appends of one host whose streams do not break.
-const MIN_INTERVAL: Duration = Duration::from_millis(300);
-/// Time between two appends of one host for each host of the fleet, which limits these appends of the
+/// Time for which origins are collected for one append.
+const BATCH_TIME: Duration = Duration::from_millis(20);
+/// Time between two appends of one host for each host of the fleet, which limits the appends of the
 /// whole fleet to 250 a second.
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(4);
+/// Longest time between two looks at the streams of this host: a second version may have appeared.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after a failed append.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -33,10 +33,8 @@
     metrics: Rc<GatewayMetrics>,
 ) {
     loop {
-        sleep(MIN_PAUSE).await;
-        let interval = (INTERVAL_PER_HOST * peers.fleet_hosts()).max(MIN_INTERVAL);
-        // the origin of a stream that has broken may be asked for at once
-        let _ = timeout(interval, origins.append_needed.notified()).await;
+        let _ = timeout(CHECK_INTERVAL, origins.stream_began.notified()).await;
+        sleep(BATCH_TIME).await;
         let unlogged = origins.unlogged();
         if unlogged.is_empty() {
             continue;
@@ -45,7 +43,12 @@
         let result = store.append_origins(&batch).await;
         metrics.count_store_result("origins", &result);
         match result {
-            Ok(()) => origins.set_logged(&batch.origins),
+            Ok(()) => {
+                origins.set_logged(&batch.origins);
+                // the origin of a stream that has broken may be asked for at once
+                let pause = INTERVAL_PER_HOST * peers.fleet_hosts();
+                let _ = timeout(pause, origins.stream_broke.notified()).await;
+            }
             Err(error) => {
                 let count = batch.origins.len();
                 event!("origins_unwritten", "origins={count} reason={:?}", error.to_string());
--- a/crates/gateway/src/stream_origins/shared_origins.rs
+++ b/crates/gateway/src/stream_origins/shared_origins.rs
@@ -59,8 +59,10 @@
     /// The longest time that a caller was ready to wait for its stream.
     longest_wait: Cell<Duration>,
     pub(super) refreshes: RefreshRounds,
-    /// Signals that the origins of this host are to be appended to the log without delay.
-    pub(super) append_needed: Notify,
+    /// Signals that a stream began whose origin is to be appended to the log.
+    pub(super) stream_began: Notify,
+    /// Signals that such a stream broke, so that its origin may be asked for.
+    pub(super) stream_broke: Notify,
 }
 
 /// A request that goes on with a stream of an earlier one.
@@ -105,7 +107,8 @@
             started_at: Instant::now(),
             longest_wait: Cell::default(),
             refreshes: RefreshRounds::default(),
-            append_needed: Notify::new(),
+            stream_began: Notify::new(),
+            stream_broke: Notify::new(),
         }
     }
 
@@ -128,6 +131,9 @@
     ) -> OpenStream {
         let expires_at = Instant::now() + self.lifetime();
         self.table.borrow_mut().add_own(service, stream, version, expires_at);
+        if self.ledger.borrow().has_several(service) {
+            self.stream_began.notify_one();
+        }
         OpenStream::new(self.clone(), service.clone(), stream)
     }
 
@@ -138,7 +144,7 @@
     /// Records that the caller of a stream may take it up, through any host.
     pub(super) fn record_broken(&self, service: &str) {
         if self.ledger.borrow().has_several(service) {
-            self.append_needed.notify_one();
+            self.stream_broke.notify_one();
         }
     }
 
