--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -17,6 +17,7 @@
         queueing::Permit,
         retry::SendOutcome,
         server::Gateway,
+        stream_origins::{OpenStream, VersionHash},
         telemetry::{OptionalMillis, event},
     },
     std::{
@@ -45,6 +46,8 @@
 pub(super) struct Target<'a, P: Protocol> {
     pub(super) watch: &'a AnswerWatch<'a, P>,
     pub(super) endpoint: &'a Rc<Endpoint>,
+    /// Software version of the endpoint.
+    pub(super) version: VersionHash,
     pub(super) permit: &'a Permit,
     /// Address of an endpoint that may hold the cache of the prompt's prefix.
     pub(super) prefix_source: Option<SocketAddr>,
@@ -236,6 +239,8 @@
         if !progress.has_started && (is_complete || !events.bytes.is_empty()) {
             record_response_start(gateway, request, target.permit);
             progress.has_started = true;
+            let origin = *progress.origin.get_or_insert(target.version);
+            progress.open_stream = open_stream(gateway, request, origin);
             progress.last_event_id = events.last_id.or(progress.last_event_id);
             if sink.start_stream(head, &events.bytes).await.is_err() {
                 return Ok(Delivery::CallerDisconnected);
@@ -248,11 +253,27 @@
         }
         if is_complete {
             call.finish();
-            return Ok(delivery_result(sink.end_stream().await, head.status));
+            let delivery = delivery_result(sink.end_stream().await, head.status);
+            if delivery != Delivery::CallerDisconnected
+                && let Some(stream) = progress.open_stream.take()
+            {
+                stream.complete();
+            }
+            return Ok(delivery);
         }
     }
 }
 
+/// Records the software version of a stream that its caller may take up again.
+fn open_stream<P>(
+    gateway: &Gateway<P>,
+    request: &AdmittedRequest,
+    origin: VersionHash,
+) -> Option<OpenStream> {
+    let stream = request.stream().filter(|_| request.route.is_resumable)?;
+    Some(gateway.origins.open(&request.service, stream, origin))
+}
+
 /// Records that a response, or the first event of a stream, is forwarded.
 fn record_response_start<P: Protocol>(
     gateway: &Gateway<P>,
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,13 +12,14 @@
 mod request_parts;
 mod response_meta;
 mod run_request;
+mod stream_origin;
 mod stream_progress;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use {
     answer_times::AnswerTimes,
-    candidates::{AttemptedEndpoints, with_candidates},
+    candidates::{CandidateLimits, with_candidates},
     crash_checks::CrashChecks,
     run_request::run_request,
 };
--- a/crates/gateway/src/dispatch/placement_log.rs
+++ b/crates/gateway/src/dispatch/placement_log.rs
@@ -1,5 +1,5 @@
 use {
-    super::candidates::Candidates,
+    super::{candidates::Candidates, stream_progress::StreamProgress},
     crate::{callers::AdmittedRequest, placement::Placement, telemetry::event},
 };
 
@@ -7,6 +7,7 @@
 /// of endpoints that were chosen for the request before.
 pub(super) fn log_placement(
     request: &AdmittedRequest,
+    progress: &StreamProgress,
     sends: usize,
     candidates: &Candidates<'_>,
     placement: &Placement,
@@ -16,13 +17,17 @@
     let prefix = request.caller.prefix;
     event!(
         "request_placed",
-        "id={} route={} kind={} endpoint={} load={:.1} reported={:.0} failures={:.2} \
-         slowness={:.2} waiting={} candidates={} prefix={:016x} shared_tokens={} \
-         holds_prefix={} prefix_source={} config_version={} sends={sends} time_left_ms={}",
+        "id={} route={} kind={} endpoint={} version={} resumes={} after_event={} load={:.1} \
+         reported={:.0} failures={:.2} slowness={:.2} waiting={} candidates={} prefix={:016x} \
+         shared_tokens={} holds_prefix={} prefix_source={} config_version={} sends={sends} \
+         time_left_ms={}",
         request.caller.id,
         request.route.name,
         request.route.kind,
         chosen.id,
+        candidates.records[placement.target].software_version,
+        request.caller.resumed_request.as_deref().unwrap_or("-"),
+        progress.last_event_id.map_or_else(|| "-".to_owned(), |id| id.to_string()),
         chosen.requests,
         chosen.reported_requests,
         chosen.failure_share,
--- a/crates/gateway/src/dispatch/run_request.rs
+++ b/crates/gateway/src/dispatch/run_request.rs
@@ -2,11 +2,12 @@
     super::{
         answer_watch::AnswerWatch,
         attempt::{Delivery, Target, attempt},
-        candidates::{AttemptedEndpoints, with_candidates},
+        candidates::{CandidateLimits, with_candidates},
         failure::{FailureCause, SendFailure},
         held_response::HeldResponse,
         placement_log::log_placement,
         request_parts::RequestParts,
+        stream_origin::{allowed_versions, find_origin},
         stream_progress::StreamProgress,
     },
     crate::{
@@ -18,6 +19,7 @@
         queueing::{Arrival, NoPermit, Permit, PermitRequest},
         retry::{AttemptHistory, NextStep, RetryPolicy, SendOutcome, next_step},
         server::Gateway,
+        stream_origins::version_hash,
         telemetry::event,
     },
     mango_wire::{Reason, problem::Verdict},
@@ -97,12 +99,15 @@
 impl<'a, P: Protocol> Dispatch<'a, P> {
     fn new(gateway: &'a Gateway<P>, request: &'a AdmittedRequest) -> Dispatch<'a, P> {
         gateway.count_request(&request.service);
+        if request.route.is_resumable {
+            gateway.origins.record_wait(request.caller.time_left.unwrap_or(Duration::MAX));
+        }
         let last_event_id = request.caller.last_event_id;
         Dispatch {
             gateway,
             request,
             history: AttemptHistory::default(),
-            progress: StreamProgress { has_started: false, has_begun_send: false, last_event_id },
+            progress: StreamProgress { last_event_id, ..StreamProgress::default() },
             tried: Vec::new(),
             refused_by: Vec::new(),
             failed_response: None,
@@ -122,6 +127,10 @@
             let refusal = self.refuse_part(blocked);
             return self.give_up(sink, refusal).await;
         }
+        match find_origin(self.gateway, self.request).await {
+            Ok(origin) => self.progress.origin = origin,
+            Err(refusal) => return self.give_up(sink, refusal).await,
+        }
         let permit = match self.wait_for_permit().await {
             Ok(permit) => self.permit.insert(permit).clone(),
             Err(refusal) => return self.give_up(sink, refusal).await,
@@ -144,6 +153,7 @@
             let target = Target {
                 watch: &watch,
                 endpoint: &endpoint,
+                version: version_hash(&endpoint.record.borrow().software_version),
                 permit: &permit,
                 prefix_source,
                 may_reuse_connection,
@@ -213,8 +223,12 @@
     /// the prompt's prefix.
     fn choose(&self) -> Option<(Rc<Endpoint>, Option<SocketAddr>)> {
         let prefix = self.request.caller.prefix;
-        let attempted = AttemptedEndpoints { tried: &self.tried, refused_by: &self.refused_by };
-        with_candidates(self.gateway, &self.request.service, prefix, attempted, |candidates| {
+        let limits = CandidateLimits {
+            tried: &self.tried,
+            refused_by: &self.refused_by,
+            versions: allowed_versions(self.gateway, self.request, &self.progress),
+        };
+        with_candidates(self.gateway, &self.request.service, prefix, &limits, |candidates| {
             let placement_request = PlacementRequest {
                 prefix_hash: prefix.map(|prefix| prefix.hash),
                 shared_tokens: prefix.map_or(0, |prefix| prefix.shared_tokens),
@@ -226,7 +240,7 @@
             if let Some(prefix) = prefix {
                 self.gateway.peers.record_prefix_use(prefix.hash, endpoint.hash);
             }
-            log_placement(self.request, self.tried.len(), candidates, &placement);
+            log_placement(self.request, &self.progress, self.tried.len(), candidates, &placement);
             let source = placement.prefix_source.map(|index| candidates.records[index].address);
             Some((endpoint.clone(), source))
         })
--- a/crates/gateway/src/server/gateway.rs
+++ b/crates/gateway/src/server/gateway.rs
@@ -12,6 +12,7 @@
         queueing::Permits,
         retry::RetryBudget,
         settings::{Bounds, GatewaySettings, OverloadPolicy},
+        stream_origins::SharedOrigins,
         telemetry::GatewayMetrics,
     },
     mango_wire::gossip::HostRecord,
@@ -54,6 +55,8 @@
     pub(crate) crash_checks: Rc<CrashChecks>,
     /// Usual times until endpoints answer.
     pub(crate) answer_times: AnswerTimes,
+    /// The software versions at which streams began.
+    pub(crate) origins: Rc<SharedOrigins>,
     /// Retry budgets by service.
     retry_budgets: RefCell<HashMap<Rc<str>, RetryBudget>>,
     /// Limits on the idle time of connections to endpoints, by service.
@@ -77,10 +80,19 @@
         let metrics = Rc::new(GatewayMetrics::new());
         let evacuations = Rc::new(Evacuations::new(metrics.clone()));
         let blocklist = SharedBlocklist::new(&settings.host, directory.clone(), metrics.clone());
+        let config = Rc::new(ConfigState::new(max_age));
+        let origins = SharedOrigins::new(
+            config.clone(),
+            directory.clone(),
+            peers.clone(),
+            metrics.clone(),
+            settings.bounds.endpoint_drain(),
+        );
         Gateway {
             blocklist: Rc::new(blocklist),
             crash_checks: Rc::default(),
             answer_times: AnswerTimes::default(),
+            origins: Rc::new(origins),
             permits: Permits::new(directory.clone(), peers.clone(), evacuations.clone()),
             evacuations,
             directory,
@@ -89,7 +101,7 @@
             response_bytes: BytePool::new(settings.message_pool_bytes()),
             protocol,
             settings,
-            config: Rc::new(ConfigState::new(max_age)),
+            config,
             metrics,
             stop: StopState::new(),
             started_at: Instant::now(),
@@ -149,6 +161,7 @@
             && self.config.current().is_some()
             && is_confirmed
             && self.directory.len() > 0
+            && self.origins.is_settled()
     }
 
     /// Counts a request in the service's retry budget.
