--- /dev/null
+++ b/review/harness-3/fleet.rs
@@ -0,0 +1,171 @@
+//! A small deployment: a store, runners, router processes and clients.
+
+use {
+    crate::{http::Client, record::Record, router::Router, runner::Runner, store::Store},
+    std::{
+        env, fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        sync::{
+            atomic::{AtomicBool, AtomicU64, Ordering},
+            Arc, Mutex,
+        },
+        thread,
+        thread::JoinHandle,
+        time::Duration,
+    },
+};
+
+pub const SERVICE: &str = "portal";
+const HOST: &str = "portal.example";
+const KEY: &str = "n2ctnfzs989anu6wsjnb";
+const ZONES: [&str; 2] = ["zone-a", "zone-b"];
+
+/// Two routes to the service: bookings run at most once, lookups may be repeated.
+const CONFIG: &str = r#"{"version":3,"routes":[
+{"name":"book","host":"portal.example","pathPrefix":"/book/","service":"portal","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"maxAttempts":1,"priority":2},
+{"name":"look","host":"portal.example","pathPrefix":"/look/","service":"portal","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":300,"maxAttempts":2,"priority":2}],
+"services":[{"name":"portal","maxConnections":400,"healthPath":"/healthz"}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":15000},
+"tenants":[{"name":"team-1","apiKeys":["n2ctnfzs989anu6wsjnb"]}]}"#;
+
+/// A request of a client and its answer.
+#[derive(Clone)]
+pub struct Sent {
+    pub id: String,
+    pub router: String,
+    pub is_booking: bool,
+    pub sent_at_ms: u64,
+    /// `None` if the connection ended without an answer.
+    pub status: Option<u16>,
+}
+
+pub struct Fleet {
+    pub record: Record,
+    pub store: Store,
+    pub runners: Vec<Arc<Runner>>,
+    pub routers: Vec<Router>,
+    pub has_trouble: bool,
+    folder: PathBuf,
+    sent: Arc<Mutex<Vec<Sent>>>,
+    stops: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+impl Fleet {
+    /// Starts the store, runners and so many routers in each zone, and waits until they are ready.
+    pub fn start(runners: usize, per_zone: [usize; 2], work: Duration) -> Fleet {
+        let folder = env::temp_dir().join(format!("review-3-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a temporary folder");
+        let (record, store) = (Record::new(), Store::spawn());
+        store.put("keyed.op", "config", CONFIG);
+        let runners: Vec<_> = (0..runners)
+            .map(|n| Runner::spawn(&format!("i-{n}"), SERVICE, ZONES[n % 2], work, &store, &record))
+            .collect();
+        let mut routers: Vec<Router> = Vec::new();
+        for (zone, count) in ZONES.iter().zip(per_zone) {
+            for n in 1..=count {
+                routers.push(Router::spawn(&folder, &format!("front-{zone}-{n}"), zone, &store, true));
+            }
+        }
+        routers.iter().for_each(Router::wait_ready);
+        let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+        let fleet = Fleet {
+            record,
+            store,
+            runners,
+            routers,
+            has_trouble,
+            folder,
+            sent: Arc::default(),
+            stops: Arc::default(),
+            clients: Vec::new(),
+        };
+        fleet.record.note(&format!("routers are ready, trouble={has_trouble}"));
+        fleet
+    }
+
+    /// Clients that send to each router, one request after the other.
+    pub fn start_clients(&mut self, per_router: usize, pause: Duration) {
+        for index in 0..self.routers.len() {
+            self.start_clients_of(index, per_router, pause);
+        }
+    }
+
+    /// Clients that send to one router, one request after the other.
+    pub fn start_clients_of(&mut self, router: usize, count: usize, pause: Duration) {
+        let Router { name, callers, .. } = &self.routers[router];
+        for number in 0..count {
+            let (name, address) = (name.clone(), *callers);
+            let (record, sent, stops) =
+                (self.record.clone(), self.sent.clone(), self.stops.clone());
+            self.clients.push(thread::spawn(move || {
+                let mut client = Client::default();
+                while !stops.load(Ordering::SeqCst) {
+                    let is_booking = number % 2 == 0;
+                    send(&mut client, &name, address, is_booking, &record, &sent);
+                    thread::sleep(pause);
+                }
+            }));
+        }
+    }
+
+    /// Adds routers to the running system, and waits until they are ready. Returns their indexes.
+    pub fn add_routers(&mut self, names: &[&str], zone: &str) -> std::ops::Range<usize> {
+        let first = self.routers.len();
+        for name in names {
+            self.routers.push(Router::spawn(&self.folder, name, zone, &self.store, false));
+        }
+        self.routers[first..].iter().for_each(Router::wait_ready);
+        first..self.routers.len()
+    }
+
+    pub fn sleep_until(&self, at_ms: u64) {
+        thread::sleep(Duration::from_millis(at_ms.saturating_sub(self.record.now_ms())));
+    }
+
+    /// Stops the clients and the routers, and writes the record. Returns what was sent.
+    pub fn finish(&mut self, folder: &Path) -> Vec<Sent> {
+        self.stops.store(true, Ordering::SeqCst);
+        for client in self.clients.drain(..) {
+            let _ = client.join();
+        }
+        self.routers.iter_mut().for_each(Router::kill);
+        if let Err(error) = self.record.write(&folder.join("record.txt")) {
+            eprintln!("cannot write the record: {error}");
+            std::process::exit(2);
+        }
+        if env::var_os("KEEP_LOGS").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+        self.sent.lock().unwrap().clone()
+    }
+}
+
+fn send(
+    client: &mut Client,
+    router: &str,
+    address: SocketAddr,
+    is_booking: bool,
+    record: &Record,
+    sent: &Mutex<Vec<Sent>>,
+) {
+    let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::SeqCst));
+    let (method, path, body) =
+        if is_booking { ("POST", "/book/1", &b"{\"n\":1}"[..]) } else { ("GET", "/look/1", &b""[..]) };
+    let length = if is_booking { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
+         Authorization: Bearer {KEY}\r\n{length}\r\n"
+    );
+    let sent_at_ms = record.now_ms();
+    record.add_at(sent_at_ms, format!("client sends {id} {method} {path} to {router}"));
+    let answer = client.call(address, &head, body);
+    let status = answer.as_ref().map(|answer| answer.status);
+    let signature = answer.as_ref().and_then(|a| a.header("X-Server-Signature")).unwrap_or("-");
+    let shown = status.map_or("no answer".to_owned(), |status| status.to_string());
+    record.add(format!("client gets {id} {shown} signature={signature}"));
+    sent.lock().unwrap().push(Sent { id, router: router.to_owned(), is_booking, sent_at_ms, status });
+}
--- /dev/null
+++ b/review/harness-3/main.rs
@@ -0,0 +1,32 @@
+//! Runs one case of the third review: `harness-3 CASE FOLDER`. Exits with 1 if its rule was broken, 0 if
+//! it held, 2 if the case could not run.
+
+mod case_late_beat;
+mod case_stale_for_new;
+mod fleet;
+mod http;
+mod record;
+mod router;
+mod runner;
+mod store;
+
+use std::{env, path::Path, process::exit};
+
+fn main() {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let [case, folder] = &arguments[..] else {
+        eprintln!("harness-3 CASE FOLDER");
+        exit(2);
+    };
+    let folder = Path::new(folder);
+    let is_broken = match &**case {
+        "late-beat" => case_late_beat::run(folder),
+        "stale-for-new" => case_stale_for_new::run(folder),
+        _ => {
+            eprintln!("unknown case {case}");
+            exit(2);
+        }
+    };
+    println!("{}", if is_broken { "the rule was broken" } else { "the rule held" });
+    exit(is_broken.into());
+}
