--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-3/harness ] || { echo "run review/build-3.sh first" >&2; exit 2; }
-exec target/review-3/harness stale-for-new "$folder"
+exec target/review-3/harness other-writer "$folder"
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -2,6 +2,7 @@
 //! it held, 2 if the case could not run.
 
 mod case_late_beat;
+mod case_other_writer;
 mod case_stale_for_new;
 mod fleet;
 mod http;
@@ -21,6 +22,7 @@
     let folder = Path::new(folder);
     let is_broken = match &**case {
         "late-beat" => case_late_beat::run(folder),
+        "other-writer" => case_other_writer::run(folder),
         "stale-for-new" => case_stale_for_new::run(folder),
         _ => {
             eprintln!("unknown case {case}");
