--- a/review/harness-3/fleet.rs
+++ b/review/harness-3/fleet.rs
@@ -1,7 +1,7 @@
 //! A small deployment: a store, runners, router processes and clients.
 
 use {
-    crate::{http::Client, record::Record, router::Router, runner::Runner, store::Store},
+    crate::{http::Client, proxy::Proxy, record::Record, router::Router, runner::Runner, store::Store},
     std::{
         env, fs,
         net::SocketAddr,
@@ -21,9 +21,11 @@
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
-/// Two routes to the service: bookings run at most once, lookups may be repeated.
+/// Routes to the service: bookings run at most once, lookups may be repeated; one route is of this
+/// version only.
 const CONFIG: &str = r#"{"version":VERSION,"routes":[
 {"name":"book","host":"portal.example","pathPrefix":"/book/","service":"portal","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"maxAttempts":1,"priority":2},
+{"name":"rVERSION","host":"portal.example","pathPrefix":"/rVERSION/","service":"portal","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":300,"maxAttempts":2,"priority":2},
 {"name":"look","host":"portal.example","pathPrefix":"/look/","service":"portal","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":300,"maxAttempts":2,"priority":2}],
 "services":[{"name":"portal","maxConnections":400,"healthPath":"/healthz"}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":15000},
@@ -34,6 +36,7 @@
 pub struct Sent {
     pub id: String,
     pub router: String,
+    pub path: &'static str,
     pub is_booking: bool,
     pub sent_at_ms: u64,
     /// `None` if the connection ended without an answer.
@@ -46,6 +49,8 @@
     pub runners: Vec<Arc<Runner>>,
     pub routers: Vec<Router>,
     pub has_trouble: bool,
+    store_address: SocketAddr,
+    proxy: Option<Proxy>,
     folder: PathBuf,
     sent: Arc<Mutex<Vec<Sent>>>,
     stops: Arc<AtomicBool>,
@@ -57,17 +62,35 @@
 impl Fleet {
     /// Starts the store, runners and so many routers in each zone, and waits until they are ready.
     pub fn start(runners: usize, per_zone: [usize; 3], work: Duration) -> Fleet {
+        Fleet::start_with(runners, per_zone, work, |store| (store, None))
+    }
+
+    /// The same with a proxy between the routers and the store.
+    pub fn start_behind_proxy(runners: usize, per_zone: [usize; 3], work: Duration) -> Fleet {
+        Fleet::start_with(runners, per_zone, work, |store| {
+            let proxy = Proxy::spawn(store);
+            (proxy.address, Some(proxy))
+        })
+    }
+
+    fn start_with(
+        runners: usize,
+        per_zone: [usize; 3],
+        work: Duration,
+        way_to_store: impl FnOnce(SocketAddr) -> (SocketAddr, Option<Proxy>),
+    ) -> Fleet {
         let folder = env::temp_dir().join(format!("review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let (record, store) = (Record::new(), Store::spawn());
         store.put("keyed.op", "config", &CONFIG.replace("VERSION", "3"));
+        let (store_address, proxy) = way_to_store(store.address);
         let runners: Vec<_> = (0..runners)
             .map(|n| Runner::spawn(&format!("i-{n}"), SERVICE, ZONES[n % 3], work, &store, &record))
             .collect();
         let mut routers: Vec<Router> = Vec::new();
         for (zone, count) in ZONES.iter().zip(per_zone) {
             for n in 1..=count {
-                routers.push(Router::spawn(&folder, &format!("front-{zone}-{n}"), zone, &store, true));
+                routers.push(Router::spawn(&folder, &format!("front-{zone}-{n}"), zone, store_address, true));
             }
         }
         routers.iter().for_each(Router::wait_ready);
@@ -78,6 +101,8 @@
             runners,
             routers,
             has_trouble,
+            store_address,
+            proxy,
             folder,
             sent: Arc::default(),
             stops: Arc::default(),
@@ -99,24 +124,47 @@
         }
     }
 
-    /// Clients that send to one router, one request after the other.
+    /// Clients that send to one router, one request after the other, at most one in a period.
     pub fn start_clients_of(&mut self, router: usize, count: usize, period: Duration) {
-        let Router { name, callers, .. } = &self.routers[router];
         for number in 0..count {
-            let (name, address) = (name.clone(), *callers);
-            let (record, sent, stops) =
-                (self.record.clone(), self.sent.clone(), self.stops.clone());
-            self.clients.push(thread::spawn(move || {
-                let mut client = Client::default();
-                let mut next = Instant::now();
-                while !stops.load(Ordering::SeqCst) {
-                    let is_booking = number % 2 == 0;
-                    send(&mut client, &name, address, is_booking, &record, &sent);
-                    // refusals are fast, and must not make the client send more
-                    next = Instant::now().max(next + period);
-                    thread::sleep(next.saturating_duration_since(Instant::now()));
-                }
-            }));
+            let path = if number % 2 == 0 { "/book/1" } else { "/look/1" };
+            self.start_client(router, path, period);
+        }
+    }
+
+    fn start_client(&mut self, router: usize, path: &'static str, period: Duration) {
+        let Router { name, callers, .. } = &self.routers[router];
+        let (name, address) = (name.clone(), *callers);
+        let (record, sent, stops) = (self.record.clone(), self.sent.clone(), self.stops.clone());
+        self.clients.push(thread::spawn(move || {
+            let mut client = Client::default();
+            let mut next = Instant::now();
+            while !stops.load(Ordering::SeqCst) {
+                send(&mut client, &name, address, path, &record, &sent);
+                // refusals are fast, and must not make the client send more
+                next = Instant::now().max(next + period);
+                thread::sleep(next.saturating_duration_since(Instant::now()));
+            }
+        }));
+    }
+
+    /// Connections to the store that were idle for 2 s go silent. Returns how many.
+    pub fn silence_idle_store_connections(&self) -> usize {
+        self.proxy.iter().map(|proxy| proxy.silence_idle(Duration::from_secs(2))).sum()
+    }
+
+    /// The index of the router that relays for a zone.
+    pub fn relay_of(&self, zone: &str) -> Option<usize> {
+        let is_in_zone = |router: &Router| router.name.contains(zone);
+        self.routers.iter().position(|router| is_in_zone(router) && router.is_relay())
+    }
+
+    /// Clients that ask each router in turn for the route of version 3 and for that of version 4.
+    pub fn start_route_clients(&mut self, period: Duration) {
+        for index in 0..self.routers.len() {
+            for path in ["/r3/1", "/r4/1"] {
+                self.start_client(index, path, period);
+            }
         }
     }
 
@@ -124,7 +172,7 @@
     pub fn add_routers(&mut self, names: &[&str], zone: &str) -> std::ops::Range<usize> {
         let first = self.routers.len();
         for name in names {
-            self.routers.push(Router::spawn(&self.folder, name, zone, &self.store, false));
+            self.routers.push(Router::spawn(&self.folder, name, zone, self.store_address, false));
         }
         self.routers[first..].iter().for_each(Router::wait_ready);
         first..self.routers.len()
@@ -156,13 +204,13 @@
     client: &mut Client,
     router: &str,
     address: SocketAddr,
-    is_booking: bool,
+    path: &'static str,
     record: &Record,
     sent: &Mutex<Vec<Sent>>,
 ) {
     let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::SeqCst));
-    let (method, path, body) =
-        if is_booking { ("POST", "/book/1", &b"{\"n\":1}"[..]) } else { ("GET", "/look/1", &b""[..]) };
+    let is_booking = path.starts_with("/book/");
+    let (method, body) = if is_booking { ("POST", &b"{\"n\":1}"[..]) } else { ("GET", &b""[..]) };
     let length = if is_booking { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
@@ -175,5 +223,5 @@
     let signature = answer.as_ref().and_then(|a| a.header("X-Server-Signature")).unwrap_or("-");
     let shown = status.map_or("no answer".to_owned(), |status| status.to_string());
     record.add(format!("client gets {id} {shown} signature={signature}"));
-    sent.lock().unwrap().push(Sent { id, router: router.to_owned(), is_booking, sent_at_ms, status });
+    sent.lock().unwrap().push(Sent { id, router: router.to_owned(), path, is_booking, sent_at_ms, status });
 }
--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -115,8 +115,22 @@
 }
 
 impl Client {
+    /// The body of the answer to a request; empty if there is none.
+    pub fn page(&mut self, address: SocketAddr, head: &str) -> Vec<u8> {
+        self.exchange(address, head, b"").map(|(_, body)| body).unwrap_or_default()
+    }
+
     /// Sends a request and reads the answer; `None` if the connection ends without a whole one.
     pub fn call(&mut self, address: SocketAddr, head: &str, body: &[u8]) -> Option<Response> {
+        self.exchange(address, head, body).map(|(response, _)| response)
+    }
+
+    fn exchange(
+        &mut self,
+        address: SocketAddr,
+        head: &str,
+        body: &[u8],
+    ) -> Option<(Response, Vec<u8>)> {
         let (mut stream, mut input) = match self.connection.take() {
             Some(connection) => connection,
             None => {
@@ -131,10 +145,10 @@
         let lines = read_head(&mut stream, &mut input)?;
         let status = lines[0].split(' ').nth(1)?.parse().ok()?;
         let headers = parse_headers(&lines[1..]);
-        read_body(&mut stream, &mut input, &headers)?;
+        let body = read_body(&mut stream, &mut input, &headers)?;
         if find_header(&headers, "connection") != Some("close") {
             self.connection = Some((stream, input));
         }
-        Some(Response { status, headers })
+        Some((Response { status, headers }, body))
     }
 }
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -3,9 +3,11 @@
 
 mod case_late_beat;
 mod case_other_writer;
+mod case_silent;
 mod case_stale_for_new;
 mod fleet;
 mod http;
+mod proxy;
 mod record;
 mod router;
 mod runner;
@@ -23,6 +25,7 @@
     let is_broken = match &**case {
         "late-beat" => case_late_beat::run(folder),
         "other-writer" => case_other_writer::run(folder),
+        "silent" => case_silent::run(folder),
         "stale-for-new" => case_stale_for_new::run(folder),
         _ => {
             eprintln!("unknown case {case}");
--- a/review/harness-3/router.rs
+++ b/review/harness-3/router.rs
@@ -1,7 +1,7 @@
 //! A router process, started with the command of the deploy file.
 
 use {
-    crate::{http::Client, store::Store},
+    crate::http::Client,
     std::{
         env, fs,
         fs::File,
@@ -44,7 +44,7 @@
 impl Router {
     /// Writes the settings, as `deploy/settings.json.tmpl` is filled in for a small deployment, and
     /// starts the process.
-    pub fn spawn(folder: &std::path::Path, name: &str, zone: &str, store: &Store, bootstrap: bool) -> Router {
+    pub fn spawn(folder: &std::path::Path, name: &str, zone: &str, store: SocketAddr, bootstrap: bool) -> Router {
         let [callers, ready, side, gossip] = [(); 4].map(|()| free_address());
         let text = format!(
             "{{\"host\":\"{name}\",\"zone\":\"{zone}\",\"callers_address\":\"{callers}\",\
@@ -55,7 +55,7 @@
              \"key_revocation_ms\":5000,\"config_apply_ms\":2000,\"endpoint_drain_ms\":2000,\
              \"stop_grace_s\":8,\"retry_budget_ratio\":0.2,\"retry_budget_window_s\":10,\
              \"retry_budget_allowance\":116}}}}",
-            store.address
+            store
         );
         let (settings, log) =
             (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
@@ -91,6 +91,20 @@
         self.start();
     }
 
+    /// SIGTERM.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        }
+    }
+
+    /// Whether the router says that it relays for its zone.
+    pub fn is_relay(&self) -> bool {
+        let head = "GET /state HTTP/1.1\r\nHost: r\r\n\r\n";
+        let page = Client::default().page(self.ready, head);
+        String::from_utf8_lossy(&page).contains("\"relays\":true")
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
