--- a/review/harness-3/fleet.rs
+++ b/review/harness-3/fleet.rs
@@ -29,7 +29,7 @@
 {"name":"look","host":"portal.example","pathPrefix":"/look/","service":"portal","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":300,"maxAttempts":2,"priority":2}],
 "services":[{"name":"portal","maxConnections":400,"healthPath":"/healthz"}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":15000},
-"tenants":[{"name":"team-1","apiKeys":["n2ctnfzs989anu6wsjnb"]}]}"#;
+"tenants":[{"name":"team-1","apiKeys":["n2ctnfzs989anu6wsjnb","key-of-version-VERSION"]}]}"#;
 
 /// A request of a client and its answer.
 #[derive(Clone)]
@@ -128,11 +128,17 @@
     pub fn start_clients_of(&mut self, router: usize, count: usize, period: Duration) {
         for number in 0..count {
             let path = if number % 2 == 0 { "/book/1" } else { "/look/1" };
-            self.start_client(router, path, period);
+            self.start_client(router, path, KEY, period);
         }
     }
 
-    fn start_client(&mut self, router: usize, path: &'static str, period: Duration) {
+    fn start_client(
+        &mut self,
+        router: usize,
+        path: &'static str,
+        key: &'static str,
+        period: Duration,
+    ) {
         let Router { name, callers, .. } = &self.routers[router];
         let (name, address) = (name.clone(), *callers);
         let (record, sent, stops) = (self.record.clone(), self.sent.clone(), self.stops.clone());
@@ -140,7 +146,7 @@
             let mut client = Client::default();
             let mut next = Instant::now();
             while !stops.load(Ordering::SeqCst) {
-                send(&mut client, &name, address, path, &record, &sent);
+                send(&mut client, &name, address, (path, key), &record, &sent);
                 // refusals are fast, and must not make the client send more
                 next = Instant::now().max(next + period);
                 thread::sleep(next.saturating_duration_since(Instant::now()));
@@ -159,12 +165,13 @@
         self.routers.iter().position(|router| is_in_zone(router) && router.is_relay())
     }
 
-    /// Clients that ask each router in turn for the route of version 3 and for that of version 4.
-    pub fn start_route_clients(&mut self, period: Duration) {
+    /// Clients that ask each router for the route of version 3, for that of version 4, and with the key
+    /// that only version 3 has.
+    pub fn start_version_clients(&mut self, period: Duration) {
         for index in 0..self.routers.len() {
-            for path in ["/r3/1", "/r4/1"] {
-                self.start_client(index, path, period);
-            }
+            self.start_client(index, "/r3/1", KEY, period);
+            self.start_client(index, "/r4/1", KEY, period);
+            self.start_client(index, "/look/1", "key-of-version-3", period);
         }
     }
 
@@ -189,10 +196,7 @@
             let _ = client.join();
         }
         self.routers.iter_mut().for_each(Router::kill);
-        if let Err(error) = self.record.write(&folder.join("record.txt")) {
-            eprintln!("cannot write the record: {error}");
-            std::process::exit(2);
-        }
+        self.record.write(&folder.join("record.txt")).expect("the record can be written");
         if env::var_os("KEEP_LOGS").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
@@ -204,7 +208,7 @@
     client: &mut Client,
     router: &str,
     address: SocketAddr,
-    path: &'static str,
+    (path, key): (&'static str, &str),
     record: &Record,
     sent: &Mutex<Vec<Sent>>,
 ) {
@@ -214,7 +218,7 @@
     let length = if is_booking { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
-         Authorization: Bearer {KEY}\r\n{length}\r\n"
+         Authorization: Bearer {key}\r\n{length}\r\n"
     );
     let sent_at_ms = record.now_ms();
     record.add_at(sent_at_ms, format!("client sends {id} {method} {path} to {router}"));
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -13,7 +13,7 @@
 mod runner;
 mod store;
 
-use std::{env, path::Path, process::exit};
+use std::{env, panic::catch_unwind, path::Path, process::exit};
 
 fn main() {
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -21,17 +21,22 @@
         eprintln!("harness-3 CASE FOLDER");
         exit(2);
     };
-    let folder = Path::new(folder);
-    let is_broken = match &**case {
-        "late-beat" => case_late_beat::run(folder),
-        "other-writer" => case_other_writer::run(folder),
-        "silent" => case_silent::run(folder),
-        "stale-for-new" => case_stale_for_new::run(folder),
+    let run = match &**case {
+        "other-writer" => case_other_writer::run,
+        "stale-for-new" => case_stale_for_new::run,
+        "late-beat" => case_late_beat::run,
+        "silent" => case_silent::run,
         _ => {
             eprintln!("unknown case {case}");
             exit(2);
         }
     };
-    println!("{}", if is_broken { "the rule was broken" } else { "the rule held" });
-    exit(is_broken.into());
+    // a panic ends the processes too
+    match catch_unwind(|| run(Path::new(folder))) {
+        Ok(is_broken) => {
+            println!("{}", if is_broken { "the rule was broken" } else { "the rule held" });
+            exit(is_broken.into());
+        }
+        Err(_) => exit(2),
+    }
 }
--- a/review/harness-3/router.rs
+++ b/review/harness-3/router.rs
@@ -77,10 +77,7 @@
             .stdout(log.try_clone().expect("a handle"))
             .stderr(log)
             .spawn();
-        self.child = Some(child.unwrap_or_else(|error| {
-            eprintln!("cannot start {PROGRAM}: {error}");
-            std::process::exit(2);
-        }));
+        self.child = Some(child.expect("the program, built as the deploy file says"));
     }
 
     /// Starts the process again, with the settings of a system that has started before.
@@ -113,14 +110,11 @@
         }
     }
 
-    /// Waits until the readiness probe gets 200; ends the script if it doesn't.
+    /// Waits until the readiness probe gets 200.
     pub fn wait_ready(&self) {
         let until = Instant::now() + READY_TIME;
         while !self.is_ready() {
-            if Instant::now() > until {
-                eprintln!("{} is not ready", self.name);
-                std::process::exit(2);
-            }
+            assert!(Instant::now() < until, "{} is not ready", self.name);
             thread::sleep(Duration::from_millis(50));
         }
     }
