--- a/review/harness-3/case_late_beat.rs
+++ b/review/harness-3/case_late_beat.rs
@@ -28,7 +28,9 @@
     runner.set_beats(false);
     let late = runner.next_entry();
     if fleet.has_trouble {
-        fleet.record.note("i-3 writes its heartbeat; the call gets no answer, and is not executed yet");
+        fleet
+            .record
+            .note("i-3 writes its heartbeat; the call gets no answer, and is not executed yet");
     } else {
         fleet.store.put("keyed.servers", &runner.id, &late);
         fleet.record.note("i-3 writes its heartbeat; acknowledged");
--- a/review/harness-3/case_other_writer.rs
+++ b/review/harness-3/case_other_writer.rs
@@ -18,9 +18,15 @@
 /// How long is judged before the fault, and from `recoverS` on.
 const JUDGED_MS: u64 = 8_000;
 
+/// Clients at each router of a zone, so that the zones' traffic is as on the sheet of Mzdy-Most (25.3, 26.0
+/// and 21.5 a second).
+const PER_ROUTER: [usize; 3] = [4, 7, 6];
+/// Each client's requests are so far apart, with a repeat between them.
+const PERIOD: Duration = Duration::from_millis(1_500);
+
 pub fn run(folder: &Path) -> bool {
     let mut fleet = Fleet::start(4, [7, 4, 4], Duration::from_millis(30));
-    fleet.start_clients(2, Duration::from_millis(300));
+    fleet.start_returning_clients(PER_ROUTER, PERIOD);
     let fault_ms = fleet.record.now_ms() + JUDGED_MS;
     fleet.sleep_until(fault_ms);
 
--- a/review/harness-3/case_silent.rs
+++ b/review/harness-3/case_silent.rs
@@ -19,7 +19,9 @@
     fleet.sleep_until(start_ms);
     if fleet.has_trouble {
         let count = fleet.silence_idle_store_connections();
-        fleet.record.note(&format!("{count} idle connections to the store go silent; others and new ones work"));
+        fleet.record.note(&format!(
+            "{count} idle connections to the store go silent; others and new ones work"
+        ));
     }
     fleet.start_version_clients(Duration::from_millis(60));
     fleet.sleep_until(start_ms + CALM_MS);
@@ -30,7 +32,9 @@
     std::thread::sleep(Duration::from_millis(CHANGE_MS));
     fleet.write_config(4);
     let acknowledged_ms = fleet.record.now_ms();
-    fleet.record.note("the store acknowledges configuration 4: /r3/ and a key are dropped, /r4/ is new");
+    fleet
+        .record
+        .note("the store acknowledges configuration 4: /r3/ and a key are dropped, /r4/ is new");
     fleet.sleep_until(acknowledged_ms + 6_000);
     let sent = fleet.finish(folder);
 
--- a/review/harness-3/case_stale_for_new.rs
+++ b/review/harness-3/case_stale_for_new.rs
@@ -26,7 +26,9 @@
     runner.set_beats(false);
     let late = runner.next_entry();
     if fleet.has_trouble {
-        fleet.record.note("i-3 writes its heartbeat; the call gets no answer, and is not executed yet");
+        fleet
+            .record
+            .note("i-3 writes its heartbeat; the call gets no answer, and is not executed yet");
     } else {
         fleet.store.put("keyed.servers", &runner.id, &late);
         fleet.record.note("i-3 writes its heartbeat; acknowledged");
@@ -70,19 +72,19 @@
         let sent = sent.iter().find(|sent| sent.id == id);
         at_ms > drained_ms + DRAIN_MS && sent.is_some_and(|sent| sent.sent_at_ms > bound_ms)
     };
-    let late: Vec<_> =
-        arrivals.iter().filter(|a| a.has_run && is_late(&a.id, a.at_ms)).collect();
+    let late: Vec<_> = arrivals.iter().filter(|a| a.has_run && is_late(&a.id, a.at_ms)).collect();
     let mut by_router = std::collections::BTreeMap::new();
     for arrival in &late {
         let router = sent.iter().find(|sent| sent.id == arrival.id).map(|sent| &*sent.router);
         *by_router.entry(router.unwrap_or("-")).or_insert(0) += 1;
     }
-    let lost = late
-        .iter()
-        .filter(|a| sent.iter().any(|s| s.id == a.id && s.status != Some(200)))
-        .count();
-    println!("requests: {}; at i-3 until its drain: {}", sent.len(),
-        arrivals.iter().filter(|a| a.at_ms <= drained_ms + DRAIN_MS).count());
+    let lost =
+        late.iter().filter(|a| sent.iter().any(|s| s.id == a.id && s.status != Some(200))).count();
+    println!(
+        "requests: {}; at i-3 until its drain: {}",
+        sent.len(),
+        arrivals.iter().filter(|a| a.at_ms <= drained_ms + DRAIN_MS).count()
+    );
     println!(
         "requests that ran at i-3 later than drainMs after it was draining, through routers in \
          touch: {} {by_router:?}; cut off by its exit at {ended_ms} ms: {lost}",
--- a/review/harness-3/fleet.rs
+++ b/review/harness-3/fleet.rs
@@ -1,14 +1,21 @@
 //! A small deployment: a store, runners, router processes and clients.
 
 use {
-    crate::{http::Client, proxy::Proxy, record::Record, router::Router, runner::Runner, store::Store},
+    crate::{
+        http::{Client, Response},
+        proxy::Proxy,
+        record::Record,
+        router::Router,
+        runner::Runner,
+        store::Store,
+    },
     std::{
         env, fs,
         net::SocketAddr,
         path::{Path, PathBuf},
         sync::{
-            atomic::{AtomicBool, AtomicU64, Ordering},
             Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         thread,
         thread::JoinHandle,
@@ -90,7 +97,13 @@
         let mut routers: Vec<Router> = Vec::new();
         for (zone, count) in ZONES.iter().zip(per_zone) {
             for n in 1..=count {
-                routers.push(Router::spawn(&folder, &format!("front-{zone}-{n}"), zone, store_address, true));
+                routers.push(Router::spawn(
+                    &folder,
+                    &format!("front-{zone}-{n}"),
+                    zone,
+                    store_address,
+                    true,
+                ));
             }
         }
         routers.iter().for_each(Router::wait_ready);
@@ -165,6 +178,44 @@
         self.routers.iter().position(|router| is_in_zone(router) && router.is_relay())
     }
 
+    /// Clients with a connection to one router each, which come back once after a promise that a request has
+    /// not run: after the time that the answer names, on a new connection, at another router of the zone.
+    pub fn start_returning_clients(&mut self, per_router: [usize; 3], period: Duration) {
+        let addresses = |zone: &str| -> Vec<SocketAddr> {
+            self.routers.iter().filter(|r| r.name.contains(zone)).map(|r| r.callers).collect()
+        };
+        let mut clients = Vec::new();
+        for (zone, count) in ZONES.iter().zip(per_router) {
+            let others = addresses(zone);
+            for (index, router) in others.iter().enumerate() {
+                for number in 0..count {
+                    let (router, others) = (*router, others.clone());
+                    let (record, sent) = (self.record.clone(), self.sent.clone());
+                    let (stops, name) = (self.stops.clone(), format!("{zone} {index}"));
+                    let path = if number % 2 == 0 { "/book/1" } else { "/look/1" };
+                    clients.push(thread::spawn(move || {
+                        let (mut client, mut next) = (Client::default(), Instant::now());
+                        let mut turn = index + number;
+                        while !stops.load(Ordering::SeqCst) {
+                            let request = (path, KEY);
+                            let answer = send(&mut client, &name, router, request, &record, &sent);
+                            if let Some(pause) = answer.and_then(|answer| promised_pause(&answer)) {
+                                thread::sleep(pause);
+                                turn +=
+                                    1 + usize::from(others[(turn + 1) % others.len()] == router);
+                                let other = others[turn % others.len()];
+                                send(&mut Client::default(), &name, other, request, &record, &sent);
+                            }
+                            next = Instant::now().max(next + period);
+                            thread::sleep(next.saturating_duration_since(Instant::now()));
+                        }
+                    }));
+                }
+            }
+        }
+        self.clients.extend(clients);
+    }
+
     /// Clients that ask each router for the route of version 3, for that of version 4, and with the key
     /// that only version 3 has.
     pub fn start_version_clients(&mut self, period: Duration) {
@@ -211,11 +262,12 @@
     (path, key): (&'static str, &str),
     record: &Record,
     sent: &Mutex<Vec<Sent>>,
-) {
+) -> Option<Response> {
     let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::SeqCst));
     let is_booking = path.starts_with("/book/");
     let (method, body) = if is_booking { ("POST", &b"{\"n\":1}"[..]) } else { ("GET", &b""[..]) };
-    let length = if is_booking { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
+    let length =
+        if is_booking { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
          Authorization: Bearer {key}\r\n{length}\r\n"
@@ -227,5 +279,21 @@
     let signature = answer.as_ref().and_then(|a| a.header("X-Server-Signature")).unwrap_or("-");
     let shown = status.map_or("no answer".to_owned(), |status| status.to_string());
     record.add(format!("client gets {id} {shown} signature={signature}"));
-    sent.lock().unwrap().push(Sent { id, router: router.to_owned(), path, is_booking, sent_at_ms, status });
+    sent.lock().unwrap().push(Sent {
+        id,
+        router: router.to_owned(),
+        path,
+        is_booking,
+        sent_at_ms,
+        status,
+    });
+    answer
+}
+
+/// When a client may come back after a promise that its request has not run: `Retry-After`, up to a third
+/// of the time that it has left.
+fn promised_pause(answer: &Response) -> Option<Duration> {
+    let pause = answer.header("Retry-After").and_then(|text| text.parse().ok()).unwrap_or(0.1);
+    let is_promise = matches!(answer.status, 408 | 421 | 429 | 503) && pause <= 1.0;
+    is_promise.then(|| Duration::from_secs_f64(pause))
 }
--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -91,7 +91,8 @@
             }
         }
     }
-    let length = find_header(headers, "content-length").map_or(Some(0), |text| text.parse().ok())?;
+    let length =
+        find_header(headers, "content-length").map_or(Some(0), |text| text.parse().ok())?;
     while input.len() < length {
         read_more(stream, input)?;
     }
@@ -134,8 +135,7 @@
         let (mut stream, mut input) = match self.connection.take() {
             Some(connection) => connection,
             None => {
-                let stream =
-                    TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+                let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
                 stream.set_nodelay(true).ok()?;
                 stream.set_read_timeout(Some(Duration::from_secs(12))).ok()?;
                 (stream, Vec::new())
--- a/review/harness-3/proxy.rs
+++ b/review/harness-3/proxy.rs
@@ -4,8 +4,8 @@
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicBool, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::{Duration, Instant},
--- a/review/harness-3/router.rs
+++ b/review/harness-3/router.rs
@@ -44,7 +44,13 @@
 impl Router {
     /// Writes the settings, as `deploy/settings.json.tmpl` is filled in for a small deployment, and
     /// starts the process.
-    pub fn spawn(folder: &std::path::Path, name: &str, zone: &str, store: SocketAddr, bootstrap: bool) -> Router {
+    pub fn spawn(
+        folder: &std::path::Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        bootstrap: bool,
+    ) -> Router {
         let [callers, ready, side, gossip] = [(); 4].map(|()| free_address());
         let text = format!(
             "{{\"host\":\"{name}\",\"zone\":\"{zone}\",\"callers_address\":\"{callers}\",\
--- a/review/harness-3/runner.rs
+++ b/review/harness-3/runner.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        http::{read_request, Request},
+        http::{Request, read_request},
         record::Record,
         store::Store,
     },
@@ -10,8 +10,8 @@
         io::Write,
         net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         sync::{
-            atomic::{AtomicBool, AtomicU64, Ordering},
             Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         thread,
         time::{Duration, SystemTime, UNIX_EPOCH},
@@ -133,7 +133,11 @@
             let id = request.header("X-Attempt-Id").unwrap_or("-").to_owned();
             let is_target = request.header("X-Target-Instance").is_none_or(|to| to == self.id);
             let at_ms = self.record.now_ms();
-            self.arrivals.lock().unwrap().push(Arrival { at_ms, id: id.clone(), has_run: is_target });
+            self.arrivals.lock().unwrap().push(Arrival {
+                at_ms,
+                id: id.clone(),
+                has_run: is_target,
+            });
             self.record.add_at(at_ms, format!("{} gets {id} runs={is_target}", self.id));
             let answer = match is_target {
                 true => self.run(&request, &id),
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in of the platform's store: logs with one partition, keyed topics, reads that wait.
 
 use {
-    crate::http::{read_request, Request},
+    crate::http::{Request, read_request},
     std::{
         collections::{BTreeMap, HashMap},
         io::Write,
