Pass on the heartbeat that settles a doubt about a record

Cause: the relay of a zone passed the other writer's record on and held it back. The endpoint's next heartbeat settled that doubt at the relay only: it says the same as the record in force there, so it was not passed on. The other hosts saw the odd record stand and accepted it.

Change: a heartbeat after a record that is held back is passed on. The log tells such a heartbeat (endpoint_record_settled), so that a host which settles a doubt can be told from one that accepts the record.

--- a/crates/gateway/src/followers/doubtful_records.rs
+++ b/crates/gateway/src/followers/doubtful_records.rs
@@ -36,9 +36,10 @@
         self.by_id.get(&record.id).is_some_and(|held| held.record.digest() == record.digest())
     }
 
-    /// Forgets the record of an endpoint, since a newer one settled the doubt.
-    pub(super) fn forget(&mut self, id: &str) {
-        self.by_id.remove(id);
+    /// Forgets the record of an endpoint, since a newer one settled the doubt. Returns whether one was
+    /// held back.
+    pub(super) fn forget(&mut self, id: &str) -> bool {
+        self.by_id.remove(id).is_some()
     }
 
     /// Takes the records that have stood for long enough.
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -155,6 +155,22 @@
         self.doubtful.hold(record, now + self.heartbeat.mul_f64(heartbeats));
     }
 
+    /// Forgets the record of an endpoint that is held back, since the endpoint has written its own again.
+    /// Returns whether there was one.
+    fn settle_doubt(&mut self, record: &EndpointRecord) -> bool {
+        let was_held = self.doubtful.forget(&record.id);
+        if was_held {
+            event!(
+                "endpoint_record_settled",
+                "endpoint={} state={} sequence={}",
+                record.id,
+                record.state,
+                record.sequence
+            );
+        }
+        was_held
+    }
+
     fn record_unreadable(&mut self, record: &RawRecord, reason: &str) {
         if self.unreadable_keys.len() >= MAX_UNREADABLE_KEYS {
             self.unreadable_keys.pop_first();
@@ -249,16 +265,18 @@
             let was_unreadable = self.unreadable_keys.contains(&record.key);
             let Some(endpoint) = self.decode(record) else { return false };
             let news = self.known.update(&endpoint);
+            let mut settles_doubt = false;
             match news {
                 RecordNews::New | RecordNews::Heartbeat => {
-                    self.doubtful.forget(&endpoint.id);
+                    settles_doubt = self.settle_doubt(&endpoint);
                     self.directory.upsert(endpoint);
                 }
                 RecordNews::Doubtful => self.hold(endpoint, ACCEPTANCE_HEARTBEATS, now),
             }
-            // hosts that listed the unreadable record do not know the endpoint
+            // hosts that listed the unreadable record do not know the endpoint, and those that hold the
+            // doubtful one back would accept it
             let is_renewal = self.heartbeats_are_news_until.is_some_and(|until| now < until);
-            news != RecordNews::Heartbeat || was_unreadable || is_renewal
+            news != RecordNews::Heartbeat || was_unreadable || settles_doubt || is_renewal
         };
         self.metrics.endpoints.set(self.directory.len() as i64);
         is_news
--- a/crates/gateway/src/followers/endpoint_sink_tests.rs
+++ b/crates/gateway/src/followers/endpoint_sink_tests.rs
@@ -36,7 +36,7 @@
 }
 
 /// IDs of the endpoints of a service that accept new requests.
-fn available(directory: &Directory, service: &str) -> Vec<String> {
+pub(super) fn available(directory: &Directory, service: &str) -> Vec<String> {
     let endpoints = directory.of_service(service);
     let accepting = endpoints.iter().filter(|endpoint| !endpoint.is_leaving());
     accepting.map(|endpoint| endpoint.record.borrow().id.to_string()).collect()
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -3,7 +3,11 @@
 mod agreement;
 mod config_sink;
 mod confirmations;
+#[cfg(test)]
+mod copy_host;
 mod doubtful_records;
+#[cfg(test)]
+mod doubtful_records_tests;
 mod endpoint_sink;
 #[cfg(test)]
 mod endpoint_sink_tests;
--- a/crates/gateway/src/followers/older_copy_tests.rs
+++ b/crates/gateway/src/followers/older_copy_tests.rs
@@ -2,20 +2,16 @@
 
 use {
     super::{
-        ConfigSink, EndpointSink, Follower,
-        endpoint_sink_tests::endpoint_sink,
-        log_copy::LogCopy,
+        ConfigSink, Follower,
+        copy_host::{CopyHost, endpoint_host},
         record_sink::RecordSink,
         tests::{ScriptedFeed, config_sink, peers, raw},
     },
     crate::{
-        clock::{BootInstant, Now},
+        clock::BootInstant,
         config::{ConfigState, Evacuations},
-        endpoints::Directory,
-        peers::{PeerState, RelayedFeedStatus},
-        records::{
-            Era, FeedError, FeedKind, LogChanges, LogListing, Offset, RawRecord, RecordFeed,
-        },
+        peers::PeerState,
+        records::{FeedError, FeedKind, LogChanges, LogListing, Offset, RecordFeed},
         telemetry::GatewayMetrics,
     },
     std::{cell::Cell, future::pending, rc::Rc, time::Duration},
@@ -25,79 +21,10 @@
     },
 };
 
-/// A host with a copy of a log. Times are seconds since its start.
-struct Host<S> {
-    peers: Rc<PeerState>,
-    copy: LogCopy<S>,
-    started_at: Now,
-}
-
-impl<S: RecordSink> Host<S> {
-    fn new(sink: S) -> Host<S> {
-        let peers = peers();
-        Host { copy: LogCopy::new(sink, peers.clone()), peers, started_at: Now::read() }
-    }
-
-    fn after(&self, seconds: f64) -> Now {
-        let time = Duration::from_secs_f64(seconds);
-        Now { instant: self.started_at.instant + time, boot: self.started_at.boot + time }
-    }
-
-    fn list(&mut self, seconds: f64, era: Era, end: Offset, records: &[RawRecord]) {
-        let now = self.after(seconds);
-        let listing = LogListing { records: records.to_vec(), end, era };
-        self.copy.apply_listing(listing, false, now.boot, now);
-    }
-
-    /// Reads records from the store, the last ones of the log.
-    fn read(&mut self, seconds: f64, era: Era, has_failed: bool, records: &[RawRecord]) {
-        let now = self.after(seconds);
-        let next = self.copy.position().expect("a position") + records.len() as u64;
-        let changes = LogChanges { records: records.to_vec(), next, end: next, era };
-        self.copy.apply_changes(changes, has_failed, now.boot, now);
-    }
-
-    /// Takes the status of a relay over, and its records if need be. Returns whether the copy is current.
-    fn follow(&mut self, relay: &Host<S>, seconds: f64) -> bool {
-        let now = self.after(seconds);
-        let feed = relay.peers.published_feed(S::KIND).borrow();
-        let status = feed.status(now.boot);
-        let age = status.confirmed_age_ms.map(Duration::from_millis);
-        let span = Duration::from_millis(status.confirmed_span_ms);
-        let status = RelayedFeedStatus {
-            address: ([127, 0, 0, 1], 1).into(),
-            position: status.position,
-            last_change: status.changed,
-            confirmed_at: age.and_then(|age| now.boot.checked_sub(age)),
-            continuous_since: age.and_then(|age| now.instant.checked_sub(age + span)),
-            follows_outage: status.follows_outage,
-            digest: status.digest,
-            era: status.era,
-        };
-        if let Some(from) = self.copy.missing_from(&status) {
-            self.copy.apply_relayed(feed.changes(from), from, now);
-        }
-        self.copy.follow_status(&status, now)
-    }
-
-    /// The records that a host without any reads from this one as its relay.
-    fn passed_on(&self) -> Vec<(String, String)> {
-        let feed = self.peers.published_feed(S::KIND).borrow();
-        let records = feed.changes(0).records.into_iter();
-        let text = |value| String::from_utf8(value).expect("text");
-        records.map(|record| (record.key, text(record.value))).collect()
-    }
-
-    fn follows_outage(&self) -> bool {
-        let feed = self.peers.published_feed(S::KIND).borrow();
-        feed.status(BootInstant::now()).follows_outage
-    }
-}
-
-fn config_host() -> (Host<ConfigSink>, Rc<Evacuations>) {
+fn config_host() -> (CopyHost<ConfigSink>, Rc<Evacuations>) {
     let state = Rc::new(ConfigState::new(Duration::from_secs(3)));
     let evacuations = Rc::new(Evacuations::new(Rc::new(GatewayMetrics::new())));
-    (Host::new(config_sink(&state, &evacuations)), evacuations)
+    (CopyHost::new(config_sink(&state, &evacuations)), evacuations)
 }
 
 /// Runs a follower of the configuration until its feed gives no more answers.
@@ -112,11 +39,6 @@
     });
 }
 
-fn endpoint_host() -> (Host<EndpointSink>, Rc<Directory>) {
-    let directory = Rc::new(Directory::default());
-    (Host::new(endpoint_sink(&directory)), directory)
-}
-
 /// Guards against hosts that never get a configuration from their relay: the relay had it when the store
 /// came back from a copy without any, and did not pass on that it was written again.
 #[test]
