Tell starting hosts the record in force beside the one held back

The store had executed a lost heartbeat late, and the record of the endpoint's drain was no longer the newest one.

Cause: a relay keeps the newest record of each key for its peers. A record that it holds back replaced the one in force there, so a host that read all records had nothing to judge it by and took it for the endpoint's state. The same after a listing of the store in which the newest record was doubtful: the relay told nothing of that record, not even once it had accepted it.

Change: PublishedRecord keeps both, the record in force and the one held back, and a host applies them in this order. A record that is accepted is passed on with the endpoint's next one.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -204,6 +204,14 @@
         }
     }
 
+    fn apply_held_back(&mut self, record: &RawRecord, now: Instant) -> bool {
+        self.apply(record, now)
+    }
+
+    fn holds_back(&self, _key: &str) -> bool {
+        false
+    }
+
     fn digest(&self) -> u64 {
         let zones = self.evacuations.zones();
         let zones = zones.iter().map(|zone| xxh3_64(zone.as_bytes()));
--- a/crates/gateway/src/followers/doubtful_records.rs
+++ b/crates/gateway/src/followers/doubtful_records.rs
@@ -36,6 +36,11 @@
         self.by_id.get(&record.id).is_some_and(|held| held.record.digest() == record.digest())
     }
 
+    /// Whether any record of an endpoint is held back.
+    pub(super) fn holds_any(&self, id: &str) -> bool {
+        self.by_id.contains_key(id)
+    }
+
     /// Forgets the record of an endpoint, since a newer one settled the doubt. Returns whether one was
     /// held back.
     pub(super) fn forget(&mut self, id: &str) -> bool {
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -6,7 +6,7 @@
     },
     crate::{
         clock::Now,
-        endpoints::{Directory, EndpointRecord},
+        endpoints::{Directory, EndpointId, EndpointRecord},
         records::{Era, FeedKind, RawRecord},
         telemetry::{GatewayMetrics, event},
     },
@@ -43,6 +43,8 @@
     metrics: Rc<GatewayMetrics>,
     known: KnownRecords,
     doubtful: DoubtfulRecords,
+    /// Endpoints whose record was accepted after it was held back, of which peers are told with the next one.
+    untold_acceptances: BTreeSet<EndpointId>,
     /// Keys whose newest record could not be read.
     unreadable_keys: BTreeSet<Box<str>>,
     /// Endpoints whose record is removed before this time stay in use until then: the record
@@ -75,6 +77,7 @@
             metrics,
             known: KnownRecords::default(),
             doubtful: DoubtfulRecords::default(),
+            untold_acceptances: BTreeSet::new(),
             unreadable_keys: BTreeSet::new(),
             keep_removed_until: None,
             has_new_era: false,
@@ -259,6 +262,7 @@
         let is_news = if record.value.is_empty() {
             self.known.remove(&record.key);
             self.doubtful.forget(&record.key);
+            self.untold_acceptances.remove(&*record.key);
             self.directory.remove(&record.key, self.removal_grace_end(now));
             true
         } else {
@@ -273,15 +277,29 @@
                 }
                 RecordNews::Doubtful => self.hold(endpoint, ACCEPTANCE_HEARTBEATS, now),
             }
+            let was_accepted = self.untold_acceptances.remove(&*record.key);
             // hosts that listed the unreadable record do not know the endpoint, and those that hold the
             // doubtful one back would accept it
             let is_renewal = self.heartbeats_are_news_until.is_some_and(|until| now < until);
-            news != RecordNews::Heartbeat || was_unreadable || settles_doubt || is_renewal
+            let is_news = news != RecordNews::Heartbeat;
+            is_news || was_unreadable || settles_doubt || was_accepted || is_renewal
         };
         self.metrics.endpoints.set(self.directory.len() as i64);
         is_news
     }
 
+    /// If no record is in force here, the one that the relay has in force is held back, and stays so.
+    fn apply_held_back(&mut self, record: &RawRecord, now: Instant) -> bool {
+        match self.known.get(&record.key) {
+            Some(_) => self.apply(record, now),
+            None => true,
+        }
+    }
+
+    fn holds_back(&self, key: &str) -> bool {
+        self.doubtful.holds_any(key)
+    }
+
     fn digest(&self) -> u64 {
         self.known.digest()
     }
@@ -321,6 +339,7 @@
         let confirmed_at = self.confirmed_at.unwrap_or(now).min(now);
         for record in self.doubtful.take_accepted(confirmed_at) {
             event!("endpoint_record_accepted", "endpoint={}", record.id);
+            self.untold_acceptances.insert(record.id.clone());
             self.known.accept(record.clone());
             self.directory.upsert(record);
         }
--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -8,6 +8,7 @@
     },
     mango_wire::gossip::{RelayedChanges, RelayedRecord},
     std::{
+        collections::BTreeSet,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -136,13 +137,20 @@
             })
             .collect();
         if changes.is_complete || self.position.is_none() {
-            self.replace_all(&records, changes.position, now);
+            // a record that follows another one of its key is held back by the relay
+            let (listing, held_back) = split_newest(records);
+            self.replace_all(&listing, changes.position, now);
+            for record in &held_back {
+                if self.sink.apply_held_back(record, now.instant) {
+                    self.publish(record);
+                }
+            }
         } else {
             // the relay may have left out a removal before a record, so that the record says nothing
             // new here, but does elsewhere
             for record in &records {
                 self.sink.apply(record, now.instant);
-                self.peers.published_feed(S::KIND).borrow_mut().add(record);
+                self.publish(record);
             }
         }
         self.set_position(changes.position.max(from));
@@ -267,11 +275,24 @@
         let mut published = self.peers.published_feed(S::KIND).borrow_mut();
         published.set_era(self.era.unwrap_or_default());
         published.replace_all(records, end, &newer);
+        let held_back = records
+            .iter()
+            .filter(|record| newer.contains(&record.key) && self.sink.holds_back(&record.key));
+        held_back.for_each(|record| published.hold(record));
     }
 
     fn apply(&mut self, record: &RawRecord, now: Now) {
         if self.sink.apply(record, now.instant) {
-            self.peers.published_feed(S::KIND).borrow_mut().add(record);
+            self.publish(record);
+        }
+    }
+
+    /// Passes a record that was applied on to the peers.
+    fn publish(&self, record: &RawRecord) {
+        let mut published = self.peers.published_feed(S::KIND).borrow_mut();
+        match self.sink.holds_back(&record.key) {
+            true => published.hold(record),
+            false => published.add(record),
         }
     }
 
@@ -292,3 +313,9 @@
         self.peers.confirm_feed(S::KIND, at, self.confirmations.continuity());
     }
 }
+
+/// Splits the records of a listing into the first one of each key and those that follow it.
+fn split_newest(records: Vec<RawRecord>) -> (Vec<RawRecord>, Vec<RawRecord>) {
+    let mut keys = BTreeSet::new();
+    records.into_iter().partition(|record| keys.insert(record.key.clone()))
+}
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -37,6 +37,13 @@
     /// before it did not.
     fn apply(&mut self, record: &RawRecord, now: Instant) -> bool;
 
+    /// Applies a record of a listing that the relay holds back, after the one that it has in force.
+    /// Returns whether peers need it too.
+    fn apply_held_back(&mut self, record: &RawRecord, now: Instant) -> bool;
+
+    /// Whether the newest record of a key is held back, so that an older one stays in force.
+    fn holds_back(&self, key: &str) -> bool;
+
     /// Digest of what the records say; equal on hosts that agree.
     fn digest(&self) -> u64;
     /// Called when all records up to this time are applied.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,6 +21,7 @@
 mod peer_state;
 mod prefix_uses;
 mod published_feed;
+mod published_record;
 mod relay_client;
 mod relay_election;
 mod relay_role;
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -1,5 +1,5 @@
 use {
-    super::{changes_codec, relay_election::max_response_bytes},
+    super::{changes_codec, published_record::PublishedRecord, relay_election::max_response_bytes},
     crate::{
         clock::BootInstant,
         records::{Continuity, Era, FeedComparison, Offset, RawRecord},
@@ -17,7 +17,8 @@
 const MAX_TOMBSTONES: usize = 512;
 
 /// Records of one log that this host has read and serves to its peers: the newest record
-/// of each key, without records that did not change the state.
+/// of each key, without records that did not change the state. Of a key whose newest record is held
+/// back, the one in force as well.
 #[derive(Debug, Default)]
 pub(crate) struct PublishedFeed {
     /// Generation of the store's contents to which the offsets belong.
@@ -36,8 +37,7 @@
     digest: u64,
     /// The last comparison with the relay of the zone.
     comparison: Option<FeedComparison>,
-    /// Offset and value by key; an empty value is a tombstone.
-    records: BTreeMap<Box<str>, (Offset, Vec<u8>)>,
+    records: BTreeMap<Box<str>, PublishedRecord>,
     /// The last encoded response: the hosts of a zone read the same records at the same time.
     encoded: RefCell<Option<EncodedChanges>>,
 }
@@ -53,23 +53,38 @@
 impl PublishedFeed {
     /// Stores a record that changed the state.
     pub(crate) fn add(&mut self, record: &RawRecord) {
-        self.encoded.take();
-        self.last_change = self.last_change.max(Some(record.offset));
-        self.records.insert(record.key.clone(), (record.offset, record.value.clone()));
-        let tombstones = self.records.values().filter(|(_, value)| value.is_empty()).count();
-        if tombstones > MAX_TOMBSTONES {
+        self.record_change(record.offset);
+        self.records.insert(record.key.clone(), PublishedRecord::in_force(record));
+        let tombstones = self.records.values().filter(|record| record.removed_at().is_some());
+        if tombstones.count() > MAX_TOMBSTONES {
             self.remove_oldest_tombstone();
         }
     }
 
+    /// Stores a record that is held back, beside the one in force.
+    pub(crate) fn hold(&mut self, record: &RawRecord) {
+        self.record_change(record.offset);
+        match self.records.get_mut(&record.key) {
+            Some(published) => published.hold(record),
+            None => {
+                let published = PublishedRecord::held_back(record);
+                self.records.insert(record.key.clone(), published);
+            }
+        }
+    }
+
+    fn record_change(&mut self, offset: Offset) {
+        self.encoded.take();
+        self.last_change = self.last_change.max(Some(offset));
+    }
+
     fn remove_oldest_tombstone(&mut self) {
-        let oldest = self
+        let tombstones = self
             .records
             .iter()
-            .filter(|(_, (_, value))| value.is_empty())
-            .min_by_key(|(_, (offset, _))| *offset)
-            .map(|(key, (offset, _))| (key.clone(), *offset));
-        if let Some((key, offset)) = oldest {
+            .filter_map(|(key, record)| record.removed_at().map(|offset| (offset, key)));
+        let oldest = tombstones.min().map(|(offset, key)| (offset, key.clone()));
+        if let Some((offset, key)) = oldest {
             self.records.remove(&key);
             self.complete_before = self.complete_before.max(offset + 1);
         }
@@ -85,8 +100,8 @@
         for record in records {
             let newer_value =
                 newer.contains(&record.key).then(|| known.remove(&record.key)).flatten();
-            match newer_value {
-                Some((_, value)) => self.add(&RawRecord { value, ..record.clone() }),
+            match newer_value.and_then(PublishedRecord::into_value) {
+                Some(value) => self.add(&RawRecord { value, ..record.clone() }),
                 None => self.add(record),
             }
         }
@@ -145,19 +160,15 @@
     pub(crate) fn changes(&self, from: Offset) -> RelayedChanges {
         // a peer that may have missed a removal gets all records in place of its own
         let is_complete = from < self.complete_before;
-        let mut records: Vec<RelayedRecord> = self
-            .records
-            .iter()
-            .filter(|(_, (offset, value))| match is_complete {
-                true => !value.is_empty(),
-                false => *offset >= from,
-            })
-            .map(|(key, (offset, value))| RelayedRecord {
-                offset: *offset,
+        let told = self.records.iter().flat_map(|(key, published)| {
+            let records = published.records(from, is_complete);
+            records.map(move |(offset, value)| RelayedRecord {
+                offset,
                 key: key.to_string(),
-                value: value.clone(),
+                value: value.to_vec(),
             })
-            .collect();
+        });
+        let mut records: Vec<RelayedRecord> = told.collect();
         records.sort_by_key(|record| record.offset);
         RelayedChanges { position: self.position.unwrap_or(0), records, is_complete, era: self.era }
     }
