Hold heartbeats back that the store executes after a removal

The store had executed a lost heartbeat 2.1 s after the removal of the endpoint's record.

Cause: with the removal of a record, hosts forgot the start and the sequence number of its endpoint, so that its next record was that of a new endpoint, however old it was.

An endpoint that runs loses two heartbeats in a row at most, or its record lapses, and goes on counting meanwhile; so a record up to the last number plus two is held back until late records must have come and lapsed. A host that has missed heartbeats, since it relays only now, waits for three consecutive numbers. Removals that may come from an outage of the store are no departures, but an earlier start is no longer taken for the endpoint then.

--- a/crates/gateway/src/followers/config_sink.rs
+++ b/crates/gateway/src/followers/config_sink.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        record_sink::{RecordDecoder, RecordSink},
+        record_sink::{Applied, RecordDecoder, RecordSink},
         unsettled_evacuations::UnsettledEvacuations,
     },
     crate::{
@@ -179,8 +179,8 @@
         newer
     }
 
-    fn apply(&mut self, record: &RawRecord, now: Instant) -> bool {
-        match (self.records.key)(&record.key) {
+    fn apply(&mut self, record: &RawRecord, now: Instant) -> Applied {
+        let is_news = match (self.records.key)(&record.key) {
             Some(OperatorKey::Config) => {
                 let is_news = self.apply_config_record(record);
                 if !self.is_ahead_of_store {
@@ -201,15 +201,8 @@
                 self.evacuations.begin(&zone)
             }
             None => false,
-        }
-    }
-
-    fn apply_held_back(&mut self, record: &RawRecord, now: Instant) -> bool {
-        self.apply(record, now)
-    }
-
-    fn holds_back(&self, _key: &str) -> bool {
-        false
+        };
+        Applied::from_news(is_news)
     }
 
     fn digest(&self) -> u64 {
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -2,7 +2,7 @@
     super::{
         doubtful_records::DoubtfulRecords,
         known_records::{KnownRecords, RecordNews},
-        record_sink::{RecordDecoder, RecordSink},
+        record_sink::{Applied, RecordDecoder, RecordSink},
     },
     crate::{
         clock::Now,
@@ -25,6 +25,8 @@
 /// The same for a record in an older copy of the store whose endpoint may have left: longer than the
 /// record lasts and the hosts take to learn of its removal.
 const OLDER_COPY_HEARTBEATS: f64 = 7.0;
+/// Longest time in which the store executes a call whose answer was lost.
+const LATE_EXECUTION_TIME: Duration = Duration::from_secs(7);
 /// Time within which endpoints write expired records again after the store's recovery.
 const RENEWAL_TIME: Duration = Duration::from_millis(2_100);
 
@@ -143,8 +145,54 @@
         }
     }
 
-    /// Holds back a record that may be another writer's, until it has stood for some heartbeats.
-    fn hold(&mut self, record: EndpointRecord, heartbeats: f64, now: Instant) {
+    /// Applies a removal. Peers need each one, also of an endpoint that this host does not know.
+    fn apply_removal(&mut self, id: &str, now: Instant) -> Applied {
+        let keep_until = self.removal_grace_end(now);
+        match keep_until {
+            Some(_) => self.known.remove_expired(id, now),
+            None => self.known.remove_departed(id, now),
+        }
+        self.doubtful.forget(id);
+        self.untold_acceptances.remove(id);
+        self.directory.remove(id, keep_until);
+        match self.last_needed_until(id) {
+            Some(last_needed_until) => Applied::Departed { last_needed_until },
+            None => Applied::InForce,
+        }
+    }
+
+    fn apply_record(&mut self, record: &RawRecord, now: Instant) -> Applied {
+        let was_unreadable = self.unreadable_keys.contains(&record.key);
+        let Some(endpoint) = self.decode(record) else { return Applied::Unused };
+        let news = self.known.update(&endpoint, now);
+        if news == RecordNews::Doubtful {
+            self.hold_doubtful(endpoint, now);
+            return Applied::HeldBack;
+        }
+        let settles_doubt = self.settle_doubt(&endpoint);
+        let was_accepted = self.untold_acceptances.remove(&endpoint.id);
+        self.directory.upsert(endpoint);
+        // hosts that listed the unreadable record do not know the endpoint, and those that hold the
+        // doubtful one back would accept it
+        let is_renewal = self.heartbeats_are_news_until.is_some_and(|until| now < until);
+        let is_needed = was_unreadable || settles_doubt || was_accepted || is_renewal;
+        match news == RecordNews::Heartbeat && !is_needed {
+            true => Applied::Repeated,
+            false => Applied::InForce,
+        }
+    }
+
+    /// Holds back a record that another writer may have written, or that may have been sent before its
+    /// endpoint left.
+    fn hold_doubtful(&mut self, record: EndpointRecord, now: Instant) {
+        let standing = self.heartbeat.mul_f64(ACCEPTANCE_HEARTBEATS);
+        let is_in_force = self.known.get(&record.id).is_some();
+        let time = if is_in_force { standing } else { LATE_EXECUTION_TIME + standing };
+        self.hold(record, time, now);
+    }
+
+    /// Holds back a record that may be another writer's, until it has stood for some time.
+    fn hold(&mut self, record: EndpointRecord, time: Duration, now: Instant) {
         self.metrics.doubtful_endpoint_records.inc();
         event!(
             "endpoint_record_doubtful",
@@ -155,7 +203,7 @@
             record.state,
             record.sequence
         );
-        self.doubtful.hold(record, now + self.heartbeat.mul_f64(heartbeats));
+        self.doubtful.hold(record, now + time);
     }
 
     /// Forgets the record of an endpoint that is held back, since the endpoint has written its own again.
@@ -243,59 +291,55 @@
             is_unknown && (has_new_era || self.doubtful.holds(record))
         };
         let unknown: Vec<_> = endpoints.extract_if(.., may_have_left).collect();
+        let mut held_back: Vec<Box<str>> =
+            unknown.iter().map(|record| Box::from(&*record.id)).collect();
         for record in unknown {
-            self.hold(record, OLDER_COPY_HEARTBEATS, now);
+            self.hold(record, self.heartbeat.mul_f64(OLDER_COPY_HEARTBEATS), now);
         }
-        let older = self.known.replace_all(endpoints);
-        let newer = older.iter().map(|record| (*record.id).into()).collect();
+        let keep_until = self.removal_grace_end(now);
+        let older = self.known.replace_all(endpoints, keep_until.is_some(), now);
+        held_back.extend(older.iter().map(|record| Box::from(&*record.id)));
         for record in older {
-            self.hold(record, ACCEPTANCE_HEARTBEATS, now);
+            self.hold_doubtful(record, now);
         }
         let endpoints = self.known.all().cloned().collect();
-        self.directory.replace_all(endpoints, self.removal_grace_end(now));
+        self.directory.replace_all(endpoints, keep_until);
         self.metrics.endpoints.set(self.directory.len() as i64);
-        newer
+        held_back
     }
 
-    /// Peers need each removal, also of an endpoint that this host does not know.
-    fn apply(&mut self, record: &RawRecord, now: Instant) -> bool {
-        let is_news = if record.value.is_empty() {
-            self.known.remove(&record.key);
-            self.doubtful.forget(&record.key);
-            self.untold_acceptances.remove(&*record.key);
-            self.directory.remove(&record.key, self.removal_grace_end(now));
-            true
-        } else {
-            let was_unreadable = self.unreadable_keys.contains(&record.key);
-            let Some(endpoint) = self.decode(record) else { return false };
-            let news = self.known.update(&endpoint);
-            let mut settles_doubt = false;
-            match news {
-                RecordNews::New | RecordNews::Heartbeat => {
-                    settles_doubt = self.settle_doubt(&endpoint);
-                    self.directory.upsert(endpoint);
-                }
-                RecordNews::Doubtful => self.hold(endpoint, ACCEPTANCE_HEARTBEATS, now),
-            }
-            let was_accepted = self.untold_acceptances.remove(&*record.key);
-            // hosts that listed the unreadable record do not know the endpoint, and those that hold the
-            // doubtful one back would accept it
-            let is_renewal = self.heartbeats_are_news_until.is_some_and(|until| now < until);
-            let is_news = news != RecordNews::Heartbeat;
-            is_news || was_unreadable || settles_doubt || was_accepted || is_renewal
+    fn apply(&mut self, record: &RawRecord, now: Instant) -> Applied {
+        let applied = match record.value.is_empty() {
+            true => self.apply_removal(&record.key, now),
+            false => self.apply_record(record, now),
         };
         self.metrics.endpoints.set(self.directory.len() as i64);
-        is_news
+        applied
+    }
+
+    fn apply_last(&mut self, record: &RawRecord, now: Instant) {
+        if let Some(endpoint) = self.decode(record) {
+            self.known.update(&endpoint, now);
+        }
     }
 
-    /// If no record is in force here, the one that the relay has in force is held back, and stays so.
-    fn apply_held_back(&mut self, record: &RawRecord, now: Instant) -> bool {
-        match self.known.get(&record.key) {
-            Some(_) => self.apply(record, now),
-            None => true,
+    /// If the one that the relay has in force is held back here, it stays so.
+    fn apply_held_back(&mut self, record: &RawRecord, now: Instant) -> Applied {
+        let has_record = self.known.get(&record.key).is_some();
+        match !has_record && self.doubtful.holds_any(&record.key) {
+            true => Applied::HeldBack,
+            false => self.apply(record, now),
         }
     }
 
+    fn records_skipped(&mut self) {
+        self.known.record_skipped();
+    }
+
+    fn last_needed_until(&self, key: &str) -> Option<Instant> {
+        self.known.last_record_needed_until(key)
+    }
+
     fn holds_back(&self, key: &str) -> bool {
         self.doubtful.holds_any(key)
     }
--- a/crates/gateway/src/followers/endpoint_sink_tests.rs
+++ b/crates/gateway/src/followers/endpoint_sink_tests.rs
@@ -135,7 +135,7 @@
     sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")], now);
     let removals = [raw(2, "a", ""), raw(3, "b", "")];
     end_outage(&mut sink, Duration::from_secs(6), &removals, now);
-    assert!(removals.iter().all(|removal| sink.apply(removal, now)));
+    assert!(removals.iter().all(|removal| sink.apply(removal, now).is_news()));
     let until = sink.expire(now).expect("a time");
     // the time within which endpoints are back
     assert!(until - now >= Duration::from_millis(1_950), "{:?}", until - now);
@@ -148,7 +148,7 @@
     let mut sink = endpoint_sink(&directory);
     let now = Instant::now();
     sink.replace_all(&[raw(0, "a", "torn"), raw(1, "b", "1")], now);
-    assert!(!sink.apply(&raw(2, "b", "\u{fffd}"), now));
+    assert!(!sink.apply(&raw(2, "b", "\u{fffd}"), now).is_news());
     assert_eq!(directory.len(), 1);
 }
 
@@ -160,9 +160,9 @@
     let mut sink = endpoint_sink(&directory);
     let now = Instant::now();
     sink.replace_all(&[raw(0, "a", "1")], now);
-    assert!(!sink.apply(&raw(1, "a", "torn"), now));
-    assert!(sink.apply(&raw(2, "a", "2"), now));
-    assert!(!sink.apply(&raw(3, "a", "3"), now), "a heartbeat changes nothing");
+    assert!(!sink.apply(&raw(1, "a", "torn"), now).is_news());
+    assert!(sink.apply(&raw(2, "a", "2"), now).is_news());
+    assert!(!sink.apply(&raw(3, "a", "3"), now).is_news(), "a heartbeat changes nothing");
     sink.replace_all(&[raw(4, "a", "torn")], now);
     assert_eq!(directory.len(), 1, "the endpoint keeps its last record");
 }
@@ -175,7 +175,7 @@
     let mut sink = endpoint_sink(&directory);
     let now = Instant::now();
     sink.replace_all(&[raw(0, "a", "1")], now);
-    assert!(sink.apply(&raw(1, "b", ""), now));
+    assert!(sink.apply(&raw(1, "b", ""), now).is_news());
 }
 
 /// Guards against hosts that lose an endpoint for good: the relay kept an endpoint whose record had
@@ -187,9 +187,9 @@
     let now = Instant::now();
     sink.replace_all(&[raw(0, "a", "1"), raw(1, "b", "1")], now);
     end_outage(&mut sink, Duration::from_secs(6), &[], now);
-    assert!(sink.apply(&raw(2, "a", ""), now));
+    assert!(sink.apply(&raw(2, "a", ""), now).is_news());
     assert_eq!(directory.len(), 2, "the endpoint is kept");
-    assert!(sink.apply(&raw(3, "a", "2"), now));
+    assert!(sink.apply(&raw(3, "a", "2"), now).is_news());
 }
 
 /// Guards against a draining record that is not passed on, because a misdirected request had already
@@ -201,7 +201,7 @@
     let now = Instant::now();
     sink.replace_all(&[raw(0, "a", "1")], now);
     directory.of_service("s")[0].set_leaving();
-    assert!(sink.apply(&raw(1, "a", "2 state=draining"), now));
+    assert!(sink.apply(&raw(1, "a", "2 state=draining"), now).is_news());
 }
 
 /// Guards against a record of another writer whose sequence number hides all later records of the
@@ -246,7 +246,7 @@
     let now = Instant::now();
     sink.replace_all(&[raw(0, "a", "7")], now);
     sink.apply(&raw(1, "a", "8 state=draining"), now);
-    assert!(sink.apply(&raw(2, "a", "1 start=2000"), now));
+    assert!(sink.apply(&raw(2, "a", "1 start=2000"), now).is_news());
     assert_eq!(available(&directory, "s"), ["a"]);
     sink.apply(&raw(3, "a", "9 state=draining"), now);
     assert_eq!(available(&directory, "s"), ["a"]);
@@ -289,7 +289,7 @@
     let now = Instant::now();
     sink.replace_all(&[raw(0, "a", "1")], now);
     sink.apply(&raw(1, "a", "4000000000"), now);
-    assert!(sink.apply(&raw(2, "a", "3 state=draining"), now));
+    assert!(sink.apply(&raw(2, "a", "3 state=draining"), now).is_news());
     assert_eq!(available(&directory, "s"), [""; 0]);
 }
 
--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -1,5 +1,9 @@
 use {
-    super::{agreement::Agreement, confirmations::Confirmations, record_sink::RecordSink},
+    super::{
+        agreement::Agreement,
+        confirmations::Confirmations,
+        record_sink::{Applied, RecordSink},
+    },
     crate::{
         clock::{BootInstant, Now},
         peers::{PeerState, RelayedFeedStatus},
@@ -137,22 +141,21 @@
             })
             .collect();
         if changes.is_complete || self.position.is_none() {
-            // a record that follows another one of its key is held back by the relay
-            let (listing, held_back) = split_newest(records);
-            self.replace_all(&listing, changes.position, now);
-            for record in &held_back {
-                if self.sink.apply_held_back(record, now.instant) {
-                    self.publish(record);
-                }
-            }
+            self.apply_relayed_listing(records, changes.position, now);
         } else {
             // the relay may have left out a removal before a record, so that the record says nothing
             // new here, but does elsewhere
-            for record in &records {
-                self.sink.apply(record, now.instant);
-                self.publish(record);
+            for (record, next) in with_next(&records) {
+                if is_last(record, next) {
+                    self.sink.apply_last(record, now.instant);
+                    self.publish(record, Applied::InForce);
+                } else {
+                    let applied = self.sink.apply(record, now.instant);
+                    self.publish(record, applied);
+                }
             }
         }
+        self.sink.records_skipped();
         self.set_position(changes.position.max(from));
     }
 
@@ -167,6 +170,7 @@
         if relay.last_change.is_none_or(|offset| offset < own_position)
             && relay.position > own_position
         {
+            self.sink.records_skipped();
             self.set_position(relay.position);
         }
         let is_complete = self.position.unwrap_or(0) >= relay.position;
@@ -274,25 +278,51 @@
         let newer = self.sink.replace_all(records, now.instant);
         let mut published = self.peers.published_feed(S::KIND).borrow_mut();
         published.set_era(self.era.unwrap_or_default());
-        published.replace_all(records, end, &newer);
+        published.replace_all(records, end, &newer, |key| self.sink.last_needed_until(key));
         let held_back = records
             .iter()
             .filter(|record| newer.contains(&record.key) && self.sink.holds_back(&record.key));
         held_back.for_each(|record| published.hold(record));
     }
 
+    /// Applies all records of a relay: those in force, and then what the relay holds back and the
+    /// endpoints that have left.
+    fn apply_relayed_listing(&mut self, records: Vec<RawRecord>, end: Offset, now: Now) {
+        let (listing, others) = split_listing(&records);
+        self.replace_all(&listing, end, now);
+        for (record, next) in with_next(&others) {
+            if is_last(record, next) {
+                self.sink.apply_last(record, now.instant);
+                self.publish(record, Applied::InForce);
+                continue;
+            }
+            let applied = match record.value.is_empty() {
+                true => self.sink.apply(record, now.instant),
+                false => self.sink.apply_held_back(record, now.instant),
+            };
+            if applied.is_news() {
+                self.publish(record, applied);
+            }
+        }
+    }
+
     fn apply(&mut self, record: &RawRecord, now: Now) {
-        if self.sink.apply(record, now.instant) {
-            self.publish(record);
+        match self.sink.apply(record, now.instant) {
+            Applied::Unused => {}
+            Applied::Repeated => {
+                self.peers.published_feed(S::KIND).borrow_mut().refresh(record);
+            }
+            applied => self.publish(record, applied),
         }
     }
 
     /// Passes a record that was applied on to the peers.
-    fn publish(&self, record: &RawRecord) {
+    fn publish(&self, record: &RawRecord, applied: Applied) {
         let mut published = self.peers.published_feed(S::KIND).borrow_mut();
-        match self.sink.holds_back(&record.key) {
-            true => published.hold(record),
-            false => published.add(record),
+        match applied {
+            Applied::HeldBack => published.hold(record),
+            Applied::Departed { last_needed_until } => published.remove(record, last_needed_until),
+            Applied::Unused | Applied::Repeated | Applied::InForce => published.add(record),
         }
     }
 
@@ -314,8 +344,24 @@
     }
 }
 
-/// Splits the records of a listing into the first one of each key and those that follow it.
-fn split_newest(records: Vec<RawRecord>) -> (Vec<RawRecord>, Vec<RawRecord>) {
+/// Each record with the one after it.
+fn with_next(records: &[RawRecord]) -> impl Iterator<Item = (&RawRecord, Option<&RawRecord>)> {
+    records.iter().enumerate().map(|(index, record)| (record, records.get(index + 1)))
+}
+
+/// Whether a record is the last one of its key before the removal that comes next.
+fn is_last(record: &RawRecord, next: Option<&RawRecord>) -> bool {
+    let is_removal = |next: &RawRecord| next.key == record.key && next.value.is_empty();
+    !record.value.is_empty() && next.is_some_and(is_removal)
+}
+
+/// Splits the records of a relay into those in force and the others: the records after the one in force
+/// of the same key, and those of keys that were removed.
+fn split_listing(records: &[RawRecord]) -> (Vec<RawRecord>, Vec<RawRecord>) {
     let mut keys = BTreeSet::new();
-    records.into_iter().partition(|record| keys.insert(record.key.clone()))
+    let (listing, others): (Vec<_>, Vec<_>) = with_next(records).partition(|(record, next)| {
+        keys.insert(record.key.clone()) && !record.value.is_empty() && !is_last(record, *next)
+    });
+    let records = |pairs: Vec<(&RawRecord, _)>| pairs.into_iter().map(|(r, _)| r.clone()).collect();
+    (records(listing), records(others))
 }
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -5,6 +5,9 @@
 mod confirmations;
 #[cfg(test)]
 mod copy_host;
+mod departed_endpoints;
+#[cfg(test)]
+mod departed_endpoints_tests;
 mod doubtful_records;
 #[cfg(test)]
 mod doubtful_records_tests;
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -9,6 +9,36 @@
 /// Decodes a record from its key and value. The error says why the record is invalid.
 pub type RecordDecoder<V> = fn(&str, &[u8]) -> Result<V, Box<str>>;
 
+/// What became of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Applied {
+    /// It says nothing that peers need, or is not used.
+    Unused,
+    /// It says the same as the record in force, and is newer.
+    Repeated,
+    /// It is in force now.
+    InForce,
+    /// It is held back; an older one stays in force.
+    HeldBack,
+    /// It removes its key. Peers need the last record of the key as well until this time.
+    Departed { last_needed_until: Instant },
+}
+
+impl Applied {
+    /// Whether peers need the record: it says something that the records before it did not.
+    pub(crate) fn is_news(self) -> bool {
+        match self {
+            Applied::Unused | Applied::Repeated => false,
+            Applied::InForce | Applied::HeldBack | Applied::Departed { .. } => true,
+        }
+    }
+
+    /// A record that is in force if peers need it, and not used otherwise.
+    pub(super) fn from_news(is_news: bool) -> Applied {
+        if is_news { Applied::InForce } else { Applied::Unused }
+    }
+}
+
 /// State that is built from the records of one log.
 pub(crate) trait RecordSink {
     const KIND: FeedKind;
@@ -33,16 +63,29 @@
     /// is older than the one that this host knows and keeps.
     fn replace_all(&mut self, records: &[RawRecord], now: Instant) -> Vec<Box<str>>;
 
-    /// Applies one record. Returns whether peers need it too: it says something that the records
-    /// before it did not.
-    fn apply(&mut self, record: &RawRecord, now: Instant) -> bool;
+    /// Applies one record.
+    fn apply(&mut self, record: &RawRecord, now: Instant) -> Applied;
+
+    /// Takes note of the last record of a key, whose removal comes next: it is not in force any more.
+    fn apply_last(&mut self, _record: &RawRecord, _now: Instant) {}
 
     /// Applies a record of a listing that the relay holds back, after the one that it has in force.
-    /// Returns whether peers need it too.
-    fn apply_held_back(&mut self, record: &RawRecord, now: Instant) -> bool;
+    fn apply_held_back(&mut self, record: &RawRecord, now: Instant) -> Applied {
+        self.apply(record, now)
+    }
+
+    /// Called after records were skipped that say nothing new.
+    fn records_skipped(&mut self) {}
+
+    /// Until when peers need the last record of a key that was removed; `None` if they do not.
+    fn last_needed_until(&self, _key: &str) -> Option<Instant> {
+        None
+    }
 
     /// Whether the newest record of a key is held back, so that an older one stays in force.
-    fn holds_back(&self, key: &str) -> bool;
+    fn holds_back(&self, _key: &str) -> bool {
+        false
+    }
 
     /// Digest of what the records say; equal on hosts that agree.
     fn digest(&self) -> u64;
--- a/crates/gateway/src/followers/relay_tests.rs
+++ b/crates/gateway/src/followers/relay_tests.rs
@@ -37,7 +37,7 @@
 /// Serves these records to peers, as the relay of a zone does. Returns its address.
 fn serve_records(records: &[RawRecord], end: u64) -> SocketAddr {
     let mut feed = PublishedFeed::default();
-    feed.replace_all(records, end, &[]);
+    feed.replace_all(records, end, &[], |_| None);
     feed.set_position(end, 9);
     let body = encode_changes(&feed, 0, LINK_MBPS).expect("a few records").to_vec();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/crates/gateway/src/followers/tests.rs
+++ b/crates/gateway/src/followers/tests.rs
@@ -166,9 +166,9 @@
     let now = Instant::now();
     sink.replace_all(&[raw(0, "config", "3"), raw(1, "zone-a", "{}")], now);
     assert!(evacuations.is_evacuated("a") && evacuations.ended_at("a").is_none());
-    assert!(sink.apply(&raw(2, "zone-b", "{}"), now));
-    assert!(!sink.apply(&raw(3, "zone-b", "{}"), now), "it is evacuated already");
-    assert!(sink.apply(&raw(4, "zone-a", ""), now));
+    assert!(sink.apply(&raw(2, "zone-b", "{}"), now).is_news());
+    assert!(!sink.apply(&raw(3, "zone-b", "{}"), now).is_news(), "it is evacuated already");
+    assert!(sink.apply(&raw(4, "zone-a", ""), now).is_news());
     assert!(!evacuations.is_evacuated("a") && evacuations.ended_at("a").is_some());
     sink.replace_all(&[raw(0, "config", "3")], now);
     assert!(evacuations.zones().is_empty() && evacuations.ended_at("b").is_some());
@@ -184,5 +184,5 @@
     let mut sink = config_sink(&state, &evacuations);
     let now = Instant::now();
     sink.replace_all(&[raw(0, "config", "3")], now);
-    assert!(sink.apply(&raw(1, "config", "torn"), now));
+    assert!(sink.apply(&raw(1, "config", "torn"), now).is_news());
 }
--- a/crates/gateway/src/followers/zone_tests/mod.rs
+++ b/crates/gateway/src/followers/zone_tests/mod.rs
@@ -2,8 +2,10 @@
 //! whoever relays, all hosts agree with the store soon after it is back.
 
 mod designs;
+mod late_records;
 mod running_endpoint;
 mod store;
+mod watched_endpoints;
 mod zone;
 mod zone_host;
 
@@ -59,3 +61,10 @@
 fn all_hosts_agree_with_a_store_that_comes_back_from_older_copies() {
     play(seeds(), Hazards { older_copies: true, ..Hazards::default() });
 }
+
+/// Guards against hosts that use an endpoint again which had left, or lose one that runs, since the store
+/// executes heartbeats seconds after they were sent.
+#[test]
+fn all_hosts_agree_with_a_store_that_executes_heartbeats_late() {
+    play(seeds(), Hazards { late_records: true, ..Hazards::default() });
+}
--- a/crates/gateway/src/followers/zone_tests/zone.rs
+++ b/crates/gateway/src/followers/zone_tests/zone.rs
@@ -1,7 +1,9 @@
 use {
     super::{
+        late_records::LateRecords,
         running_endpoint::{RunningEndpoint, decode_endpoint},
         store::Store,
+        watched_endpoints::{DepartedEndpoint, KeptEndpoint},
         zone_host::{HEARTBEAT, ZoneHost},
     },
     crate::{clock::Now, endpoints::EndpointState, followers::record_sink::RecordSink},
@@ -13,25 +15,20 @@
 };
 
 /// Silence after which the store removes the record of an endpoint.
-const RECORD_LIFETIME: Duration = Duration::from_millis(3_600);
+pub(super) const RECORD_LIFETIME: Duration = Duration::from_millis(3_600);
 /// Time within which endpoints are back in the store after its return.
 const RETURN_TIME: Duration = Duration::from_millis(2_000);
 /// Time within which all hosts agree with the store after the last record was written.
 const AGREEMENT_TIME: Duration = Duration::from_millis(2_000);
+/// Time after which the store counts as stable.
+const STABILITY_TIME: Duration = Duration::from_millis(3_000);
+/// Time after which no host may use an endpoint that has left.
+const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 /// Interval between two statuses of a relay.
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 /// Steps of a history before the store is left alone.
 const STEPS: u32 = 80;
 
-/// A host that used an endpoint when the record of that lapsed.
-struct KeptEndpoint {
-    host: usize,
-    host_started_at: Instant,
-    endpoint: String,
-    endpoint_started_at_ms: u64,
-    until: Instant,
-}
-
 pub(super) struct Zone {
     rng: StdRng,
     now: Now,
@@ -44,11 +41,11 @@
     /// Endpoints that hosts must not lose.
     kept: Vec<KeptEndpoint>,
     lost: Option<String>,
-    /// Endpoints that had left before the store came back from an older copy, with hosts that had
-    /// stopped to use them.
+    /// Endpoints that had left, with hosts that must not use them any more.
     departed: Vec<DepartedEndpoint>,
     /// When records in an older copy lapse whose endpoints do not run.
     lapses_at: Option<Instant>,
+    late_records: LateRecords,
     hazards: Hazards,
 }
 
@@ -59,13 +56,8 @@
     pub(super) odd_records: bool,
     /// The store comes back from older copies.
     pub(super) older_copies: bool,
-}
-
-/// An endpoint that had left, and a host that must not use it again.
-struct DepartedEndpoint {
-    host: usize,
-    host_started_at: Instant,
-    endpoint: String,
+    /// The store executes heartbeats seconds after they were sent.
+    pub(super) late_records: bool,
 }
 
 impl Zone {
@@ -87,6 +79,7 @@
             lost: None,
             departed: Vec::new(),
             lapses_at: None,
+            late_records: LateRecords::default(),
             hazards,
         };
         for _ in 0..6 {
@@ -125,8 +118,9 @@
             1 => {
                 // leaves without a word; while the store is down, its record lapses
                 if let Some(id) = self.random_endpoint() {
-                    self.endpoints.remove(&id);
+                    let endpoint = self.endpoints.remove(&id).expect("an endpoint");
                     if self.store.down_since.is_none() {
+                        self.record_departure(&id, &endpoint);
                         self.store.write(&id, "");
                     }
                 }
@@ -158,13 +152,46 @@
                 self.hosts[index] = ZoneHost::start(index, self.now.instant);
             }
             6..=9 => self.relay = self.rng.random_range(0..self.hosts.len()),
-            10 if self.store.down_since.is_none() => self.store.down_since = Some(self.now.instant),
+            10 if self.store.down_since.is_none() => {
+                self.store.down_since = Some(self.now.instant);
+                // a removal that a host has not read by now may be read after the outage
+                self.departed.retain(|departed| departed.since <= self.now.instant);
+            }
             11 | 12 => self.restore_store(),
             13 if self.hazards.older_copies => self.lose_records(),
             _ => {}
         }
     }
 
+    /// Records that an endpoint is about to leave: no host may use it after the drain time. Not if its last
+    /// three records are missing, or those of its last start: its record would have lapsed, or hosts
+    /// never knew of it. Nor shortly after an outage, in which its record may have expired.
+    fn record_departure(&mut self, id: &str, endpoint: &RunningEndpoint) {
+        if !self.hazards.late_records {
+            return;
+        }
+        let newest = self.store.newest.get(id);
+        let newest = newest.map(|raw| decode_endpoint(id, &raw.value).expect("a sound record"));
+        let is_recorded = newest.is_some_and(|record| {
+            record.started_at_unix_ms == endpoint.started_at_ms
+                && record.sequence + 2 >= endpoint.sequence
+        });
+        let is_stable =
+            self.store.returned_at.is_none_or(|at| self.now.instant - at >= STABILITY_TIME);
+        if !is_recorded || !is_stable {
+            return;
+        }
+        let since = self.now.instant + DRAIN_TIME;
+        self.departed.extend(self.hosts.iter().enumerate().filter(|(_, h)| h.is_following()).map(
+            |(host, known)| DepartedEndpoint {
+                host,
+                host_started_at: known.started_at,
+                endpoint: id.to_owned(),
+                since,
+            },
+        ));
+    }
+
     /// Ends an outage of the store. If it was long enough, all records have lapsed, and the endpoints
     /// that run write them again within the next seconds.
     fn restore_store(&mut self) {
@@ -216,6 +243,7 @@
                 host,
                 host_started_at: known.started_at,
                 endpoint: key.to_string(),
+                since: self.now.instant,
             }));
         }
     }
@@ -239,7 +267,10 @@
             let host = &self.hosts[departed.host];
             let is_as_before = host.started_at == departed.host_started_at
                 && !self.endpoints.contains_key(&departed.endpoint);
-            if is_as_before && host.uses_any(&departed.endpoint) {
+            if self.now.instant >= departed.since
+                && is_as_before
+                && host.uses_any(&departed.endpoint)
+            {
                 let DepartedEndpoint { host, endpoint, .. } = departed;
                 self.lost.get_or_insert(format!("host {host} uses {endpoint}, which had left"));
             }
@@ -278,13 +309,24 @@
                 for (id, endpoint) in &mut self.endpoints {
                     if endpoint.writes_at.take_if(|at| *at <= self.now.instant).is_some() {
                         let record = endpoint.record();
-                        let writes_again = self.store.era > 0;
+                        let writes_again = self.store.era > 0 || self.hazards.late_records;
                         endpoint.writes_at = writes_again.then(|| self.now.instant + HEARTBEAT);
-                        self.store.write(id, &record);
+                        let is_late = self.hazards.late_records
+                            && self.late_records.delay(
+                                id,
+                                &record,
+                                self.now.instant,
+                                &mut self.rng,
+                            );
+                        if !is_late {
+                            self.store.write(id, &record);
+                        }
                     }
                 }
             }
             self.lapse();
+            let is_running = |id: &str| self.endpoints.contains_key(id);
+            self.late_records.execute(&mut self.store, self.now.instant, is_running);
             self.read_hosts();
         }
     }
@@ -304,7 +346,10 @@
                 let [host, relay] = self.hosts.get_disjoint_mut([index, relay]).expect("two hosts");
                 let agrees = host.follow(relay, now);
                 // a host that listed the log beside an odd record may differ for a while
-                if !agrees && !self.hazards.odd_records && !self.hazards.older_copies {
+                let may_differ = self.hazards.odd_records
+                    || self.hazards.older_copies
+                    || self.hazards.late_records;
+                if !agrees && !may_differ {
                     self.lost.get_or_insert(format!("host {index} differs from its relay"));
                 }
             }
@@ -324,6 +369,9 @@
         self.restore_store();
         let lapse_time =
             if self.lapses_at.is_some() { RECORD_LIFETIME * 2 } else { Duration::ZERO };
+        if self.hazards.late_records {
+            self.run(LateRecords::settling_time());
+        }
         self.run(RETURN_TIME + HEARTBEAT + AGREEMENT_TIME + lapse_time);
         if let Some(lost) = self.lost {
             return Err(lost);
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -7,7 +7,7 @@
     mango_wire::gossip::{FeedStatus, RelayedChanges, RelayedRecord},
     std::{
         cell::RefCell,
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -61,6 +61,23 @@
         }
     }
 
+    /// Stores the removal of a key whose last record peers need until this time.
+    pub(crate) fn remove(&mut self, removal: &RawRecord, last_needed_until: Instant) {
+        let published = self.records.remove(&removal.key);
+        self.add(removal);
+        if let Some(mut published) = published {
+            published.remove(removal, last_needed_until);
+            self.records.insert(removal.key.clone(), published);
+        }
+    }
+
+    /// Stores a record that says the same as the one in force, which peers do not need to read.
+    pub(crate) fn refresh(&mut self, record: &RawRecord) {
+        if let Some(published) = self.records.get_mut(&record.key) {
+            published.refresh(&record.value);
+        }
+    }
+
     /// Stores a record that is held back, beside the one in force.
     pub(crate) fn hold(&mut self, record: &RawRecord) {
         self.record_change(record.offset);
@@ -91,27 +108,52 @@
     }
 
     /// Replaces all records by a complete listing. The known values of the keys `newer` are kept,
-    /// since the listed ones are older.
-    pub(crate) fn replace_all(&mut self, records: &[RawRecord], end: Offset, newer: &[Box<str>]) {
+    /// since the listed ones are older. `last_needed_until` says until when peers need the last record of
+    /// a key that is not listed.
+    pub(crate) fn replace_all(
+        &mut self,
+        records: &[RawRecord],
+        end: Offset,
+        newer: &[Box<str>],
+        last_needed_until: impl Fn(&str) -> Option<Instant>,
+    ) {
         self.encoded.take();
         let mut known = std::mem::take(&mut self.records);
         self.last_change = None;
         self.complete_before = end;
         for record in records {
-            let newer_value =
-                newer.contains(&record.key).then(|| known.remove(&record.key)).flatten();
-            match newer_value.and_then(PublishedRecord::into_value) {
-                Some(value) => self.add(&RawRecord { value, ..record.clone() }),
+            let newer = newer.contains(&record.key).then(|| known.remove(&record.key)).flatten();
+            match newer {
+                Some(published) => self.relist(&record.key, published, record.offset),
                 None => self.add(record),
             }
         }
+        let listed: BTreeSet<&str> = records.iter().map(|record| &*record.key).collect();
+        known.retain(|key, _| !listed.contains(&**key));
+        for (key, mut departed) in known {
+            if let Some(until) = last_needed_until(&key) {
+                let offset = end.saturating_sub(1);
+                departed.remove(&RawRecord { offset, key: key.clone(), value: Vec::new() }, until);
+                self.relist(&key, departed, offset);
+            }
+        }
         // peers that have read past the last listed record must read the listing as well: it
         // shows removed keys only by their absence
         self.last_change = self.last_change.max(end.checked_sub(1));
     }
 
-    /// Sets the generation of the store's contents to which the offsets belong.
+    fn relist(&mut self, key: &str, mut published: PublishedRecord, offset: Offset) {
+        self.record_change(offset);
+        published.set_offset(offset);
+        self.records.insert(key.into(), published);
+    }
+
+    /// Sets the generation of the store's contents to which the offsets belong. An older copy may lack
+    /// removals, so those of another era say nothing of late records.
     pub(crate) fn set_era(&mut self, era: Era) {
+        if self.era != era {
+            self.records.values_mut().for_each(PublishedRecord::forget_last);
+        }
         self.era = era;
     }
 
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -273,7 +273,7 @@
         value: value.to_vec(),
     };
     let mut feed = PublishedFeed::default();
-    feed.replace_all(&[record(1, "a", b"1"), record(2, "b", b"1")], 3, &[]);
+    feed.replace_all(&[record(1, "a", b"1"), record(2, "b", b"1")], 3, &[], |_| None);
     feed.add(&record(5, "a", b"2"));
     feed.add(&record(7, "b", b""));
     feed.set_position(9, 0);
@@ -357,6 +357,7 @@
         &[RawRecord { offset: 4, key: "config".into(), value: value.clone() }],
         5,
         &[],
+        |_| None,
     );
     feed.set_position(5, 0);
     let bytes = encode_changes(&feed, 0, 20).expect("within the limit");
@@ -376,8 +377,8 @@
 fn a_removal_before_a_listing_reaches_peers() {
     let record = |offset, key: &str| RawRecord { offset, key: key.into(), value: vec![1] };
     let mut feed = PublishedFeed::default();
-    feed.replace_all(&[record(1, "a"), record(2, "b")], 3, &[]);
-    feed.replace_all(&[record(1, "a")], 9, &[]);
+    feed.replace_all(&[record(1, "a"), record(2, "b")], 3, &[], |_| None);
+    feed.replace_all(&[record(1, "a")], 9, &[], |_| None);
     feed.set_position(9, 0);
     let bytes = encode_changes(&feed, 5, 100).expect("within the limit");
     let changes: RelayedChanges = changes_codec::decode(&bytes).expect("a message");
@@ -398,7 +399,7 @@
         value: value.as_bytes().to_vec(),
     };
     let listed: Vec<_> = (0..).zip(&keys).map(|(offset, key)| record(offset, key, "1")).collect();
-    feed.replace_all(&listed, 700, &[]);
+    feed.replace_all(&listed, 700, &[], |_| None);
     for (offset, key) in (700..).zip(&keys) {
         feed.add(&record(offset, key, ""));
     }
