Let no host out of step take a version for the only one

Cause: a host that does not know a stream reads the record of the versions after the take-up has arrived, and goes on at the version that the record and its directory name if it is the only one. Hosts begin streams at a version that the record does not name once it has served for 5 s, when they cannot write the record. A host whose directory is out of date then knows the version by neither. The same just after an outage, in which the version's records expired; and where the version left before it was named, since nobody named it any more.

Change: a version is the only one if the directory is up to date, not waiting for expired records, and 2 s have passed since it was out of date, within which others name what joined. A version that leaves unnamed is still named for as long as its streams may go on. A host that starts has no such pause: it has missed nothing.

--- a/crates/gateway/src/endpoints/endpoint_record.rs
+++ b/crates/gateway/src/endpoints/endpoint_record.rs
@@ -31,6 +31,9 @@
     pub sequence: u64,
 }
 
+/// Time within which endpoints write expired records again after the store's recovery.
+pub(crate) const RENEWAL_TIME: Duration = Duration::from_millis(2_100);
+
 /// Most requests that an endpoint runs at once; a record with more is invalid.
 const MAX_SLOTS: u32 = 65_536;
 /// Largest sequence number: an endpoint that writes ten records a second reaches it after 13 years.
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) use {
     directory::Directory,
     endpoint::{Endpoint, InFlightGuard},
+    endpoint_record::RENEWAL_TIME,
     idle_connection::IdleConnection,
     idle_limit::IdleLimit,
     overdue::OverdueGuard,
--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -6,7 +6,7 @@
     },
     crate::{
         clock::Now,
-        endpoints::{Directory, EndpointId, EndpointRecord},
+        endpoints::{Directory, EndpointId, EndpointRecord, RENEWAL_TIME},
         records::{Era, FeedKind, RawRecord},
         telemetry::{GatewayMetrics, event},
     },
@@ -27,8 +27,6 @@
 const OLDER_COPY_HEARTBEATS: f64 = 7.0;
 /// Longest time in which the store executes a call whose answer was lost.
 const LATE_EXECUTION_TIME: Duration = Duration::from_secs(7);
-/// Time within which endpoints write expired records again after the store's recovery.
-const RENEWAL_TIME: Duration = Duration::from_millis(2_100);
 
 /// Most keys of unreadable records that are remembered, so that each is logged once.
 const MAX_UNREADABLE_KEYS: usize = 256;
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -186,6 +186,11 @@
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
     }
 
+    /// How the log was followed up to the last confirmation.
+    pub(crate) fn continuity(&self) -> Continuity {
+        self.continuity
+    }
+
     pub(crate) fn status(&self, now: BootInstant) -> FeedStatus {
         FeedStatus {
             position: self.position.unwrap_or(0),
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -30,6 +30,8 @@
 #[cfg(test)]
 mod service_versions_tests;
 mod shared_origins;
+#[cfg(test)]
+mod stale_directory_tests;
 mod stream_key;
 mod version_hash;
 mod version_ledger;
--- a/crates/gateway/src/stream_origins/replay_tests.rs
+++ b/crates/gateway/src/stream_origins/replay_tests.rs
@@ -47,6 +47,10 @@
     outages: Vec<Range<u64>>,
     /// When a host cannot reach the store.
     cuts: Vec<(usize, Range<u64>)>,
+    /// When a host stands still.
+    freezes: Vec<(usize, Range<u64>)>,
+    /// When the store rejects appends.
+    write_outages: Vec<Range<u64>>,
     hosts: usize,
 }
 
@@ -76,7 +80,33 @@
             true => (0..hosts).map(|host| (host, span(12_000))).collect(),
             false => Vec::new(),
         };
-        Plan { versions, kills, outages, cuts, hosts }
+        let (freezes, write_outages) = (Vec::new(), Vec::new());
+        Plan { versions, kills, outages, cuts, freezes, write_outages, hosts }
+    }
+
+    /// Adds that single hosts stand still, and that the store rejects appends, both also while a version
+    /// joins.
+    fn add_freezes(&mut self, random: &mut StdRng) {
+        for (_, span) in &self.versions[1..] {
+            let mut span = |longest| {
+                let at = span.start.saturating_sub(random.random_range(0..2_000));
+                at..at + random.random_range(500..longest)
+            };
+            self.write_outages.push(span(12_000));
+            let freeze = span(12_000);
+            self.freezes.push((random.random_range(0..self.hosts), freeze));
+        }
+    }
+
+    /// Until when a host stands still; `None` if it runs.
+    fn frozen_until(&self, host: usize, ms: u64) -> Option<u64> {
+        let freezes =
+            self.freezes.iter().filter(|(frozen, span)| *frozen == host && span.contains(&ms));
+        freezes.map(|(_, span)| span.end).max()
+    }
+
+    fn accepts_appends(&self, ms: u64) -> bool {
+        !self.write_outages.iter().any(|span| span.contains(&ms))
     }
 
     fn reaches_store(&self, host: usize, ms: u64) -> bool {
@@ -161,6 +191,9 @@
         if !self.ledger.is_listed() {
             self.list(store, clock);
         }
+        if !plan.accepts_appends(clock.ms) {
+            return;
+        }
         if self.proposals(clock).is_empty() {
             self.publishes_at_ms = None;
         } else if clock.ms >= *self.publishes_at_ms.get_or_insert(clock.ms + self.publish_delay_ms)
@@ -253,7 +286,7 @@
             }
             self.position = store.log.len();
         }
-        self.table.get(stream).or_else(|| self.ledger.only(SERVICE))
+        self.table.get(stream).or_else(|| self.ledger.only(SERVICE, clock.instant()))
     }
 }
 
@@ -262,6 +295,8 @@
     key: StreamKey,
     version: VersionHash,
     take_up_at_ms: u64,
+    /// The host that has the take-up and stands still.
+    host: Option<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -275,9 +310,19 @@
     not_begun: usize,
 }
 
-fn replay(seed: u64, has_outages: bool) -> Outcome {
+/// What a replay may hold besides versions that come and go and hosts that are killed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Hazards {
+    outages: bool,
+    freezes: bool,
+}
+
+fn replay(seed: u64, hazards: Hazards) -> Outcome {
     let mut random = StdRng::seed_from_u64(seed);
-    let plan = Plan::draw(&mut random, has_outages);
+    let mut plan = Plan::draw(&mut random, hazards.outages);
+    if hazards.freezes {
+        plan.add_freezes(&mut random);
+    }
     let mut clock = Clock { start: Instant::now(), ms: 0 };
     let (mut store, mut outcome) = (Store::default(), Outcome::default());
     let (mut hosts, mut streams): (Vec<Host>, Vec<Stream>) = (Vec::new(), Vec::new());
@@ -295,6 +340,9 @@
             hosts[index] = Host::start(&mut random);
         }
         for (index, host) in hosts.iter_mut().enumerate() {
+            if plan.frozen_until(index, clock.ms).is_some() {
+                continue;
+            }
             if clock.ms % CHECK_MS == (index as u64 * 20) % CHECK_MS
                 || host.directory_at_ms.is_none()
             {
@@ -302,17 +350,25 @@
             }
         }
         let (key, host) = (step, random.random_range(0..hosts.len()));
+        let is_frozen = plan.frozen_until(host, clock.ms).is_some();
         match hosts[host].begin(key, &plan, &clock, &mut random) {
+            _ if is_frozen => {}
             Some(version) => {
                 outcome.begun += 1;
                 let take_up_at_ms = clock.ms + random.random_range(100..CALLER_WAIT_MS);
-                streams.push(Stream { key, version, take_up_at_ms });
+                streams.push(Stream { key, version, take_up_at_ms, host: None });
             }
             None => outcome.not_begun += 1,
         }
         let due = |stream: &mut Stream| stream.take_up_at_ms <= clock.ms;
+        let mut waiting = Vec::new();
         for stream in streams.extract_if(.., due) {
-            let index = random.random_range(0..hosts.len());
+            let index = stream.host.unwrap_or_else(|| random.random_range(0..hosts.len()));
+            if let Some(until) = plan.frozen_until(index, clock.ms) {
+                // the host reads the request as soon as it runs again
+                waiting.push(Stream { take_up_at_ms: until, host: Some(index), ..stream });
+                continue;
+            }
             let reaches_store = plan.reaches_store(index, clock.ms);
             let found = hosts[index].find(stream.key, reaches_store, &store, &clock);
             let chosen = found.and_then(|version| {
@@ -324,16 +380,31 @@
             outcome.went_on += usize::from(chosen == Some(stream.version));
             outcome.joined += usize::from(chosen.is_some_and(|version| version != stream.version));
         }
+        streams.extend(waiting);
     }
     outcome
 }
 
+/// A replay in which a version joined just before an outage of the store. A host that had not learnt of
+/// it took up a stream just after the outage, when the record did not name the version yet.
+const UNNAMED_BEFORE_OUTAGE_SEED: u64 = 6_914;
+
 /// Guards against streams of two software versions, whatever versions come and go, hosts are killed
 /// and outages the store has.
 #[test]
 fn no_stream_has_events_of_two_versions() {
+    for seed in (0..SEEDS).chain([UNNAMED_BEFORE_OUTAGE_SEED]) {
+        let outcome = replay(seed, Hazards { outages: true, freezes: false });
+        assert_eq!(outcome.joined, 0, "seed {seed}: {outcome:?}");
+    }
+}
+
+/// Guards against the same where single hosts stand still while a version joins, and take streams up as
+/// soon as they run again. Appends fail then, so that the record does not name the version for a while.
+#[test]
+fn no_stream_has_events_of_two_versions_after_a_host_stood_still() {
     for seed in 0..SEEDS {
-        let outcome = replay(seed, true);
+        let outcome = replay(seed, Hazards { outages: false, freezes: true });
         assert_eq!(outcome.joined, 0, "seed {seed}: {outcome:?}");
     }
 }
@@ -343,7 +414,7 @@
 #[test]
 fn streams_go_on_while_the_store_works() {
     for seed in 0..SEEDS {
-        let outcome = replay(seed, false);
+        let outcome = replay(seed, Hazards::default());
         assert_eq!(outcome.joined, 0, "seed {seed}: {outcome:?}");
         assert!(outcome.went_on * 2 >= outcome.take_ups, "seed {seed}: {outcome:?}");
         assert!(outcome.begun >= outcome.not_begun * 20, "seed {seed}: {outcome:?}");
--- a/crates/gateway/src/stream_origins/service_versions.rs
+++ b/crates/gateway/src/stream_origins/service_versions.rs
@@ -16,6 +16,8 @@
 /// Streams begin at a version that the record does not name yet once it has been in service for this
 /// long: hosts that reach the store have named it, and this one does not.
 const UNNAMED_VERSION_DELAY: Duration = Duration::from_secs(5);
+/// Time within which hosts that reach the store name a version.
+const NAMING_TIME: Duration = Duration::from_secs(2);
 
 /// The software versions of one service at which streams may have begun.
 ///
@@ -29,6 +31,13 @@
     absent_since: BTreeMap<SoftwareVersion, Instant>,
     /// The versions of the newest record, and when each was named; `None` without a record.
     named: Option<BTreeMap<SoftwareVersion, SystemTime>>,
+    /// Since when the directory has had no endpoint of a version at which streams may have begun although no
+    /// record named it.
+    left_unnamed: BTreeMap<SoftwareVersion, Instant>,
+    /// Whether the directory had all endpoints when it was last observed; `None` before.
+    is_up_to_date: Option<bool>,
+    /// Until then, versions that joined while the directory was out of date may still be unnamed.
+    settled_at: Option<Instant>,
     /// The versions that will be named for as long as a stream that begins now may go on.
     admitted: BTreeSet<SoftwareVersion>,
 }
@@ -43,6 +52,8 @@
         lifetime: Duration,
         now: Instant,
     ) {
+        self.record_up_to_date(is_up_to_date, now);
+        self.record_left_unnamed(present, lifetime, now);
         self.present_since.retain(|version, _| present.contains(version));
         for version in present {
             self.present_since.entry(version.clone()).or_insert(now);
@@ -61,6 +72,38 @@
         }
     }
 
+    fn record_up_to_date(&mut self, is_up_to_date: bool, now: Instant) {
+        if !is_up_to_date && self.is_up_to_date.is_some() {
+            self.settled_at = Some(now + NAMING_TIME);
+        }
+        // a host that starts has missed nothing
+        if is_up_to_date || self.is_up_to_date.is_some() {
+            self.is_up_to_date = Some(is_up_to_date);
+        }
+    }
+
+    /// Remembers versions that leave before the record names them, for as long as their streams may go on.
+    fn record_left_unnamed(
+        &mut self,
+        present: &BTreeSet<SoftwareVersion>,
+        lifetime: Duration,
+        now: Instant,
+    ) {
+        let long_present: Vec<SoftwareVersion> = self.long_present(now).cloned().collect();
+        for version in long_present {
+            if !present.contains(&version) && !self.is_named(&version) {
+                self.left_unnamed.insert(version, now);
+            }
+        }
+        self.left_unnamed.retain(|version, left_at| {
+            !present.contains(version) && now.saturating_duration_since(*left_at) <= lifetime
+        });
+    }
+
+    fn is_named(&self, version: &SoftwareVersion) -> bool {
+        self.named.as_ref().is_some_and(|named| named.contains_key(version))
+    }
+
     /// Takes over the newest record in the store.
     pub(super) fn apply_record(
         &mut self,
@@ -80,6 +123,7 @@
         }
         self.admitted.retain(|version| named.contains_key(version));
         self.absent_since.retain(|version, _| named.contains_key(version));
+        self.left_unnamed.retain(|version, _| !named.contains_key(version));
     }
 
     /// The record to write: with versions that have appeared, and without those at which no stream
@@ -108,13 +152,13 @@
         is_change.then_some(record)
     }
 
-    /// Versions in service that the record does not name, or of which hosts may be about to remove
-    /// the name.
+    /// Versions in service, or with streams that may go on, that the record does not name; and those of
+    /// which hosts may be about to remove the name.
     fn unnamed(&self) -> impl Iterator<Item = &SoftwareVersion> {
-        self.present_since.keys().filter(|version| {
-            let is_named = self.named.as_ref().is_some_and(|named| named.contains_key(*version));
-            !is_named || !self.admitted.contains(*version)
-        })
+        let in_service = self.present_since.keys();
+        let in_service = in_service
+            .filter(|version| !self.is_named(version) || !self.admitted.contains(*version));
+        in_service.chain(self.left_unnamed.keys())
     }
 
     /// Whether no stream that began at this version can go on, while another one serves.
@@ -126,13 +170,17 @@
 
     /// The versions at which a stream may have begun.
     pub(super) fn possible(&self) -> BTreeSet<&SoftwareVersion> {
-        self.present_since.keys().chain(self.named.iter().flat_map(BTreeMap::keys)).collect()
+        let in_service = self.present_since.keys().chain(self.left_unnamed.keys());
+        in_service.chain(self.named.iter().flat_map(BTreeMap::keys)).collect()
     }
 
-    /// The only version at which a stream may have begun, if there is a record and it names no other.
-    pub(super) fn only(&self) -> Option<&SoftwareVersion> {
+    /// The only version at which a stream may have begun: a record and the directory name no other. Not if
+    /// the directory may lack a version that the record does not name yet.
+    pub(super) fn only(&self, now: Instant) -> Option<&SoftwareVersion> {
         let possible = self.possible();
-        let is_only = self.named.is_some() && possible.len() == 1;
+        let is_settled = self.settled_at.is_none_or(|at| at <= now);
+        let is_current = self.is_up_to_date == Some(true) && is_settled;
+        let is_only = self.named.is_some() && is_current && possible.len() == 1;
         is_only.then(|| possible.first().copied()).flatten()
     }
 
--- a/crates/gateway/src/stream_origins/service_versions_tests.rs
+++ b/crates/gateway/src/stream_origins/service_versions_tests.rs
@@ -54,6 +54,10 @@
         record
     }
 
+    fn only(&self) -> Option<&str> {
+        self.versions.only(self.start + self.elapsed).map(|version| &**version)
+    }
+
     fn may_begin(&self, version: &str) -> bool {
         self.versions.versions_to_begin(self.start + self.elapsed).contains(version)
     }
@@ -92,15 +96,15 @@
 fn a_version_that_has_left_stays_possible() {
     let mut host = Host::start(Some(&record(&["v1"], LIFETIME * 2)));
     host.observe(&["v2"]);
-    assert_eq!(host.versions.only(), None);
+    assert_eq!(host.only(), None);
     host.publish();
     host.wait(LIFETIME);
     host.observe(&["v2"]);
-    assert_eq!((host.versions.only(), host.proposal()), (None, None));
+    assert_eq!((host.only(), host.proposal()), (None, None));
     host.wait(Duration::from_millis(1));
     host.observe(&["v2"]);
     assert_eq!(names(&host.publish()), ["v2"]);
-    assert_eq!(host.versions.only().map(|version| &**version), Some("v2"));
+    assert_eq!(host.only(), Some("v2"));
 }
 
 /// Guards against a host that draws a conclusion from its directory where no host has written a
@@ -109,9 +113,9 @@
 fn without_a_record_no_version_is_the_only_one() {
     let mut host = Host::start(None);
     host.observe(&["v1"]);
-    assert_eq!((host.versions.only(), host.may_begin("v1")), (None, true));
+    assert_eq!((host.only(), host.may_begin("v1")), (None, true));
     assert_eq!(names(&host.publish()), ["v1"]);
-    assert!(host.versions.only().is_some());
+    assert!(host.only().is_some());
 }
 
 /// Guards against a name that is removed on the word of a directory that is out of date.
@@ -157,3 +161,32 @@
     let expected = [version_hash("v1"), version_hash("v2")];
     assert_eq!(allowed, AllowedVersions::AnyOf(expected.to_vec()));
 }
+
+/// Guards against streams that go on at another version: theirs had served and left while the store
+/// rejected appends, so that no record ever named it.
+#[test]
+fn a_version_that_has_left_is_named_while_its_streams_may_go_on() {
+    let mut host = Host::start(Some(&record(&["v1"], LIFETIME)));
+    host.observe(&["v1", "v2"]);
+    host.wait(Duration::from_secs(6));
+    assert!(host.may_begin("v2"), "it was not named in time");
+    host.observe(&["v1"]);
+    assert_eq!(host.only(), None);
+    assert_eq!(names(&host.publish()), ["v1", "v2"]);
+    assert_eq!(host.proposal(), None, "it is named");
+}
+
+/// Guards against the same at a host that stood still meanwhile: others are about to name the version.
+#[test]
+fn a_host_that_was_out_of_step_waits_for_the_names_of_versions() {
+    let mut host = Host::start(Some(&record(&["v1"], LIFETIME)));
+    host.observe(&["v1"]);
+    assert_eq!(host.only(), Some("v1"), "a host that starts has missed nothing");
+    host.wait(Duration::from_secs(6));
+    host.observe_directory(&["v1"], false);
+    host.observe(&["v1"]);
+    assert_eq!(host.only(), None);
+    host.wait(Duration::from_secs(2));
+    host.observe(&["v1"]);
+    assert_eq!(host.only(), Some("v1"));
+}
--- a/crates/gateway/src/stream_origins/shared_origins.rs
+++ b/crates/gateway/src/stream_origins/shared_origins.rs
@@ -13,9 +13,9 @@
     crate::{
         clock::BootInstant,
         config::ConfigState,
-        endpoints::Directory,
+        endpoints::{Directory, RENEWAL_TIME},
         peers::PeerState,
-        records::FeedKind,
+        records::{Continuity, FeedKind},
         telemetry::{GatewayMetrics, event},
     },
     serde_json::{Map, Value, json},
@@ -178,21 +178,25 @@
             return None;
         }
         let time_limit = take_up.time_left.mul_f64(MAX_FIND_FRACTION).min(MAX_FIND_TIME);
-        let is_refreshed = self.refreshes.wait(time_limit).await;
-        if let Some(version) = known() {
-            return Some((version, OriginSource::Log));
-        }
-        if !is_refreshed {
-            return None;
-        }
-        self.observe_versions();
-        if let Some(version) = self.ledger.borrow().only(take_up.service) {
-            return Some((version, OriginSource::OnlyVersion));
+        for is_second_look in [false, true] {
+            // the host that had the stream may have noticed only now that it broke, and this one that
+            // its directory is out of date
+            if is_second_look {
+                sleep(LATE_APPEND_TIME.min(time_limit)).await;
+            }
+            let is_refreshed = self.refreshes.wait(time_limit).await;
+            if let Some(version) = known() {
+                return Some((version, OriginSource::Log));
+            }
+            if !is_refreshed {
+                return None;
+            }
+            self.observe_versions();
+            if let Some(version) = self.ledger.borrow().only(take_up.service, Instant::now()) {
+                return Some((version, OriginSource::OnlyVersion));
+            }
         }
-        // the host that had the stream may have noticed only now that it broke
-        sleep(LATE_APPEND_TIME.min(time_limit)).await;
-        self.refreshes.wait(time_limit).await;
-        known().map(|version| (version, OriginSource::Log))
+        None
     }
 
     /// The software versions at which a stream that may be taken up can begin.
@@ -211,14 +215,22 @@
         if let Some(config) = self.config.current() {
             self.record_wait(config.longest_stream());
         }
-        let feed = self.peers.published_feed(FeedKind::Endpoints).borrow();
-        let age = feed.confirmation_age(BootInstant::now());
-        let is_up_to_date = age.is_some_and(|age| age <= self.max_directory_age);
+        let is_up_to_date = self.is_directory_up_to_date();
         let present = self.directory.versions_by_service();
         let mut ledger = self.ledger.borrow_mut();
         ledger.observe(&present, is_up_to_date, self.lifetime(), Instant::now());
     }
 
+    /// Whether the directory had all endpoints a moment ago. After an outage of the store it may lack those
+    /// whose records have expired.
+    fn is_directory_up_to_date(&self) -> bool {
+        let feed = self.peers.published_feed(FeedKind::Endpoints).borrow();
+        let age = feed.confirmation_age(BootInstant::now());
+        let is_recent = age.is_some_and(|age| age <= self.max_directory_age);
+        let Continuity { span, follows_outage } = feed.continuity();
+        is_recent && (!follows_outage || span >= RENEWAL_TIME)
+    }
+
     pub(super) fn version_proposals(&self) -> Vec<VersionRecord> {
         self.ledger.borrow().proposals(self.lifetime(), Instant::now(), SystemTime::now())
     }
--- a/crates/gateway/src/stream_origins/version_ledger.rs
+++ b/crates/gateway/src/stream_origins/version_ledger.rs
@@ -95,8 +95,8 @@
     }
 
     /// The version at which every stream of a service began; `None` if several are possible.
-    pub(crate) fn only(&self, service: &str) -> Option<VersionHash> {
-        let only = self.services.get(service).and_then(ServiceVersions::only);
+    pub(crate) fn only(&self, service: &str, now: Instant) -> Option<VersionHash> {
+        let only = self.services.get(service).and_then(|versions| versions.only(now));
         only.map(|version| version_hash(version))
     }
 
