--- a/crates/gateway/src/stream_origins/replay_tests.rs
+++ b/crates/gateway/src/stream_origins/replay_tests.rs
@@ -13,13 +13,15 @@
     rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom},
     std::{
         collections::BTreeSet,
+        env,
         ops::Range,
         rc::Rc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
-const SEEDS: u64 = 150;
+/// Replays that are played unless `STREAM_SEEDS=FROM..TO` says otherwise.
+const SEEDS: Range<u64> = 0..150;
 const SERVICE: &str = "llm";
 /// Length of a replay.
 const END_MS: u64 = 120_000;
@@ -385,6 +387,12 @@
     outcome
 }
 
+fn seeds() -> Range<u64> {
+    let Ok(text) = env::var("STREAM_SEEDS") else { return SEEDS };
+    let (from, to) = text.split_once("..").expect("FROM..TO");
+    from.parse().expect("a seed")..to.parse().expect("a seed")
+}
+
 /// A replay in which a version joined just before an outage of the store. A host that had not learnt of
 /// it took up a stream just after the outage, when the record did not name the version yet.
 const UNNAMED_BEFORE_OUTAGE_SEED: u64 = 6_914;
@@ -393,7 +401,7 @@
 /// and outages the store has.
 #[test]
 fn no_stream_has_events_of_two_versions() {
-    for seed in (0..SEEDS).chain([UNNAMED_BEFORE_OUTAGE_SEED]) {
+    for seed in seeds().chain([UNNAMED_BEFORE_OUTAGE_SEED]) {
         let outcome = replay(seed, Hazards { outages: true, freezes: false });
         assert_eq!(outcome.joined, 0, "seed {seed}: {outcome:?}");
     }
@@ -403,7 +411,7 @@
 /// soon as they run again. Appends fail then, so that the record does not name the version for a while.
 #[test]
 fn no_stream_has_events_of_two_versions_after_a_host_stood_still() {
-    for seed in 0..SEEDS {
+    for seed in seeds() {
         let outcome = replay(seed, Hazards { outages: false, freezes: true });
         assert_eq!(outcome.joined, 0, "seed {seed}: {outcome:?}");
     }
@@ -413,7 +421,7 @@
 /// works.
 #[test]
 fn streams_go_on_while_the_store_works() {
-    for seed in 0..SEEDS {
+    for seed in seeds() {
         let outcome = replay(seed, Hazards::default());
         assert_eq!(outcome.joined, 0, "seed {seed}: {outcome:?}");
         assert!(outcome.went_on * 2 >= outcome.take_ups, "seed {seed}: {outcome:?}");
