--- a/crates/gateway/src/followers/endpoint_sink.rs
+++ b/crates/gateway/src/followers/endpoint_sink.rs
@@ -3,6 +3,7 @@
         doubtful_records::DoubtfulRecords,
         known_records::{KnownRecords, RecordNews},
         record_sink::{Applied, RecordDecoder, RecordSink},
+        unreadable_records::UnreadableRecords,
     },
     crate::{
         clock::Now,
@@ -28,11 +29,6 @@
 /// Longest time in which the store executes a call whose answer was lost.
 const LATE_EXECUTION_TIME: Duration = Duration::from_secs(7);
 
-/// Most keys of unreadable records that are remembered, so that each is logged once.
-const MAX_UNREADABLE_KEYS: usize = 256;
-/// Longest reason in the log: it may quote the record.
-const MAX_REASON_CHARS: usize = 200;
-
 /// Applies endpoint records to the directory of endpoints.
 pub(crate) struct EndpointSink {
     directory: Rc<Directory>,
@@ -45,8 +41,7 @@
     doubtful: DoubtfulRecords,
     /// Endpoints whose record was accepted after it was held back, of which peers are told with the next one.
     untold_acceptances: BTreeSet<EndpointId>,
-    /// Keys whose newest record could not be read.
-    unreadable_keys: BTreeSet<Box<str>>,
+    unreadable: UnreadableRecords,
     /// Endpoints whose record is removed before this time stay in use until then: the record
     /// may have expired in an outage of the store.
     keep_removed_until: Option<Instant>,
@@ -78,7 +73,7 @@
             known: KnownRecords::default(),
             doubtful: DoubtfulRecords::default(),
             untold_acceptances: BTreeSet::new(),
-            unreadable_keys: BTreeSet::new(),
+            unreadable: UnreadableRecords::default(),
             keep_removed_until: None,
             has_new_era: false,
             heartbeats_are_news_until: None,
@@ -133,11 +128,13 @@
         });
         match decoded {
             Ok(endpoint) => {
-                self.unreadable_keys.remove(&record.key);
+                self.unreadable.forget(&record.key);
                 Some(endpoint)
             }
             Err(reason) => {
-                self.record_unreadable(record, &reason);
+                if self.unreadable.record(record, &reason) {
+                    self.metrics.unreadable_endpoint_records.inc();
+                }
                 None
             }
         }
@@ -160,7 +157,7 @@
     }
 
     fn apply_record(&mut self, record: &RawRecord, now: Instant) -> Applied {
-        let was_unreadable = self.unreadable_keys.contains(&record.key);
+        let was_unreadable = self.unreadable.contains(&record.key);
         let Some(endpoint) = self.decode(record) else { return Applied::Unused };
         let news = self.known.update(&endpoint, now);
         if news == RecordNews::Doubtful {
@@ -219,24 +216,6 @@
         }
         was_held
     }
-
-    fn record_unreadable(&mut self, record: &RawRecord, reason: &str) {
-        if self.unreadable_keys.len() >= MAX_UNREADABLE_KEYS {
-            self.unreadable_keys.pop_first();
-        }
-        if !self.unreadable_keys.insert(record.key.clone()) {
-            return;
-        }
-        self.metrics.unreadable_endpoint_records.inc();
-        let shown: String = reason.chars().take(MAX_REASON_CHARS).collect();
-        event!(
-            "endpoint_record_unreadable",
-            "key={:?} offset={} bytes={} reason={shown:?}",
-            record.key,
-            record.offset,
-            record.value.len()
-        );
-    }
 }
 
 impl RecordSink for EndpointSink {
--- a/crates/gateway/src/followers/mod.rs
+++ b/crates/gateway/src/followers/mod.rs
@@ -27,6 +27,7 @@
 mod relay_tests;
 #[cfg(test)]
 mod tests;
+mod unreadable_records;
 mod unsettled_evacuations;
 #[cfg(test)]
 mod zone_tests;
