--- a/crates/gateway/src/followers/log_copy.rs
+++ b/crates/gateway/src/followers/log_copy.rs
@@ -275,13 +275,13 @@
     }
 
     fn replace_all(&mut self, records: &[RawRecord], end: Offset, now: Now) {
-        let newer = self.sink.replace_all(records, now.instant);
+        let kept = self.sink.replace_all(records, now.instant);
         let mut published = self.peers.published_feed(S::KIND).borrow_mut();
         published.set_era(self.era.unwrap_or_default());
-        published.replace_all(records, end, &newer, |key| self.sink.last_needed_until(key));
+        published.replace_all(records, end, &kept, |key| self.sink.last_needed_until(key));
         let held_back = records
             .iter()
-            .filter(|record| newer.contains(&record.key) && self.sink.holds_back(&record.key));
+            .filter(|record| kept.contains(&record.key) && self.sink.holds_back(&record.key));
         held_back.for_each(|record| published.hold(record));
     }
 
--- a/crates/gateway/src/followers/record_sink.rs
+++ b/crates/gateway/src/followers/record_sink.rs
@@ -59,8 +59,8 @@
     /// Whether the store has not got back yet what this host knows, so that nothing is confirmed.
     fn is_ahead_of_store(&self) -> bool;
 
-    /// Replaces the state by the newest record of every key. Returns the keys whose listed record
-    /// is older than the one that this host knows and keeps.
+    /// Replaces the state by the newest record of every key. Returns the keys whose listed record is
+    /// not in force: this host knows a newer one, or holds the listed one back.
     fn replace_all(&mut self, records: &[RawRecord], now: Instant) -> Vec<Box<str>>;
 
     /// Applies one record.
@@ -74,7 +74,7 @@
         self.apply(record, now)
     }
 
-    /// Called after records were skipped that say nothing new.
+    /// Called after records that say nothing new were skipped, since the relay does not pass them on.
     fn records_skipped(&mut self) {}
 
     /// Until when peers need the last record of a key that was removed; `None` if they do not.
--- a/crates/gateway/src/peers/published_feed.rs
+++ b/crates/gateway/src/peers/published_feed.rs
@@ -107,14 +107,14 @@
         }
     }
 
-    /// Replaces all records by a complete listing. The known values of the keys `newer` are kept,
-    /// since the listed ones are older. `last_needed_until` says until when peers need the last record of
+    /// Replaces all records by a complete listing. Of the keys `kept`, the known records are kept, since
+    /// the listed ones are not in force. `last_needed_until` says until when peers need the last record of
     /// a key that is not listed.
     pub(crate) fn replace_all(
         &mut self,
         records: &[RawRecord],
         end: Offset,
-        newer: &[Box<str>],
+        kept: &[Box<str>],
         last_needed_until: impl Fn(&str) -> Option<Instant>,
     ) {
         self.encoded.take();
@@ -122,8 +122,9 @@
         self.last_change = None;
         self.complete_before = end;
         for record in records {
-            let newer = newer.contains(&record.key).then(|| known.remove(&record.key)).flatten();
-            match newer {
+            let kept_record =
+                kept.contains(&record.key).then(|| known.remove(&record.key)).flatten();
+            match kept_record {
                 Some(published) => self.relist(&record.key, published, record.offset),
                 None => self.add(record),
             }
@@ -142,6 +143,7 @@
         self.last_change = self.last_change.max(end.checked_sub(1));
     }
 
+    /// Keeps a record beyond a listing of the log.
     fn relist(&mut self, key: &str, mut published: PublishedRecord, offset: Offset) {
         self.record_change(offset);
         published.set_offset(offset);
