Begin no stream at one of several versions before the first record

What callers may see: a stream of two software versions, if two versions join together with their service. Until the first record of a service, streams began at any version; a host that knew only one of them may write that record, and others then take it for the only one.

Change: without a record, a stream begins only if the directory has one version.

Evidence: without_a_record_streams_begin_at_none_of_several_versions failed before. Not seen with processes.

--- a/crates/gateway/src/stream_origins/service_versions.rs
+++ b/crates/gateway/src/stream_origins/service_versions.rs
@@ -185,9 +185,9 @@
     }
 
     /// The versions at which a stream that may be taken up can begin now. Without a record, no other
-    /// version has served.
+    /// version has served than those that have just joined.
     pub(super) fn versions_to_begin(&self, now: Instant) -> AllowedVersions {
-        if self.named.is_none() {
+        if self.named.is_none() && self.present_since.len() <= 1 {
             return AllowedVersions::Any;
         }
         AllowedVersions::AnyOf(
--- a/crates/gateway/src/stream_origins/service_versions_tests.rs
+++ b/crates/gateway/src/stream_origins/service_versions_tests.rs
@@ -118,6 +118,17 @@
     assert!(host.only().is_some());
 }
 
+/// Guards against streams at one of two versions that join together with their service: another host may
+/// write the first record, and know only one of them.
+#[test]
+fn without_a_record_streams_begin_at_none_of_several_versions() {
+    let mut host = Host::start(None);
+    host.observe(&["v1", "v2"]);
+    assert_eq!((host.may_begin("v1"), host.may_begin("v2")), (false, false));
+    assert_eq!(names(&host.publish()), ["v1", "v2"]);
+    assert_eq!((host.may_begin("v1"), host.may_begin("v2")), (true, true));
+}
+
 /// Guards against a name that is removed on the word of a directory that is out of date.
 #[test]
 fn a_directory_that_is_out_of_date_shows_no_absence() {
