--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -25,6 +25,8 @@
 mod origin_writer_tests;
 mod refresh_rounds;
 #[cfg(test)]
+mod replay_plan;
+#[cfg(test)]
 mod replay_tests;
 mod service_versions;
 #[cfg(test)]
@@ -33,6 +35,8 @@
 #[cfg(test)]
 mod stale_directory_tests;
 mod stream_key;
+#[cfg(test)]
+mod test_peers;
 mod version_hash;
 mod version_ledger;
 mod version_publisher;
--- a/crates/gateway/src/stream_origins/origin_writer_tests.rs
+++ b/crates/gateway/src/stream_origins/origin_writer_tests.rs
@@ -3,16 +3,15 @@
         origin_store::{OriginBatch, OriginChanges, OriginStore},
         origin_writer::write_origins,
         shared_origins::SharedOrigins,
+        test_peers::peers,
         version_record::{ConditionalAppend, NamedVersion, VersionListing, VersionRecord},
     },
     crate::{
         config::ConfigState,
         endpoints::Directory,
-        peers::{MaxConfirmationAges, PeerState},
         records::{FeedError, Offset},
         telemetry::GatewayMetrics,
     },
-    mango_wire::gossip::HostRecord,
     std::{
         cell::RefCell,
         rc::Rc,
@@ -66,18 +65,6 @@
     }
 }
 
-fn peers() -> Rc<PeerState> {
-    let host = HostRecord {
-        host_id: "own".to_owned(),
-        zone: "z".to_owned(),
-        gossip_address: "127.0.0.1:1".to_owned(),
-        relay_address: "127.0.0.1:2".to_owned(),
-        link_mbps: 100,
-    };
-    let max_age = Duration::from_millis(1_500);
-    Rc::new(PeerState::new(host, MaxConfirmationAges { config: max_age, endpoints: max_age }))
-}
-
 /// What a host knows whose service `llm` has two software versions.
 fn origins_of_two_versions(metrics: &Rc<GatewayMetrics>) -> Rc<SharedOrigins> {
     let config = Rc::new(ConfigState::new(Duration::from_secs(1)));
--- a/crates/gateway/src/stream_origins/replay_tests.rs
+++ b/crates/gateway/src/stream_origins/replay_tests.rs
@@ -5,6 +5,7 @@
         allowed_versions::AllowedVersions,
         origin_store::OriginBatch,
         origin_table::OriginTable,
+        replay_plan::{END_MS, Plan},
         stream_key::StreamKey,
         version_hash::{VersionHash, version_hash},
         version_ledger::{PresentVersions, VersionLedger},
@@ -23,8 +24,6 @@
 /// Replays that are played unless `STREAM_SEEDS=FROM..TO` says otherwise.
 const SEEDS: Range<u64> = 0..150;
 const SERVICE: &str = "llm";
-/// Length of a replay.
-const END_MS: u64 = 120_000;
 /// Longest time after its first event at which a caller takes a stream up.
 const CALLER_WAIT_MS: u64 = 15_000;
 const LIFETIME: Duration = Duration::from_secs(25);
@@ -39,93 +38,6 @@
 /// Latest time after which a host in touch knows of an endpoint.
 const MAX_DIRECTORY_LAG_MS: u64 = 1_500;
 
-/// What happens in one replay.
-struct Plan {
-    /// When endpoints of each version are in service.
-    versions: Vec<(SoftwareVersion, Range<u64>)>,
-    /// When all hosts are killed, and when they are back.
-    kills: Vec<Range<u64>>,
-    /// When the store serves nobody.
-    outages: Vec<Range<u64>>,
-    /// When a host cannot reach the store.
-    cuts: Vec<(usize, Range<u64>)>,
-    /// When a host stands still.
-    freezes: Vec<(usize, Range<u64>)>,
-    /// When the store rejects appends.
-    write_outages: Vec<Range<u64>>,
-    hosts: usize,
-}
-
-impl Plan {
-    /// Versions come and go, also while all hosts are down.
-    fn draw(random: &mut StdRng, has_outages: bool) -> Plan {
-        let mut versions = vec![("v0".into(), 0..random.random_range(20_000..60_000))];
-        let mut kills = Vec::new();
-        for index in 1..random.random_range(2..5_u64) {
-            let at: u64 = random.random_range(5_000..100_000);
-            let until = at + random.random_range(3_000..80_000);
-            versions.push((format!("v{index}").into(), at..until));
-            if random.random_bool(0.7) {
-                let kill_at = at.saturating_add_signed(random.random_range(-3_000..4_000));
-                kills.push(kill_at..kill_at + random.random_range(200..4_000));
-            }
-        }
-        // a service always has endpoints
-        versions.push(("v9".into(), random.random_range(15_000..20_000)..END_MS));
-        let hosts = random.random_range(2..7);
-        let mut span = |longest| {
-            let at = random.random_range(0..END_MS);
-            at..at + random.random_range(500..longest)
-        };
-        let outages = if has_outages { vec![span(12_000), span(5_000)] } else { Vec::new() };
-        let cuts = match has_outages {
-            true => (0..hosts).map(|host| (host, span(12_000))).collect(),
-            false => Vec::new(),
-        };
-        let (freezes, write_outages) = (Vec::new(), Vec::new());
-        Plan { versions, kills, outages, cuts, freezes, write_outages, hosts }
-    }
-
-    /// Adds that single hosts stand still, and that the store rejects appends, both also while a version
-    /// joins.
-    fn add_freezes(&mut self, random: &mut StdRng) {
-        for (_, span) in &self.versions[1..] {
-            let mut span = |longest| {
-                let at = span.start.saturating_sub(random.random_range(0..2_000));
-                at..at + random.random_range(500..longest)
-            };
-            self.write_outages.push(span(12_000));
-            let freeze = span(12_000);
-            self.freezes.push((random.random_range(0..self.hosts), freeze));
-        }
-    }
-
-    /// Until when a host stands still; `None` if it runs.
-    fn frozen_until(&self, host: usize, ms: u64) -> Option<u64> {
-        let freezes =
-            self.freezes.iter().filter(|(frozen, span)| *frozen == host && span.contains(&ms));
-        freezes.map(|(_, span)| span.end).max()
-    }
-
-    fn accepts_appends(&self, ms: u64) -> bool {
-        !self.write_outages.iter().any(|span| span.contains(&ms))
-    }
-
-    fn reaches_store(&self, host: usize, ms: u64) -> bool {
-        let is_cut = self.cuts.iter().any(|(cut, span)| *cut == host && span.contains(&ms));
-        !is_cut && !self.outages.iter().any(|span| span.contains(&ms))
-    }
-
-    fn is_down(&self, ms: u64) -> bool {
-        self.kills.iter().any(|span| span.contains(&ms))
-    }
-
-    fn present(&self, ms: u64) -> BTreeSet<SoftwareVersion> {
-        let serving = self.versions.iter().filter(|(_, span)| span.contains(&ms));
-        serving.map(|(version, _)| version.clone()).collect()
-    }
-}
-
 /// The records and the log of the store.
 #[derive(Default)]
 struct Store {
--- a/crates/gateway/src/stream_origins/stale_directory_tests.rs
+++ b/crates/gateway/src/stream_origins/stale_directory_tests.rs
@@ -5,6 +5,7 @@
         origin_reader::OriginReader,
         origin_store::{OriginBatch, OriginChanges, OriginStore},
         shared_origins::{SharedOrigins, TakeUp},
+        test_peers::peers,
         version_hash::{VersionHash, version_hash},
         version_record::{ConditionalAppend, NamedVersion, VersionListing, VersionRecord},
     },
@@ -12,11 +13,9 @@
         clock::BootInstant,
         config::ConfigState,
         endpoints::{Directory, EndpointRecord, EndpointState},
-        peers::{MaxConfirmationAges, PeerState},
         records::{Continuity, FeedError, FeedKind, Offset},
         telemetry::GatewayMetrics,
     },
-    mango_wire::gossip::HostRecord,
     std::{
         rc::Rc,
         time::{Duration, UNIX_EPOCH},
@@ -58,18 +57,6 @@
     }
 }
 
-fn peers() -> Rc<PeerState> {
-    let host = HostRecord {
-        host_id: "own".to_owned(),
-        zone: "z".to_owned(),
-        gossip_address: "127.0.0.1:1".to_owned(),
-        relay_address: "127.0.0.1:2".to_owned(),
-        link_mbps: 100,
-    };
-    let max_age = Duration::from_millis(1_500);
-    Rc::new(PeerState::new(host, MaxConfirmationAges { config: max_age, endpoints: max_age }))
-}
-
 fn endpoint(id: &str, version: &str) -> EndpointRecord {
     EndpointRecord {
         id: id.into(),
